--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+BIN := .venv/bin
+STAMP := .venv/.installed
+
+.PHONY: setup demo test model lint slopes clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/bilberryshed-load demo
+
+test: lint features
+
+lint: setup
+	$(BIN)/black --check --quiet src features
+	$(BIN)/ruff check --quiet src features
+	$(BIN)/mypy --no-error-summary
+	$(BIN)/lint-imports > /dev/null || ($(BIN)/lint-imports; exit 1)
+
+.PHONY: features
+features: setup
+	$(BIN)/behave --format progress features
+
+clean:
+	rm -rf .venv build
--- /dev/null
+++ b/src/bilberryshed/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for prepaid token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/bilberryshed/coordination/__init__.py
@@ -0,0 +1,117 @@
+"""Decisions of the fleet: no I/O, no clock, no randomness.
+
+Time and messages come in as arguments; typed actions go out.
+"""
+
+from bilberryshed.coordination._agent_runs import Closing, Refused, Runs
+from bilberryshed.coordination._answers import AnswerCheck, AnswerDamagedError
+from bilberryshed.coordination._audit import Audit, BudgetLine, audit
+from bilberryshed.coordination._claims import (
+    Claim,
+    ClaimInsert,
+    ClaimState,
+    Doubtful,
+    Existing,
+    Mine,
+    ReadClaim,
+    Unclaimed,
+    WriteClaim,
+    claim_ref,
+)
+from bilberryshed.coordination._funding import (
+    AskPeer,
+    Funded,
+    Funding,
+    TakeFromStore,
+    Unfunded,
+    Verdict,
+)
+from bilberryshed.coordination._grant_book import Grant, GrantBook
+from bilberryshed.coordination._grant_store import (
+    MAX_CHANGES,
+    Adopt,
+    Close,
+    Done,
+    GrantBatch,
+    Take,
+)
+from bilberryshed.coordination._ledger import GetSegment, PutSegment, Segment, ShardWriter
+from bilberryshed.coordination._membership import ListChange, Member, Members
+from bilberryshed.coordination._prefixes import prompt_prefixes
+from bilberryshed.coordination._rendezvous import owner, ranked, shard_of
+from bilberryshed.coordination._rollout import Rollout, SheetInForce
+from bilberryshed.coordination._routing import AgentView, Choice, Routing, policies, policy
+from bilberryshed.coordination._row_actions import ReadRows, WriteRows
+from bilberryshed.coordination._sizing import GrantSizing
+from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
+from bilberryshed.coordination._submission import (
+    Accepted,
+    Conflict,
+    Rejected,
+    Submission,
+    Undecided,
+)
+
+__all__ = [
+    "TallyLine",
+    "audit",
+    "BudgetLine",
+    "Audit",
+    "Undecided",
+    "Submission",
+    "SloTally",
+    "Rejected",
+    "Conflict",
+    "Accepted",
+    "MAX_CHANGES",
+    "Adopt",
+    "AgentView",
+    "AnswerCheck",
+    "AnswerDamagedError",
+    "AskPeer",
+    "Choice",
+    "Claim",
+    "ClaimInsert",
+    "ClaimState",
+    "Close",
+    "Closing",
+    "Done",
+    "Doubtful",
+    "Existing",
+    "Funded",
+    "Funding",
+    "GetSegment",
+    "Grant",
+    "GrantBatch",
+    "GrantBook",
+    "GrantSizing",
+    "ListChange",
+    "Member",
+    "Members",
+    "Mine",
+    "PutSegment",
+    "ReadClaim",
+    "ReadRows",
+    "Refused",
+    "Rollout",
+    "Routing",
+    "Runs",
+    "Segment",
+    "ShardWriter",
+    "SheetInForce",
+    "Take",
+    "TakeFromStore",
+    "Unclaimed",
+    "Unfunded",
+    "Verdict",
+    "WriteClaim",
+    "WriteRows",
+    "burn_rates",
+    "claim_ref",
+    "owner",
+    "policies",
+    "policy",
+    "prompt_prefixes",
+    "ranked",
+    "shard_of",
+]
--- /dev/null
+++ b/src/bilberryshed/coordination/_agent_runs.py
@@ -0,0 +1,107 @@
+"""Attempts of one agent: what may start, what runs, what is still to be reported."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from bilberryshed.protocol import Dispatch, JournalEntry, RefusalCode
+
+
+class Closing(StrEnum):
+    """How an attempt id came to be closed."""
+
+    NEVER_RAN = "never_ran"
+    FAILED = "failed"
+    RECORDED = "recorded"
+
+
+_STARTED = frozenset({Closing.FAILED, Closing.RECORDED})
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """A dispatch that has not started and never will."""
+
+    code: RefusalCode
+    reason: str
+
+
+@dataclass(slots=True)
+class Runs:
+    """Attempts of one agent.
+
+    An attempt id that was refused, or asked about before it came, is closed: a late dispatch of it
+    is refused. An attempt id starts at most once.
+
+    :param capacity: attempts that may be running or queued at once
+    """
+
+    capacity: int
+    running: dict[str, Dispatch] = field(default_factory=dict)
+    closed: dict[str, Closing] = field(default_factory=dict)
+    revoked: set[str] = field(default_factory=set)
+    journal: dict[str, JournalEntry] = field(default_factory=dict)
+    draining: bool = False
+
+    def admit(self, boot: str, dispatch: Dispatch, serves: bool) -> Refused | None:
+        """Admit a dispatch or say why not.
+
+        :param boot: boot id of the router that sent it
+        :param serves: whether the backend server has what the dispatch asks for
+        """
+        refused = self._refusal(boot, dispatch, serves)
+        if refused is not None:
+            self.closed.setdefault(dispatch.attempt, Closing.NEVER_RAN)
+            return refused
+        self.running[dispatch.attempt] = dispatch
+        return None
+
+    def is_known(self, attempt: str) -> bool:
+        """Whether an attempt id has been admitted, now or before."""
+        return attempt in self.running or self.closed.get(attempt) in _STARTED
+
+    def _refusal(self, boot: str, dispatch: Dispatch, serves: bool) -> Refused | None:
+        if dispatch.attempt in self.closed:
+            return Refused(RefusalCode.NO_CAPACITY, f"attempt {dispatch.attempt} is closed")
+        if boot in self.revoked:
+            return Refused(RefusalCode.DRAINING, f"boot {boot} is revoked")
+        if self.draining:
+            return Refused(RefusalCode.DRAINING, "the backend server is leaving")
+        if not serves:
+            target = dispatch.model or dispatch.service
+            return Refused(RefusalCode.NO_CAPACITY, f"{target} is not served here")
+        if len(self.running) >= self.capacity:
+            return Refused(RefusalCode.NO_CAPACITY, f"{len(self.running)} attempts are running")
+        return None
+
+    def end(self, attempt: str, closing: Closing, entry: JournalEntry | None = None) -> None:
+        """Note the end of an attempt.
+
+        :param entry: its usage, kept until the ledger has it; ``None`` if there is none to bill
+        """
+        self.running.pop(attempt, None)
+        self.closed[attempt] = closing
+        if entry is not None:
+            self.journal[attempt] = entry
+
+    def inquire(self, attempt: str) -> Closing | None:
+        """Say what became of an attempt, and close it if it never came.
+
+        :returns: ``None`` while it runs
+        """
+        if attempt in self.running:
+            return None
+        return self.closed.setdefault(attempt, Closing.NEVER_RAN)
+
+    def kept(self, attempts: tuple[str, ...]) -> None:
+        """Forget journal entries that the ledger holds."""
+        for attempt in attempts:
+            self.journal.pop(attempt, None)
+
+    def revoke(self, boots: tuple[str, ...]) -> None:
+        """Refuse all further work of these boot ids."""
+        self.revoked.update(boots)
+
+    def settled_boots(self, boot_of_attempt: dict[str, str]) -> tuple[str, ...]:
+        """Return revoked boot ids none of whose work is running or unreported."""
+        open_boots = {boot_of_attempt.get(a) for a in (*self.running, *self.journal)}
+        return tuple(sorted(self.revoked - open_boots))
--- /dev/null
+++ b/src/bilberryshed/coordination/_claims.py
@@ -0,0 +1,147 @@
+"""Durable claims: a non-idempotent call runs at most once.
+
+The claim is inserted before dispatch, under the customer's idempotency key. Whoever finds a claim
+of another attempt never runs the call; it gives the recorded answer or says that the outcome is
+unknown. Only proof that the attempt never started turns a claim into ``released``.
+"""
+
+from dataclasses import asdict, dataclass
+from enum import StrEnum
+from typing import Any
+
+from bilberryshed.state import CLAIMS, Put, Row, RowRef, StoreError
+
+
+class ClaimState(StrEnum):
+    """State of a claim."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    RELEASED = "released"
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """Value of a claim row.
+
+    :param attempt: the one attempt that may run
+    :param fingerprint: digest of the call, so that a key is not reused for another one
+    :param status: HTTP status of the recorded answer
+    """
+
+    attempt: str
+    fingerprint: str
+    state: str = ClaimState.CLAIMED
+    status: int = 0
+    content_type: str = ""
+    answer: str = ""
+
+    @classmethod
+    def from_value(cls, value: dict[str, Any]) -> "Claim":
+        """Read the columns of a row."""
+        return cls(**{name: value[name] for name in cls.__slots__})
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the columns of a row."""
+        return asdict(self)
+
+
+@dataclass(slots=True, frozen=True)
+class ReadClaim:
+    """Action: read the claim row."""
+
+    ref: RowRef
+
+
+@dataclass(slots=True, frozen=True)
+class WriteClaim:
+    """Action: write the claim row."""
+
+    put: Put
+
+
+@dataclass(slots=True, frozen=True)
+class Mine:
+    """Result: the attempt may be dispatched."""
+
+
+@dataclass(slots=True, frozen=True)
+class Existing:
+    """Result: another attempt has the claim."""
+
+    claim: Claim
+
+
+@dataclass(slots=True, frozen=True)
+class Unclaimed:
+    """Result: no claim of this attempt took effect, and none will."""
+
+    error: StoreError
+
+
+@dataclass(slots=True, frozen=True)
+class Doubtful:
+    """Result: whether the claim took effect is unknown; nothing was dispatched."""
+
+    error: StoreError
+
+
+Action = ReadClaim | WriteClaim | Mine | Existing | Unclaimed | Doubtful
+
+
+class ClaimInsert:
+    """Insertion of one claim; drive it with the answer to each action.
+
+    :param ref: row of the claim
+    :param claim: the claim to insert
+    :param tries: store calls that may fail before it gives up
+    """
+
+    __slots__ = ("ref", "claim", "tries", "doubtful", "version")
+
+    def __init__(self, ref: RowRef, claim: Claim, tries: int = 4) -> None:
+        self.ref = ref
+        self.claim = claim
+        self.tries = tries
+        self.doubtful = False
+        self.version = 0
+
+    def start(self) -> Action:
+        """Return the first action."""
+        return self._write()
+
+    def on_written(self, written: bool | StoreError) -> Action:
+        """Handle the answer to :class:`WriteClaim`."""
+        if isinstance(written, StoreError):
+            self.doubtful = self.doubtful or written.ambiguous
+            return self._retry(written)
+        return Mine() if written else ReadClaim(self.ref)
+
+    def on_row(self, row: Row | StoreError) -> Action:
+        """Handle the answer to :class:`ReadClaim`."""
+        if isinstance(row, StoreError):
+            return self._retry(row)
+        if row.version == 0:
+            self.version = 0
+            return self._write()
+        found = Claim.from_value(row.value)
+        if found.attempt == self.claim.attempt:
+            return Mine()
+        if found.state == ClaimState.RELEASED and found.fingerprint == self.claim.fingerprint:
+            self.version = row.version
+            return self._write()
+        return Existing(found)
+
+    def _write(self) -> Action:
+        return WriteClaim(Put(self.ref, self.version, self.claim.to_value()))
+
+    def _retry(self, error: StoreError) -> Action:
+        self.tries -= 1
+        if self.tries > 0:
+            return ReadClaim(self.ref)
+        return Doubtful(error) if self.doubtful else Unclaimed(error)
+
+
+def claim_ref(customer: str, key: str) -> RowRef:
+    """Return the row of a claim."""
+    return RowRef(CLAIMS, f"{customer}/{key}")
--- /dev/null
+++ b/src/bilberryshed/coordination/_grant_book.py
@@ -0,0 +1,211 @@
+"""What a router holds of each budget, and what it has reserved and spent of it.
+
+A grant is debited in the table service before its holder sees it. The book never lets the sum of
+reservations and charges on a grant pass its amount, so no order of events can overspend a budget.
+"""
+
+from dataclasses import dataclass, field
+
+from bilberryshed.protocol import Charge, Transfer, UsageRecord
+
+
+@dataclass(slots=True)
+class Grant:
+    """A grant, or a part of one that was transferred to this router.
+
+    :param id: grant id, which bills name
+    :param source: row in the table service that contains the amount
+    :param budget: budget key
+    :param amount: tokens
+    :param reserved: tokens held for requests that have not ended
+    :param spent: tokens used whose bill is not yet kept by the ledger
+    :param settled: tokens on bills that the ledger keeps
+    :param bills: bill ids already counted in ``settled``
+    :param pinned: whether its row is being changed, so that nothing may be transferred from it
+    :param closing: whether its row is being closed, so that nothing may be reserved on it
+    """
+
+    id: str
+    source: str
+    budget: str
+    amount: int
+    reserved: int = 0
+    spent: int = 0
+    settled: int = 0
+    bills: set[str] = field(default_factory=set)
+    pinned: bool = False
+    closing: bool = False
+
+    @property
+    def free(self) -> int:
+        """Tokens that may still be reserved."""
+        if self.closing:
+            return 0
+        return self.amount - self.reserved - self.spent - self.settled
+
+    @property
+    def adopted(self) -> bool:
+        """Whether the grant has a row of its own in the table service."""
+        return self.id == self.source
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request and no bill is outstanding on it."""
+        return self.reserved == 0 and self.spent == 0
+
+
+@dataclass(slots=True)
+class _BudgetState:
+    grants: dict[str, Grant] = field(default_factory=dict)
+    rate: float = 0.0
+    rate_at: float = 0.0
+
+
+RATE_TIME_CONSTANT = 10.0  # seconds over which demand is averaged
+
+
+class GrantBook:
+    """All grants of one router.
+
+    :param boot: boot id of the router; prefixes the ids of its transfers
+    """
+
+    __slots__ = ("boot", "budgets", "credited", "outgoing", "next_transfer")
+
+    def __init__(self, boot: str) -> None:
+        self.boot = boot
+        self.budgets: dict[str, _BudgetState] = {}
+        self.credited: set[str] = set()
+        self.outgoing: dict[str, tuple[str, Transfer]] = {}
+        self.next_transfer = 1
+
+    def add(self, grant: Grant) -> bool:
+        """Credit a grant once.
+
+        :returns: ``False`` if a grant of this id was credited before
+        """
+        if grant.id in self.credited:
+            return False
+        self.credited.add(grant.id)
+        self._state(grant.budget).grants[grant.id] = grant
+        return True
+
+    def receive(self, transfer: Transfer, budget: str) -> bool:
+        """Credit a transfer once; a repeat changes nothing."""
+        return self.add(Grant(transfer.transfer, transfer.source, budget, transfer.tokens))
+
+    def free(self, budget: str) -> int:
+        """Return the tokens of a budget that may still be reserved here."""
+        state = self.budgets.get(budget)
+        return sum(grant.free for grant in state.grants.values()) if state else 0
+
+    def held(self, budget: str) -> int:
+        """Return the unsettled tokens of a budget held here."""
+        state = self.budgets.get(budget)
+        if state is None:
+            return 0
+        return sum(grant.amount - grant.settled for grant in state.grants.values())
+
+    def reserved(self, budget: str) -> int:
+        """Return the tokens of a budget held for requests that have not ended."""
+        state = self.budgets.get(budget)
+        return sum(grant.reserved for grant in state.grants.values()) if state else 0
+
+    def reserve(self, budget: str, tokens: int) -> tuple[Charge, ...] | None:
+        """Reserve tokens over one or more grants, or nothing at all.
+
+        :returns: reserved parts, or ``None`` if less than ``tokens`` is free
+        """
+        if tokens <= 0 or self.free(budget) < tokens:
+            return () if tokens == 0 else None
+        parts: list[Charge] = []
+        left = tokens
+        for grant in self._state(budget).grants.values():
+            share = min(grant.free, left)
+            if share > 0:
+                grant.reserved += share
+                parts.append(Charge(grant.id, share))
+                left -= share
+            if left == 0:
+                break
+        return tuple(parts)
+
+    def release(self, budget: str, parts: tuple[Charge, ...]) -> None:
+        """Give back a reservation whose request certainly used nothing of it."""
+        for part in parts:
+            self._grant(budget, part.grant).reserved -= part.tokens
+
+    def spend(self, budget: str, parts: tuple[Charge, ...], charges: tuple[Charge, ...]) -> None:
+        """Turn a reservation into charges and free the rest."""
+        self.release(budget, parts)
+        for charge in charges:
+            self._grant(budget, charge.grant).spent += charge.tokens
+
+    def settle(self, budget: str, charges: tuple[Charge, ...], kept: UsageRecord) -> None:
+        """Apply the ledger's verdict on a bill; a repeat of the verdict counts once.
+
+        :param charges: what this router had counted as spent for the bill
+        :param kept: the record that the ledger keeps, which may be another witness's
+        """
+        for charge in charges:
+            self._grant(budget, charge.grant).spent -= charge.tokens
+        state = self._state(budget)
+        for charge in kept.charges:
+            grant = state.grants.get(charge.grant)
+            if grant is not None and kept.bill_id not in grant.bills:
+                grant.bills.add(kept.bill_id)
+                grant.settled += charge.tokens
+
+    def transfer(self, customer: str, name: str, tokens: int, to: str) -> Transfer | None:
+        """Debit free tokens of one grant for another router.
+
+        The transfer stays outgoing, and is to be sent again, until it is acknowledged.
+
+        :returns: a transfer of at most ``tokens``, or ``None`` if nothing is free
+        """
+        grants = self._state(f"{customer}/{name}").grants.values()
+        movable = (g for g in grants if g.free > 0 and not g.pinned)
+        best = max(movable, key=lambda g: g.free, default=None)
+        if best is None:
+            return None
+        amount = min(best.free, tokens)
+        best.amount -= amount
+        transfer_id = f"{self.boot}.t{self.next_transfer}"
+        self.next_transfer += 1
+        transfer = Transfer(transfer_id, best.source, customer, name, amount)
+        self.outgoing[transfer_id] = (to, transfer)
+        return transfer
+
+    def acknowledge(self, transfers: tuple[str, ...]) -> None:
+        """Forget outgoing transfers that their receiver has credited."""
+        for transfer in transfers:
+            self.outgoing.pop(transfer, None)
+
+    def remove(self, budget: str, grant: str) -> None:
+        """Forget a grant whose row is closed."""
+        self._state(budget).grants.pop(grant, None)
+
+    def grants(self) -> list[Grant]:
+        """Return all grants, in the order in which they were credited."""
+        return [grant for state in self.budgets.values() for grant in state.grants.values()]
+
+    def note_demand(self, now: float, budget: str, tokens: int) -> None:
+        """Count tokens asked for, to forecast demand."""
+        state = self._state(budget)
+        state.rate = self._decayed(state, now) + tokens / RATE_TIME_CONSTANT
+        state.rate_at = now
+
+    def demand(self, now: float, budget: str) -> float:
+        """Return the forecast demand in tokens per second."""
+        state = self.budgets.get(budget)
+        return self._decayed(state, now) if state else 0.0
+
+    def _decayed(self, state: _BudgetState, now: float) -> float:
+        elapsed = max(0.0, now - state.rate_at)
+        return state.rate * 0.5 ** (elapsed / RATE_TIME_CONSTANT)
+
+    def _state(self, budget: str) -> _BudgetState:
+        return self.budgets.setdefault(budget, _BudgetState())
+
+    def _grant(self, budget: str, grant: str) -> Grant:
+        return self._state(budget).grants[grant]
--- /dev/null
+++ b/src/bilberryshed/coordination/_grant_store.py
@@ -0,0 +1,236 @@
+"""Batched, conditional changes of grant and budget rows.
+
+The batch reads every row that it touches, writes all changes in one transaction on condition that
+no row has changed, and resolves a lost answer by reading back before anything is spent or retried.
+A write whose answer was lost is repeated unchanged, with the same versions; once a version has
+moved on without it, it can never take effect and the batch is planned anew.
+"""
+
+from dataclasses import dataclass, replace
+
+from bilberryshed.coordination._row_actions import ReadRows, WriteRows
+from bilberryshed.coordination._sizing import GrantSizing
+from bilberryshed.state import (
+    BUDGETS,
+    GRANTS,
+    BudgetRow,
+    GrantRow,
+    Put,
+    Row,
+    RowRef,
+    StoreError,
+)
+
+MAX_CHANGES = 50  # changes in one transaction
+
+
+@dataclass(slots=True, frozen=True)
+class Take:
+    """Take a grant.
+
+    :param paid: tokens paid according to sheet ``paid_version``
+    :param need: tokens that waiting requests lack
+    :param rate: forecast demand, tokens per second
+    :param holders: number of processes that may hold this budget
+    """
+
+    grant: str
+    budget: str
+    holder: str
+    paid: int
+    paid_version: int
+    need: int
+    rate: float
+    holders: int
+
+
+@dataclass(slots=True, frozen=True)
+class Close:
+    """Close a grant: count what was settled and return the rest.
+
+    :param amount: tokens that the row must still hold; a larger row has unadopted transfers
+    """
+
+    grant: str
+    budget: str
+    amount: int
+    settled: int
+
+
+@dataclass(slots=True, frozen=True)
+class Adopt:
+    """Give a transferred part a row of its own."""
+
+    grant: str
+    source: str
+    budget: str
+    holder: str
+    tokens: int
+
+
+Change = Take | Close | Adopt
+
+
+@dataclass(slots=True, frozen=True)
+class Done:
+    """Action: the batch is over.
+
+    :param taken: tokens by change; 0 for a take that found nothing or a change that was skipped
+    :param error: the store could not be reached and nothing took effect
+    """
+
+    taken: dict[Change, int]
+    error: StoreError | None
+
+
+Action = ReadRows | WriteRows | Done
+
+
+class GrantBatch:
+    """One transaction's worth of changes; drive it with the answer to each action."""
+
+    __slots__ = ("changes", "sizing", "puts", "taken", "doubtful", "reading_back")
+
+    def __init__(self, changes: tuple[Change, ...], sizing: GrantSizing) -> None:
+        self.changes = changes[:MAX_CHANGES]
+        self.sizing = sizing
+        self.puts: tuple[Put, ...] = ()
+        self.taken: dict[Change, int] = {}
+        self.doubtful = False
+        self.reading_back = False
+
+    def start(self) -> Action:
+        """Return the first action."""
+        self.reading_back = False
+        refs = {ref for change in self.changes for ref in _refs(change)}
+        return ReadRows(tuple(sorted(refs, key=lambda ref: (ref.table, ref.key))))
+
+    def on_rows(self, rows: tuple[Row, ...] | StoreError) -> Action:
+        """Handle the answer to :class:`ReadRows`."""
+        if isinstance(rows, StoreError):
+            if self.doubtful:
+                return self._read_back()
+            return Done({}, rows)
+        if self.reading_back:
+            return self._judge(rows)
+        self._plan({row.ref: row for row in rows})
+        if not self.puts:
+            return Done(self.taken, None)
+        return WriteRows(self.puts)
+
+    def on_written(self, written: bool | StoreError) -> Action:
+        """Handle the answer to :class:`WriteRows`."""
+        if isinstance(written, StoreError):
+            if written.ambiguous:
+                self.doubtful = True
+            if self.doubtful:
+                return self._read_back()
+            return Done({}, written)
+        if written:
+            return Done(self.taken, None)
+        if self.doubtful:
+            return self._read_back()
+        return self.start()
+
+    def _read_back(self) -> Action:
+        self.reading_back = True
+        return ReadRows(tuple(put.ref for put in self.puts))
+
+    def _judge(self, rows: tuple[Row, ...]) -> Action:
+        found = {row.ref: row for row in rows}
+        if self._took_effect(found):
+            return Done(self.taken, None)
+        if all(found[put.ref].version == put.version for put in self.puts):
+            return WriteRows(self.puts)
+        self.doubtful = False
+        return self.start()
+
+    def _took_effect(self, found: dict[RowRef, Row]) -> bool:
+        """Grant ids are unique, so one grant row shows what became of the whole transaction."""
+        for put in self.puts:
+            if put.ref.table != GRANTS:
+                continue
+            if put.version == 0:
+                return found[put.ref].version > 0
+            if put.value is None:
+                return found[put.ref].version == 0
+        return False
+
+    def _plan(self, rows: dict[RowRef, Row]) -> None:
+        values = {ref: row.value for ref, row in rows.items()}
+        changed: dict[RowRef, dict | None] = {}
+        self.taken = {}
+        for change in self.changes:
+            self.taken[change] = _apply(change, values, changed, self.sizing)
+        self.puts = tuple(Put(ref, rows[ref].version, value) for ref, value in changed.items())
+
+
+Values = dict[RowRef, dict]
+Changed = dict[RowRef, dict | None]
+
+
+def _refs(change: Change) -> tuple[RowRef, ...]:
+    if isinstance(change, Adopt):
+        return (RowRef(GRANTS, change.source), RowRef(GRANTS, change.grant))
+    return (RowRef(BUDGETS, change.budget), RowRef(GRANTS, change.grant))
+
+
+def _apply(change: Change, values: Values, changed: Changed, sizing: GrantSizing) -> int:
+    if isinstance(change, Take):
+        return _take(change, values, changed, sizing)
+    if isinstance(change, Close):
+        return _close(change, values, changed)
+    return _adopt(change, values, changed)
+
+
+def _put(ref: RowRef, value: dict | None, values: Values, changed: Changed) -> None:
+    values[ref] = value or {}
+    changed[ref] = value
+
+
+def _take(change: Take, values: Values, changed: Changed, sizing: GrantSizing) -> int:
+    budget_ref = RowRef(BUDGETS, change.budget)
+    budget = BudgetRow.from_value(values[budget_ref])
+    if change.paid_version > budget.paid_version:
+        budget = replace(budget, paid=change.paid, paid_version=change.paid_version)
+    amount = sizing.amount(change.need, change.rate, budget.free, change.holders)
+    if amount <= 0:
+        return 0
+    budget = replace(budget, granted=budget.granted + amount)
+    grant = GrantRow(change.budget, change.holder, amount)
+    _put(budget_ref, budget.to_value(), values, changed)
+    _put(RowRef(GRANTS, change.grant), grant.to_value(), values, changed)
+    return amount
+
+
+def _close(change: Close, values: Values, changed: Changed) -> int:
+    grant_ref, budget_ref = RowRef(GRANTS, change.grant), RowRef(BUDGETS, change.budget)
+    if not values[grant_ref]:
+        return change.amount
+    if GrantRow.from_value(values[grant_ref]).amount != change.amount:
+        return 0
+    budget = BudgetRow.from_value(values[budget_ref])
+    budget = replace(
+        budget,
+        granted=budget.granted - (change.amount - change.settled),
+        settled=budget.settled + change.settled,
+    )
+    _put(budget_ref, budget.to_value(), values, changed)
+    _put(grant_ref, None, values, changed)
+    return change.amount
+
+
+def _adopt(change: Adopt, values: Values, changed: Changed) -> int:
+    own_ref, source_ref = RowRef(GRANTS, change.grant), RowRef(GRANTS, change.source)
+    if values[own_ref]:
+        return change.tokens
+    if not values[source_ref]:
+        return 0
+    source = GrantRow.from_value(values[source_ref])
+    if source.amount < change.tokens:
+        return 0
+    source = replace(source, amount=source.amount - change.tokens)
+    own = GrantRow(change.budget, change.holder, change.tokens)
+    _put(source_ref, source.to_value(), values, changed)
+    _put(own_ref, own.to_value(), values, changed)
+    return change.tokens
--- /dev/null
+++ b/src/bilberryshed/coordination/_membership.py
@@ -0,0 +1,119 @@
+"""Who is there: the platform's lagging list, confirmed by links."""
+
+from dataclasses import dataclass, field
+
+from bilberryshed.coordination._rendezvous import owner, ranked
+from bilberryshed.protocol import Hello
+from bilberryshed.state import Vm
+
+
+@dataclass(slots=True)
+class Member:
+    """Another process of the fleet.
+
+    :param boot: boot id it gave on its present link, empty without a link
+    :param draining: whether it said that it takes no new work
+    """
+
+    vm: Vm
+    boot: str = ""
+    draining: bool = False
+
+    @property
+    def linked(self) -> bool:
+        """Whether a link to it is up."""
+        return bool(self.boot)
+
+
+@dataclass(slots=True, frozen=True)
+class ListChange:
+    """How the VM list changed: names to connect to and names that are gone."""
+
+    added: tuple[Vm, ...] = ()
+    gone: tuple[Vm, ...] = ()
+
+
+@dataclass(slots=True)
+class Members:
+    """Members of the fleet as one router knows them.
+
+    :param name: VM name of this router
+    :param zone: its availability zone
+    """
+
+    name: str
+    zone: str
+    by_name: dict[str, Member] = field(default_factory=dict)
+
+    def on_list(self, vms: tuple[Vm, ...]) -> ListChange:
+        """Take in the platform's list.
+
+        The list lags, so a VM that is missing from it counts as gone only without a link.
+        """
+        listed = {vm.name: vm for vm in vms if vm.name != self.name and vm.state != "gone"}
+        reported_gone = {vm.name for vm in vms if vm.state == "gone"}
+        gone = tuple(
+            member.vm
+            for name, member in self.by_name.items()
+            if name in reported_gone or (name not in listed and not member.linked)
+        )
+        for vm in gone:
+            del self.by_name[vm.name]
+        added = tuple(vm for vm in listed.values() if self._is_new(vm))
+        for vm in listed.values():
+            self.by_name.setdefault(vm.name, Member(vm)).vm = vm
+        return ListChange(added, gone)
+
+    def _is_new(self, vm: Vm) -> bool:
+        known = self.by_name.get(vm.name)
+        return known is None or known.vm.link != vm.link
+
+    def on_link_up(self, hello: Hello) -> None:
+        """Note that a link to a member is up; the list may not have it yet."""
+        vm = Vm(hello.name, hello.role, hello.zone, "", "live")
+        member = self.by_name.setdefault(hello.name, Member(vm))
+        member.boot = hello.boot
+        member.draining = False
+
+    def on_link_down(self, name: str) -> None:
+        """Note that the link to a member is down."""
+        if name in self.by_name:
+            self.by_name[name].boot = ""
+
+    def on_draining(self, name: str, draining: bool) -> None:
+        """Note what a member says of itself."""
+        if name in self.by_name:
+            self.by_name[name].draining = draining
+
+    def routers(self) -> tuple[str, ...]:
+        """Return linked routers other than this one."""
+        return self._linked("router")
+
+    def duty_routers(self, zone: str | None = None) -> list[str]:
+        """Return routers that may hold duties, this one included.
+
+        :param zone: restrict to an availability zone
+        """
+        names = [
+            name
+            for name in self._linked("router")
+            if not self.by_name[name].draining and zone in (None, self.by_name[name].vm.zone)
+        ]
+        return [*names, self.name]
+
+    def holder(self, budget: str) -> str | None:
+        """Return the router of this zone that holds a budget, ``None`` if it is this one."""
+        chosen = owner(budget, self.duty_routers(self.zone))
+        return None if chosen == self.name else chosen
+
+    def shard_writer(self, shard: int) -> str | None:
+        """Return the router that writes a ledger shard, ``None`` if it is this one."""
+        chosen = owner(f"ledger-shard-{shard}", self.duty_routers())
+        return None if chosen == self.name else chosen
+
+    def poll_rank(self, duty: str) -> int:
+        """Return this router's rank for a duty within its zone; 0 performs it."""
+        return ranked(duty, self.duty_routers(self.zone)).index(self.name)
+
+    def _linked(self, role: str) -> tuple[str, ...]:
+        return tuple(n for n, m in self.by_name.items() if m.linked and m.vm.role == role)
--- /dev/null
+++ b/src/bilberryshed/coordination/_rendezvous.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing: every process computes the same owner from the same names."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Return names by descending weight for a key; ties fall to the lower name."""
+    return sorted(names, key=lambda name: (-_weight(key, name), name))
+
+
+def owner(key: str, names: Iterable[str]) -> str | None:
+    """Return the name that owns a key, or ``None`` if there are no names."""
+    return max(names, key=lambda name: (_weight(key, name), name), default=None)
+
+
+def shard_of(key: str, shards: int) -> int:
+    """Return the shard of a key.
+
+    :param shards: number of shards
+    """
+    return xxhash.xxh3_64_intdigest(key.encode()) % shards
+
+
+def _weight(key: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{name}\x00{key}".encode())
--- /dev/null
+++ b/src/bilberryshed/coordination/_rollout.py
@@ -0,0 +1,54 @@
+"""Which sheet version a process serves from."""
+
+from dataclasses import dataclass
+
+from bilberryshed.state import Sheet
+
+
+@dataclass(slots=True, frozen=True)
+class SheetInForce:
+    """A sheet with its version and its encoded form, as peers are given it."""
+
+    version: int
+    digest: str
+    content: bytes
+    sheet: Sheet
+
+
+class Rollout:
+    """Keeps the highest version ever seen; an older one never replaces it."""
+
+    __slots__ = ("current", "known_version")
+
+    def __init__(self) -> None:
+        self.current: SheetInForce | None = None
+        self.known_version = 0
+
+    @property
+    def version(self) -> int:
+        """Version in force here, 0 for none."""
+        return self.current.version if self.current else 0
+
+    @property
+    def behind(self) -> bool:
+        """Whether a higher version is known to be accepted than is in force here."""
+        return self.known_version > self.version
+
+    def note(self, version: int) -> bool:
+        """Note that a version was accepted.
+
+        :returns: whether its content is still to be fetched
+        """
+        self.known_version = max(self.known_version, version)
+        return version > self.version
+
+    def apply(self, offered: SheetInForce) -> bool:
+        """Put a sheet in force if it is newer.
+
+        :returns: whether it is in force now and was not before
+        """
+        self.note(offered.version)
+        if offered.version <= self.version:
+            return False
+        self.current = offered
+        return True
--- /dev/null
+++ b/src/bilberryshed/coordination/_routing.py
@@ -0,0 +1,189 @@
+"""Which agent gets an attempt.
+
+Policies are registered by name so that they can be compared; a policy picks among candidates that
+can serve the request and gets its random draws from outside.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+EJECT_AFTER = 3  # consecutive failures
+EJECT_SECONDS = 5.0  # before a probe may return an ejected backend server
+MAX_EJECTED_SHARE = 0.5  # of the candidates for one target
+AFFINITY_SLACK = 4  # attempts by which an affine backend server may be busier
+PREFIX_MEMORY = 4096  # prefixes remembered for each backend server
+
+
+@dataclass(slots=True)
+class AgentView:
+    """An agent and its backend server as one router sees them.
+
+    :param own: attempts of this router running there
+    :param running: attempts running there by the last report, all routers' together
+    :param own_at_report: ``own`` when the last report came
+    :param prefixes: prompt prefixes believed cached, oldest first
+    """
+
+    name: str
+    zone: str
+    services: frozenset[str] = frozenset()
+    models: frozenset[str] = frozenset()
+    slots: int = 1
+    running: int = 0
+    own: int = 0
+    own_at_report: int = 0
+    draining: bool = False
+    healthy: bool = True
+    failures: int = 0
+    ejected_until: float = 0.0
+    prefixes: dict[int, None] = field(default_factory=dict)
+
+    @property
+    def load(self) -> float:
+        """Attempts there for each slot: the last report corrected by what was sent since."""
+        others = max(0, self.running - self.own_at_report)
+        return (others + self.own) / max(1, self.slots)
+
+    def serves(self, target: str) -> bool:
+        """Whether it serves a model version or plain service."""
+        return target in self.models or target in self.services
+
+    def remember(self, prefixes: tuple[int, ...]) -> None:
+        """Note prefixes that will be cached there."""
+        for prefix in prefixes:
+            self.prefixes.pop(prefix, None)
+            self.prefixes[prefix] = None
+        while len(self.prefixes) > PREFIX_MEMORY:
+            del self.prefixes[next(iter(self.prefixes))]
+
+    def cached(self, prefixes: tuple[int, ...]) -> int:
+        """Return how many leading prefixes are believed cached."""
+        matched = 0
+        for prefix in prefixes:
+            if prefix not in self.prefixes:
+                break
+            matched += 1
+        return matched
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """What a policy decides on.
+
+    :param prefixes: hashes of growing prompt prefixes, shortest first
+    :param draws: two random numbers in [0, 1)
+    :param turn: count of decisions so far
+    """
+
+    prefixes: tuple[int, ...]
+    draws: tuple[float, float]
+    turn: int
+
+
+Policy = Callable[[list[AgentView], Choice], AgentView]
+policies: dict[str, Policy] = {}
+
+
+def policy(name: str) -> Callable[[Policy], Policy]:
+    """Register a routing policy."""
+
+    def register(function: Policy) -> Policy:
+        policies[name] = function
+        return function
+
+    return register
+
+
+@policy("random")
+def choose_random(candidates: list[AgentView], choice: Choice) -> AgentView:
+    """Pick any candidate."""
+    return candidates[int(choice.draws[0] * len(candidates))]
+
+
+@policy("round_robin")
+def choose_in_turn(candidates: list[AgentView], choice: Choice) -> AgentView:
+    """Pick the candidates in turn."""
+    return candidates[choice.turn % len(candidates)]
+
+
+@policy("least_connections")
+def choose_least(candidates: list[AgentView], choice: Choice) -> AgentView:
+    """Pick the candidate with the fewest own attempts."""
+    return min(candidates, key=lambda agent: (agent.own, agent.name))
+
+
+@policy("two_choices")
+def choose_of_two(candidates: list[AgentView], choice: Choice) -> AgentView:
+    """Pick the less loaded of two random candidates."""
+    first = candidates[int(choice.draws[0] * len(candidates))]
+    second = candidates[int(choice.draws[1] * len(candidates))]
+    return min(first, second, key=lambda agent: agent.load)
+
+
+@policy("affinity")
+def choose_affine(candidates: list[AgentView], choice: Choice) -> AgentView:
+    """Prefer the longest cached prefix unless it is clearly busier than the least loaded one."""
+    least = min(agent.load for agent in candidates)
+    near = [a for a in candidates if (a.load - least) * a.slots <= AFFINITY_SLACK]
+    longest = max(agent.cached(choice.prefixes) for agent in near)
+    if longest == 0:
+        return choose_of_two(candidates, choice)
+    matching = [agent for agent in near if agent.cached(choice.prefixes) == longest]
+    return min(matching, key=lambda agent: (agent.load, agent.name))
+
+
+class Routing:
+    """Agents known to one router, and the choice among them."""
+
+    __slots__ = ("agents", "policy", "turn")
+
+    def __init__(self, policy_name: str) -> None:
+        self.agents: dict[str, AgentView] = {}
+        self.policy = policies[policy_name]
+        self.turn = 0
+
+    def choose(
+        self,
+        now: float,
+        target: str,
+        prefixes: tuple[int, ...],
+        excluded: frozenset[str],
+        draws: tuple[float, float],
+    ) -> AgentView | None:
+        """Choose an agent for an attempt, or ``None`` if none can take it.
+
+        :param target: model version or plain service
+        :param excluded: agents that have already refused or failed this request
+        """
+        able = [a for a in self.agents.values() if a.serves(target) and not a.draining]
+        candidates = [a for a in self._in_rotation(now, able) if a.name not in excluded]
+        candidates = [a for a in candidates if a.load < 2.0]
+        if not candidates:
+            return None
+        self.turn += 1
+        chosen = self.policy(candidates, Choice(prefixes, draws, self.turn))
+        chosen.own += 1
+        chosen.remember(prefixes)
+        return chosen
+
+    def finished(self, now: float, name: str, succeeded: bool) -> None:
+        """Note the end of an attempt; repeated failures eject a backend server for a while."""
+        agent = self.agents.get(name)
+        if agent is None:
+            return
+        agent.own = max(0, agent.own - 1)
+        agent.failures = 0 if succeeded else agent.failures + 1
+        if agent.failures >= EJECT_AFTER:
+            agent.ejected_until = now + EJECT_SECONDS
+
+    def released(self, name: str) -> None:
+        """Note that an attempt did not run and says nothing about the backend server."""
+        agent = self.agents.get(name)
+        if agent is not None:
+            agent.own = max(0, agent.own - 1)
+
+    def _in_rotation(self, now: float, able: list[AgentView]) -> list[AgentView]:
+        staying = [a for a in able if a.healthy and a.ejected_until <= now]
+        if len(staying) >= len(able) * (1 - MAX_EJECTED_SHARE):
+            return staying
+        return [a for a in able if a.healthy] or able
--- /dev/null
+++ b/src/bilberryshed/coordination/_submission.py
@@ -0,0 +1,165 @@
+"""Acceptance of a submitted sheet.
+
+The sheet becomes an immutable object first; then one transaction moves the head row from the
+version that the submission is based on to the next. Budgets whose paid amount falls are changed in
+the same transaction, so that no process can grant from the older, higher amount afterwards.
+Budgets whose paid amount rises are raised by whoever takes the next grant.
+"""
+
+from dataclasses import dataclass, replace
+
+from bilberryshed.coordination._row_actions import ReadRows, WriteRows
+from bilberryshed.protocol import Finding
+from bilberryshed.state import (
+    BUDGETS,
+    SHEET_HEAD,
+    BudgetRow,
+    Put,
+    Row,
+    RowRef,
+    Sheet,
+    SheetHead,
+    StoreError,
+    history_ref,
+)
+
+MAX_TRIES = 20  # plans made before a busy budget row counts as an error
+
+
+@dataclass(slots=True, frozen=True)
+class Accepted:
+    """Result: the sheet is accepted as this version."""
+
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Conflict:
+    """Result: another sheet was accepted since the base version."""
+
+    head: SheetHead
+
+
+@dataclass(slots=True, frozen=True)
+class Rejected:
+    """Result: the sheet has findings against what was granted."""
+
+    findings: tuple[Finding, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Undecided:
+    """Result: the store could not be reached.
+
+    :param may_be_accepted: whether the sheet may be accepted all the same
+    """
+
+    error: StoreError
+    may_be_accepted: bool
+
+
+Action = ReadRows | WriteRows | Accepted | Conflict | Rejected | Undecided
+
+
+class Submission:
+    """One submission; drive it with the answer to each action.
+
+    :param source: file name for findings
+    :param base: version that the sheet is based on
+    :param old: the base sheet
+    :param new: the submitted sheet
+    :param head: head row to write, with the version to be accepted
+    """
+
+    __slots__ = (
+        "source",
+        "base",
+        "new",
+        "head",
+        "checked",
+        "puts",
+        "doubtful",
+        "tries",
+    )
+
+    def __init__(self, source: str, base: int, old: Sheet, new: Sheet, head: SheetHead) -> None:
+        self.source = source
+        self.base = base
+        self.new = new
+        self.head = head
+        self.checked = _to_check(base, old, new)
+        self.puts: tuple[Put, ...] = ()
+        self.doubtful = False
+        self.tries = MAX_TRIES
+
+    def start(self) -> Action:
+        """Return the first action."""
+        refs = (SHEET_HEAD, *(RowRef(BUDGETS, key) for key in self.checked))
+        return ReadRows(refs)
+
+    def on_rows(self, rows: tuple[Row, ...] | StoreError) -> Action:
+        """Handle the answer to :class:`ReadRows`."""
+        if isinstance(rows, StoreError):
+            return self._again(rows)
+        head = SheetHead.from_value(rows[0].value)
+        if head.submission == self.head.submission:
+            return Accepted(head.version)
+        if head.version != self.base:
+            return Conflict(head)
+        findings = self._check(rows[1:])
+        if findings:
+            return Rejected(findings)
+        self.puts = self._plan(rows)
+        return WriteRows(self.puts)
+
+    def on_written(self, written: bool | StoreError) -> Action:
+        """Handle the answer to :class:`WriteRows`."""
+        if isinstance(written, StoreError):
+            self.doubtful = self.doubtful or written.ambiguous
+            return self._again(written)
+        if written:
+            return Accepted(self.head.version)
+        return self._again(StoreError(False, "budget rows kept changing"))
+
+    def _again(self, error: StoreError) -> Action:
+        self.tries -= 1
+        if self.tries <= 0:
+            return Undecided(error, self.doubtful)
+        return self.start()
+
+    def _check(self, rows: tuple[Row, ...]) -> tuple[Finding, ...]:
+        findings = []
+        for row in rows:
+            granted = BudgetRow.from_value(row.value).granted
+            paid = self._paid(row.ref.key)
+            if row.ref.key in self.new.budgets and granted > paid:
+                text = f"paid {paid} is below the {granted} tokens already granted"
+                findings.append(Finding(self.source, f"budget {row.ref.key}", text))
+        return tuple(findings)
+
+    def _plan(self, rows: tuple[Row, ...]) -> tuple[Put, ...]:
+        head = Put(SHEET_HEAD, rows[0].version, self.head.to_value())
+        history = Put(history_ref(self.head.version), 0, self.head.to_value())
+        return (head, history, *(self._pay(row) for row in rows[1:] if row.version))
+
+    def _pay(self, row: Row) -> Put:
+        budget = BudgetRow.from_value(row.value)
+        paid = max(self._paid(row.ref.key), budget.granted)
+        budget = replace(budget, paid=paid, paid_version=self.head.version)
+        return Put(row.ref, row.version, budget.to_value())
+
+    def _paid(self, key: str) -> int:
+        budget = self.new.budgets.get(key)
+        return budget.paid if budget else 0
+
+
+def _to_check(base: int, old: Sheet, new: Sheet) -> tuple[str, ...]:
+    """Return budgets that are removed or lowered, or that may have had a row before."""
+    keys = []
+    for key, budget in old.budgets.items():
+        successor = new.budgets.get(key)
+        if successor is None or successor.paid < budget.paid:
+            keys.append(key)
+    if base > 0:
+        keys += [key for key in new.budgets if key not in old.budgets]
+    return tuple(sorted(keys))
--- /dev/null
+++ b/src/bilberryshed/programs/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each program."""
--- /dev/null
+++ b/src/bilberryshed/programs/report.py
@@ -0,0 +1,138 @@
+"""``bilberryshed-report``: what operators and auditors ask of the fleet."""
+
+import asyncio
+import csv
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
+from typing import TypeVar
+
+import defopt
+from returns.result import Failure, Result
+
+from bilberryshed import __version__
+from bilberryshed.coordination import burn_rates
+from bilberryshed.protocol import UsageRecord
+from bilberryshed.runtime import RecordsOffice
+from bilberryshed.state import Address, StoreError
+
+EXIT_FINDINGS = 2
+EXIT_UNREACHABLE = 4
+BURN_WINDOWS = (300.0, 3_600.0, 21_600.0)  # seconds
+FAST_BURN = 14.4  # of the error budget's rate, over the shortest two windows
+
+T = TypeVar("T")
+
+
+def audit(*, platform: str) -> None:
+    """Check the ledger against budgets and grants; exit code 2 if it does not balance.
+
+    :param platform: IP:PORT of the platform
+    """
+    result = _read(platform, lambda office: office.audit())
+    print(f"{'budget':32} {'paid':>12} {'granted':>12} {'open':>10} {'billed':>12} {'bills':>7}")
+    for line in result.lines:
+        print(
+            f"{line.budget:32} {line.paid:12} {line.granted:12} {line.open:10} "
+            f"{line.billed:12} {line.bills:7}"
+        )
+    for finding in result.findings:
+        print(f"finding: {finding}")
+    print(f"overspend: {result.overspend} tokens; findings: {len(result.findings)}")
+    if result.findings or result.overspend:
+        sys.exit(EXIT_FINDINGS)
+
+
+def statement(customer: str, *, platform: str, form: str = "text") -> None:
+    """List a customer's bills, oldest first.
+
+    :param customer: customer name
+    :param platform: IP:PORT of the platform
+    :param form: ``text`` or ``csv``
+    """
+    records = _read(platform, lambda office: office.records())
+    chosen = sorted((r for r in records if r.customer == customer), key=lambda r: r.finished_at)
+    if form == "csv":
+        writer = csv.writer(sys.stdout)
+        writer.writerow(["finished_at", "budget", "service", "model", "tokens", "key", "request"])
+        for record in chosen:
+            writer.writerow(_cells(record))
+        return
+    for record in chosen:
+        print("  ".join(str(cell) for cell in _cells(record)))
+    print(f"{len(chosen)} bills, {sum(record.tokens for record in chosen)} tokens")
+
+
+def request(request_id: str, *, platform: str) -> None:
+    """Show the bill of one request, by request id or idempotency key.
+
+    :param request_id: request id or idempotency key
+    :param platform: IP:PORT of the platform
+    """
+    records = _read(platform, lambda office: office.records())
+    chosen = [r for r in records if request_id in (r.request, r.key)]
+    if not chosen:
+        print(f"no bill names {request_id}")
+        sys.exit(EXIT_FINDINGS)
+    for record in chosen:
+        for name in record.__slots__:
+            print(f"{name}: {getattr(record, name)}")
+
+
+def burn(*, platform: str) -> None:
+    """Show how fast each service and customer uses up its error budget.
+
+    :param platform: IP:PORT of the platform
+    """
+    now = time.time()
+    lines = _read(platform, lambda office: office.tallies(now - max(BURN_WINDOWS)))
+    rates = burn_rates(lines, now, BURN_WINDOWS)
+    print(f"{'service':14} {'customer':24} {'5 min':>8} {'1 h':>8} {'6 h':>8}")
+    for (service, customer), values in rates.items():
+        shown = " ".join(f"{value:8.2f}" for value in values)
+        alert = "  fast burn" if min(values[:2]) >= FAST_BURN else ""
+        print(f"{service:14} {customer:24} {shown}{alert}")
+
+
+def fleet(*, platform: str) -> None:
+    """List the platform's VMs.
+
+    :param platform: IP:PORT of the platform
+    """
+    for vm in _read(platform, lambda office: office.vms()):
+        print(f"{vm.name:16} {vm.role:8} {vm.zone:12} {vm.link:22} {vm.state}")
+
+
+def _cells(record: UsageRecord) -> tuple[str, ...]:
+    finished = datetime.fromtimestamp(record.finished_at, UTC).isoformat(timespec="milliseconds")
+    return (
+        finished,
+        record.budget,
+        record.service,
+        record.model or "-",
+        str(record.tokens),
+        record.key,
+        record.request,
+    )
+
+
+def _read(platform: str, read: Callable[[RecordsOffice], Awaitable[Result[T, StoreError]]]) -> T:
+    async def run() -> Result[T, StoreError]:
+        return await read(RecordsOffice(address))
+
+    try:
+        address = Address.parse(platform)
+    except ValueError as error:
+        print(f"--platform {platform}: {error}", file=sys.stderr)
+        sys.exit(EXIT_FINDINGS)
+    result = asyncio.run(run())
+    if isinstance(result, Failure):
+        print(f"platform: {result.failure().detail}", file=sys.stderr)
+        sys.exit(EXIT_UNREACHABLE)
+    return result.unwrap()
+
+
+def main() -> None:
+    """Entry point of the program."""
+    defopt.run([audit, statement, request, burn, fleet], version=__version__, argv=sys.argv[1:])
--- /dev/null
+++ b/src/bilberryshed/protocol/_bills.py
@@ -0,0 +1,77 @@
+"""Charges and usage records: what the ledger keeps."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bilberryshed.protocol._codec import message
+
+
+@message(1)
+@dataclass(slots=True, frozen=True)
+class Charge:
+    """Part of an amount that falls on one grant.
+
+    :param grant: grant id
+    :param tokens: tokens, at least 0
+    """
+
+    grant: str
+    tokens: int
+
+
+@message(2)
+@dataclass(slots=True, frozen=True)
+class UsageRecord:
+    """What one finished request used; the ledger keeps one for each bill id.
+
+    :param customer: customer name
+    :param budget: budget name within the customer
+    :param key: idempotency key; with ``customer`` it forms the bill id
+    :param request: request id
+    :param attempt: id of the attempt that ran
+    :param service: service name
+    :param model: model and version, or an empty text for a plain service
+    :param tokens: tokens billed
+    :param charges: how ``tokens`` are spread over grants
+    :param finished_at: seconds since the epoch
+    """
+
+    customer: str
+    budget: str
+    key: str
+    request: str
+    attempt: str
+    service: str
+    model: str
+    tokens: int
+    charges: tuple[Charge, ...]
+    finished_at: float
+
+    @property
+    def bill_id(self) -> str:
+        """Identity under which this request is billed at most once."""
+        return bill_id(self.customer, self.key)
+
+
+def bill_id(customer: str, key: str) -> str:
+    """Return the bill id of a customer's request."""
+    return f"{customer}/{key}"
+
+
+def split_tokens(parts: Iterable[Charge], tokens: int) -> tuple[Charge, ...]:
+    """Spread used tokens over reserved parts, in their order.
+
+    :param parts: reserved amounts
+    :param tokens: tokens used
+    :raises ValueError: if more was used than reserved
+    """
+    left = tokens
+    charges: list[Charge] = []
+    for part in parts:
+        share = min(part.tokens, left)
+        if share > 0:
+            charges.append(Charge(part.grant, share))
+        left -= share
+    if left > 0:
+        raise ValueError(f"{tokens} tokens exceed the reservation by {left}")
+    return tuple(charges)
--- /dev/null
+++ b/src/bilberryshed/protocol/_codec.py
@@ -0,0 +1,128 @@
+"""CBOR encoding of typed messages.
+
+A message class is registered with :func:`message`; the registry is the only place that maps
+wire tags to classes, so a new message needs no change here.
+"""
+
+import dataclasses
+import types
+import typing
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+RECORD_TAG = 40_600  # unassigned CBOR tag that wraps a registered record
+
+_classes_by_tag: dict[int, type] = {}
+_tags_by_class: dict[type, int] = {}
+_hints_by_class: dict[type, tuple[Any, ...]] = {}
+
+
+class FrameError(ValueError):
+    """Raised when bytes from a link are not a well-formed message."""
+
+
+def message(tag: int) -> Callable[[type], type]:
+    """Register a dataclass under a wire tag.
+
+    :param tag: number that is unique among all messages and never reused
+    :raises ValueError: if the tag is taken
+    """
+
+    def register(cls: type) -> type:
+        if tag in _classes_by_tag:
+            raise ValueError(f"wire tag {tag} is taken by {_classes_by_tag[tag].__name__}")
+        _classes_by_tag[tag] = cls
+        _tags_by_class[cls] = tag
+        return cls
+
+    return register
+
+
+def encode(record: Any) -> bytes:
+    """Encode a registered record.
+
+    :raises KeyError: if the class of ``record`` is not registered
+    """
+    return cbor2.dumps(_pack(record))
+
+
+def decode(data: bytes) -> Any:
+    """Decode one registered record and check the type of every field.
+
+    :raises FrameError: if the bytes are not exactly one well-formed record
+    """
+    try:
+        value = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, UnicodeDecodeError, ValueError, RecursionError) as error:
+        raise FrameError(f"not CBOR: {error}") from error
+    if not isinstance(value, cbor2.CBORTag):
+        raise FrameError(f"expected a tagged record, found {type(value).__name__}")
+    return _unpack(value)
+
+
+def registered_classes() -> tuple[type, ...]:
+    """Return every registered class, in order of wire tag."""
+    return tuple(_classes_by_tag[tag] for tag in sorted(_classes_by_tag))
+
+
+def _pack(value: Any) -> Any:
+    tag = _tags_by_class.get(type(value))
+    if tag is not None:
+        names = value.__slots__
+        return cbor2.CBORTag(RECORD_TAG, [tag, *(_pack(getattr(value, name)) for name in names)])
+    if dataclasses.is_dataclass(value):
+        raise KeyError(f"{type(value).__name__} is not a registered message")
+    if isinstance(value, tuple | list):
+        return [_pack(item) for item in value]
+    return value
+
+
+def _unpack(value: Any) -> Any:
+    if isinstance(value, list | tuple):
+        return tuple(_unpack(item) for item in value)
+    if not isinstance(value, cbor2.CBORTag):
+        return value
+    return _unpack_record(value)
+
+
+def _unpack_record(value: cbor2.CBORTag) -> Any:
+    if value.tag != RECORD_TAG or not isinstance(value.value, list | tuple) or not value.value:
+        raise FrameError(f"unexpected CBOR tag {value.tag}")
+    wire_tag, *packed = value.value
+    cls = _classes_by_tag.get(wire_tag) if isinstance(wire_tag, int) else None
+    if cls is None:
+        raise FrameError(f"unknown wire tag {wire_tag!r}")
+    hints = _hints(cls)
+    if len(packed) != len(hints):
+        raise FrameError(f"{cls.__name__} has {len(hints)} fields, found {len(packed)}")
+    values = [_unpack(item) for item in packed]
+    for name, item, hint in zip(cls.__slots__, values, hints, strict=True):  # type: ignore
+        if not _conforms(item, hint):
+            raise FrameError(f"{cls.__name__}.{name} has a {type(item).__name__}")
+    return cls(*values)
+
+
+def _hints(cls: type) -> tuple[Any, ...]:
+    hints = _hints_by_class.get(cls)
+    if hints is None:
+        named = typing.get_type_hints(cls)
+        hints = tuple(named[name] for name in cls.__slots__)  # type: ignore[attr-defined]
+        _hints_by_class[cls] = hints
+    return hints
+
+
+def _conforms(value: Any, hint: Any) -> bool:
+    if isinstance(hint, type) and not isinstance(hint, types.GenericAlias):
+        if hint is int:
+            return type(value) is int
+        if hint is float:
+            return type(value) in (int, float)
+        return isinstance(value, hint)
+    if isinstance(hint, types.UnionType):
+        return any(_conforms(value, option) for option in hint.__args__)
+    if typing.get_origin(hint) is tuple:
+        item_hint = typing.get_args(hint)[0]
+        return isinstance(value, tuple) and all(_conforms(item, item_hint) for item in value)
+    return False
--- /dev/null
+++ b/src/bilberryshed/runtime/_agent.py
@@ -0,0 +1,353 @@
+"""The agent: the only process that talks to its backend server."""
+
+import asyncio
+import time
+from typing import Any
+
+import xxhash
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from bilberryshed.coordination import Closing, Runs
+from bilberryshed.protocol import (
+    AttemptQuery,
+    Cancel,
+    Chunk,
+    Dispatch,
+    Ended,
+    Failed,
+    Heartbeat,
+    JournalEntry,
+    LoadReport,
+    NotRun,
+    Recorded,
+    RecordsKept,
+    Revoke,
+    RevokeAck,
+    Started,
+    UsageRecord,
+    split_tokens,
+)
+from bilberryshed.runtime._backends import (
+    Backend,
+    BackendLoad,
+    Broken,
+    Finished,
+    NeverRan,
+    RunResult,
+    RunSink,
+    backends,
+)
+from bilberryshed.runtime._process import hello, new_boot_id
+from bilberryshed.runtime._status import LiveHandler, ReadyHandler, StatusHandler
+from bilberryshed.state import AgentSettings
+from bilberryshed.transport import (
+    Link,
+    LinkHandlers,
+    LinkServer,
+    Metrics,
+    TimerService,
+    logger,
+    server_context,
+)
+
+DRAIN_POLL = 0.05  # seconds
+QUEUE_FACTOR = 2  # attempts admitted for each slot of the backend server
+
+
+class _LinkSink(RunSink):
+    """Sends the frames of one attempt to the router that dispatched it."""
+
+    __slots__ = ("attempt", "link", "chunks", "digest", "status", "content_type", "kept")
+
+    def __init__(self, attempt: str, link: Link, keep: bool) -> None:
+        self.attempt = attempt
+        self.link = link
+        self.chunks = 0
+        self.digest = xxhash.xxh3_128()
+        self.kept: list[bytes] | None = [] if keep else None
+
+    def started(self, status: int, content_type: str) -> None:
+        self.link.send(Started(self.attempt, status, content_type))
+
+    def data(self, piece: bytes) -> None:
+        self.link.send(Chunk(self.attempt, self.chunks, piece))
+        self.chunks += 1
+        self.digest.update(piece)
+        if self.kept is not None:
+            self.kept.append(piece)
+
+
+class Agent:
+    """One agent and its links to routers."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        self.settings = settings
+        self.boot = new_boot_id(settings.name)
+        self.timers = TimerService()
+        self.metrics = Metrics(settings.statsd, "bilberryshed.agent")
+        self.backend: Backend = backends[settings.kind](settings.backend)
+        self.runs = Runs(settings.slots * QUEUE_FACTOR)
+        self.boot_of_attempt: dict[str, str] = {}
+        self.journaled_at: dict[str, float] = {}
+        self.load = BackendLoad((), 0, 0, settings.slots)
+        self.healthy = False
+        self.tasks: set[asyncio.Task[None]] = set()
+        handlers = LinkHandlers(self._on_up, self._on_message, self._on_down)
+        tls = server_context(settings.certificate, settings.certificate_key)
+        self.links = LinkServer(hello(settings, "agent", self.boot), handlers, tls)
+        self.message_handlers: dict[type, Any] = {
+            Dispatch: self._on_dispatch,
+            Cancel: self._on_cancel,
+            AttemptQuery: self._on_query,
+            RecordsKept: self._on_kept,
+            Revoke: self._on_revoke,
+            Heartbeat: self._on_heartbeat,
+        }
+
+    async def serve(self, stop: asyncio.Event) -> bool:
+        """Serve until told to stop, then drain.
+
+        :returns: whether everything that ran was finished and reported
+        """
+        await self._poll_load()
+        await self.links.start(self.settings.link_listen)
+        self._listen_status()
+        self.timers.subscribe(self.settings.load_interval, lambda now: self._spawn_poll())
+        self.timers.subscribe(self.settings.journal_retry, self._resend_journal)
+        logger().info("started", boot=self.boot, backend=str(self.settings.backend))
+        await stop.wait()
+        return await self._drain()
+
+    # Messages -------------------------------------------------------------------------------
+
+    def _on_up(self, link: Link) -> None:
+        link.send(self._report())
+        self.metrics.count("link_up")
+
+    def _on_down(self, link: Link) -> None:
+        """Attempts of a lost router run on; their usage goes through another router."""
+        self.metrics.count("link_down")
+
+    def _on_message(self, link: Link, message: Any) -> None:
+        handler = self.message_handlers.get(type(message))
+        if handler is None:
+            logger().warning("unexpected_message", message=type(message).__name__)
+            return
+        handler(link, message)
+
+    def _on_heartbeat(self, link: Link, beat: Heartbeat) -> None:
+        """An agent needs nothing of a router's heartbeat but that it came."""
+
+    def _on_dispatch(self, link: Link, dispatch: Dispatch) -> None:
+        if self.runs.is_known(dispatch.attempt):
+            return
+        serves = dispatch.model in self.load.models or dispatch.service == self.settings.service
+        refused = self.runs.admit(link.peer.boot, dispatch, serves)
+        if refused is not None:
+            link.send(NotRun(dispatch.attempt, refused.code, refused.reason))
+            self.metrics.count("refused")
+            return
+        self.boot_of_attempt[dispatch.attempt] = link.peer.boot
+        self._spawn(self._run(link, dispatch))
+
+    def _on_cancel(self, link: Link, cancel: Cancel) -> None:
+        if cancel.attempt in self.runs.running:
+            self._spawn(self.backend.cancel(cancel.attempt))
+
+    def _on_query(self, link: Link, query: AttemptQuery) -> None:
+        for attempt in query.attempts:
+            closing = self.runs.inquire(attempt)
+            if closing is Closing.NEVER_RAN:
+                link.send(NotRun(attempt, "no_capacity", "the attempt never ran at this agent"))
+            elif closing is Closing.FAILED:
+                link.send(Failed(attempt, "the attempt ended without a record"))
+            elif closing is Closing.RECORDED and attempt not in self.runs.journal:
+                link.send(Recorded(attempt))
+
+    def _on_kept(self, link: Link, kept: RecordsKept) -> None:
+        self.runs.kept(kept.attempts)
+        for attempt in kept.attempts:
+            self.journaled_at.pop(attempt, None)
+            self.boot_of_attempt.pop(attempt, None)
+
+    def _on_revoke(self, link: Link, revoke: Revoke) -> None:
+        self.runs.revoke(revoke.boots)
+        link.send(RevokeAck(self.runs.settled_boots(self.boot_of_attempt)))
+
+    # Attempts -------------------------------------------------------------------------------
+
+    async def _run(self, link: Link, dispatch: Dispatch) -> None:
+        sink = _LinkSink(dispatch.attempt, link, keep=not dispatch.idempotent)
+        result = await self.backend.run(dispatch, sink)
+        if isinstance(result, Finished):
+            self._finish(link, dispatch, sink, result)
+            return
+        never_ran = isinstance(result, NeverRan)
+        closing = Closing.NEVER_RAN if never_ran else Closing.FAILED
+        self.runs.end(dispatch.attempt, closing)
+        self.boot_of_attempt.pop(dispatch.attempt, None)
+        link.send(_no_answer(dispatch, result))
+        self.metrics.count("attempt_failed")
+        logger().warning("attempt_failed", attempt=dispatch.attempt, reason=result.reason)
+
+    def _finish(self, link: Link, dispatch: Dispatch, sink: _LinkSink, result: Finished) -> None:
+        record = self._record(dispatch, result)
+        answer = b"".join(sink.kept or ())
+        entry = JournalEntry(
+            record, dispatch.idempotent, result.status, result.content_type, answer
+        )
+        self.runs.end(dispatch.attempt, Closing.RECORDED, entry)
+        self.journaled_at[dispatch.attempt] = self.timers.now()
+        link.send(
+            Ended(
+                dispatch.attempt,
+                sink.chunks,
+                sink.digest.digest(),
+                result.finish,
+                result.prompt_tokens,
+                result.completion_tokens,
+                record,
+            )
+        )
+        self.metrics.count("attempt_finished")
+        logger().info(
+            "attempt_finished",
+            request=dispatch.request,
+            attempt=dispatch.attempt,
+            tokens=record.tokens,
+            finish=result.finish,
+        )
+
+    def _record(self, dispatch: Dispatch, result: Finished) -> UsageRecord:
+        bound = sum(part.tokens for part in dispatch.parts)
+        used = dispatch.price if result.status < 500 else 0
+        if dispatch.model:
+            used = result.prompt_tokens + result.completion_tokens
+        if used > bound:
+            logger().error("bound_exceeded", attempt=dispatch.attempt, used=used, bound=bound)
+        tokens = min(used, bound)
+        return UsageRecord(
+            customer=dispatch.customer,
+            budget=dispatch.budget,
+            key=dispatch.key,
+            request=dispatch.request,
+            attempt=dispatch.attempt,
+            service=dispatch.service,
+            model=dispatch.model,
+            tokens=tokens,
+            charges=split_tokens(dispatch.parts, tokens),
+            finished_at=self.timers.wall(),
+        )
+
+    # Journal, load, drain -------------------------------------------------------------------
+
+    def _resend_journal(self, now: float) -> None:
+        """Deliver unconfirmed records through any router that is linked."""
+        links = [link for link in self.links.links if not link.closed]
+        if not links:
+            return
+        for turn, (attempt, since) in enumerate(list(self.journaled_at.items())):
+            if now - since >= self.settings.journal_retry and attempt in self.runs.journal:
+                links[turn % len(links)].send(self.runs.journal[attempt])
+                self.metrics.count("journal_resent")
+
+    async def _poll_load(self) -> None:
+        load = await self.backend.load()
+        self.healthy = load is not None
+        if load is not None:
+            self.load = load
+        self._broadcast_report()
+
+    def _spawn_poll(self) -> None:
+        self._spawn(self._poll_load())
+
+    def _broadcast_report(self) -> None:
+        report = self._report()
+        for link in self.links.links:
+            link.send(report)
+
+    def _report(self) -> LoadReport:
+        services = (self.settings.service,) if self.settings.service else ()
+        return LoadReport(
+            services=services,
+            models=self.load.models,
+            running=len(self.runs.running),
+            queued=self.load.queued,
+            slots=self.load.slots,
+            draining=self.runs.draining,
+            healthy=self.healthy,
+            prefixes=(),
+        )
+
+    async def _drain(self) -> bool:
+        self.runs.draining = True
+        self._broadcast_report()
+        logger().info("draining", running=len(self.runs.running), unsent=len(self.runs.journal))
+        deadline = self.timers.now() + self.settings.drain_limit
+        while self.runs.running or self.runs.journal:
+            if self.timers.now() >= deadline:
+                break
+            await asyncio.sleep(DRAIN_POLL)
+        left = len(self.runs.running) + len(self.runs.journal)
+        if left:
+            logger().error(
+                "drain_limit", running=len(self.runs.running), unsent=len(self.runs.journal)
+            )
+        self.timers.close()
+        await self.links.close()
+        return left == 0
+
+    def _listen_status(self) -> None:
+        application = Application(
+            [
+                (r"/status", StatusHandler, {"source": self.status}),
+                (r"/live", LiveHandler),
+                (r"/ready", ReadyHandler, {"ready": self._is_ready}),
+            ]
+        )
+        address = self.settings.status_listen
+        HTTPServer(application).listen(address.port, address.host)
+
+    def _is_ready(self) -> bool:
+        return self.healthy and not self.runs.draining
+
+    def status(self) -> dict[str, Any]:
+        """Return the state of this agent for the status page."""
+        return {
+            "role": "agent",
+            "name": self.settings.name,
+            "zone": self.settings.zone,
+            "boot": self.boot,
+            "healthy": self.healthy,
+            "draining": self.runs.draining,
+            "models": list(self.load.models),
+            "service": self.settings.service,
+            "running": len(self.runs.running),
+            "journal": len(self.runs.journal),
+            "links": sorted(link.peer.name for link in self.links.links),
+            "counters": dict(self.metrics.counts),
+            "cpu_seconds": time.process_time(),
+        }
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._reap)
+
+    def _reap(self, task: "asyncio.Task[None]") -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger().error("task_failed", error=repr(task.exception()))
+
+
+def _no_answer(dispatch: Dispatch, result: RunResult) -> NotRun | Failed:
+    if isinstance(result, NeverRan):
+        return NotRun(dispatch.attempt, "no_capacity", result.reason)
+    assert isinstance(result, Broken)
+    return Failed(dispatch.attempt, result.reason)
+
+
+async def serve_agent(settings: AgentSettings, stop: asyncio.Event) -> bool:
+    """Run an agent until told to stop."""
+    return await Agent(settings).serve(stop)
--- /dev/null
+++ b/src/bilberryshed/runtime/_backends.py
@@ -0,0 +1,254 @@
+"""How an agent runs an attempt on its backend server.
+
+A runner is registered for each kind of backend server. It reports through a :class:`RunSink` and
+ends in exactly one of :class:`Finished`, :class:`NeverRan` and :class:`Broken`.
+"""
+
+import asyncio
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+from bilberryshed.protocol import Dispatch
+from bilberryshed.state import Address
+from bilberryshed.transport import describe_error, http_client
+
+CONTROL_TIMEOUT = 1.0  # seconds for calls that are not attempts
+
+
+@dataclass(slots=True, frozen=True)
+class Finished:
+    """The backend server gave a whole answer.
+
+    :param status: HTTP status
+    :param finish: reason that it gave for the end
+    """
+
+    status: int
+    content_type: str
+    finish: str
+    prompt_tokens: int
+    completion_tokens: int
+
+
+@dataclass(slots=True, frozen=True)
+class NeverRan:
+    """The attempt certainly did not start."""
+
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """The attempt may have started and gives no whole answer."""
+
+    reason: str
+
+
+RunResult = Finished | NeverRan | Broken
+
+
+@dataclass(slots=True, frozen=True)
+class BackendLoad:
+    """What the backend server reports of itself."""
+
+    models: tuple[str, ...]
+    running: int
+    queued: int
+    slots: int
+
+
+class RunSink(ABC):
+    """Where a runner puts what it receives."""
+
+    @abstractmethod
+    def started(self, status: int, content_type: str) -> None:
+        """The backend server has begun to answer."""
+
+    @abstractmethod
+    def data(self, piece: bytes) -> None:
+        """A piece of the answer came."""
+
+
+class Backend(ABC):
+    """One backend server."""
+
+    __slots__ = ("base", "client")
+
+    def __init__(self, address: Address) -> None:
+        self.base = f"http://{address}"
+        self.client: AsyncHTTPClient = http_client()
+
+    @abstractmethod
+    async def run(self, dispatch: Dispatch, sink: RunSink) -> RunResult:
+        """Run one attempt."""
+
+    async def cancel(self, attempt: str) -> None:
+        """Ask the backend server to end an attempt early; by default it cannot."""
+        return
+
+    async def load(self) -> BackendLoad | None:
+        """Return the reported load, ``None`` if the backend server does not answer."""
+        body = await self._control("GET", "/load", None)
+        if body is None:
+            return None
+        return BackendLoad(
+            tuple(body.get("models", ())),
+            int(body.get("running", 0)),
+            int(body.get("queued", 0)),
+            int(body.get("slots", 1)),
+        )
+
+    async def _control(self, method: str, path: str, body: Any) -> Any:
+        request = HTTPRequest(
+            self.base + path,
+            method=method,
+            body=None if body is None else json.dumps(body),
+            request_timeout=CONTROL_TIMEOUT,
+        )
+        try:
+            response = await self.client.fetch(request)
+            return json.loads(response.body)
+        except Exception:
+            return None
+
+
+backends: dict[str, Callable[[Address], Backend]] = {}
+
+
+def backend(kind: str) -> Callable[[type[Backend]], type[Backend]]:
+    """Register a kind of backend server."""
+
+    def register(cls: type[Backend]) -> type[Backend]:
+        backends[kind] = cls
+        return cls
+
+    return register
+
+
+@backend("engine")
+class EngineBackend(Backend):
+    """A model engine that streams completions as server-sent events."""
+
+    __slots__ = ()
+
+    async def run(self, dispatch: Dispatch, sink: RunSink) -> RunResult:
+        """Run one attempt."""
+        stream = _CompletionStream(dispatch.attempt, sink)
+        request = HTTPRequest(
+            self.base + dispatch.path,
+            method=dispatch.method,
+            body=dispatch.body,
+            headers={"Content-Type": "application/json"},
+            request_timeout=dispatch.deadline,
+            streaming_callback=stream.feed,
+        )
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+            if response.code == 599:
+                response.rethrow()
+        except Exception as error:
+            await self.cancel(dispatch.attempt)
+            return _no_answer(error)
+        if response.code != 200:
+            return NeverRan(f"engine refused with HTTP {response.code} {response.reason}")
+        return stream.result()
+
+    async def cancel(self, attempt: str) -> None:
+        """End an attempt early; its stream then ends with the usage so far."""
+        await self._control("POST", "/cancel", {"request_id": attempt})
+
+
+class _CompletionStream:
+    """Reads a stream of completion events."""
+
+    __slots__ = ("attempt", "sink", "rest", "finish", "usage", "fault", "pieces")
+
+    def __init__(self, attempt: str, sink: RunSink) -> None:
+        self.attempt = attempt
+        self.sink = sink
+        self.rest = b""
+        self.finish = ""
+        self.usage: dict[str, int] = {}
+        self.fault = ""
+        self.pieces = 0
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes of the stream."""
+        *events, self.rest = (self.rest + data).split(b"\n\n")
+        for event in events:
+            text = event.removeprefix(b"data: ")
+            if text == b"[DONE]" or self.fault:
+                continue
+            try:
+                self._event(json.loads(text))
+            except (ValueError, KeyError, IndexError, TypeError) as error:
+                self.fault = f"engine sent a malformed event: {error!r}"
+
+    def result(self) -> RunResult:
+        """Judge the stream after its end."""
+        if self.fault:
+            return Broken(self.fault)
+        if not self.finish:
+            return Broken("engine ended the stream without a finish reason")
+        prompt = int(self.usage.get("prompt_tokens", 0))
+        completion = int(self.usage.get("completion_tokens", self.pieces))
+        return Finished(200, "text/event-stream", self.finish, prompt, completion)
+
+    def _event(self, event: dict[str, Any]) -> None:
+        if event["id"] != self.attempt:
+            self.fault = f"engine answered for {event['id']!r}"
+            return
+        choice = event["choices"][0]
+        text = choice["delta"].get("content") or ""
+        if text:
+            if self.pieces == 0:
+                self.sink.started(200, "text/event-stream")
+            self.pieces += 1
+            self.sink.data(text.encode())
+        self.finish = choice.get("finish_reason") or self.finish
+        self.usage = event.get("usage") or self.usage
+
+
+@backend("service")
+class ServiceBackend(Backend):
+    """A plain service that answers each call as a whole."""
+
+    __slots__ = ()
+
+    async def run(self, dispatch: Dispatch, sink: RunSink) -> RunResult:
+        """Run one attempt."""
+        request = HTTPRequest(
+            self.base + dispatch.path,
+            method=dispatch.method,
+            body=dispatch.body if dispatch.method in ("POST", "PUT", "PATCH") else None,
+            headers={"Idempotency-Key": dispatch.key, "X-Request-Id": dispatch.request},
+            request_timeout=dispatch.deadline,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+            if response.code == 599:
+                response.rethrow()
+        except Exception as error:
+            return _no_answer(error)
+        return _whole_answer(response, sink)
+
+
+def _whole_answer(response: HTTPResponse, sink: RunSink) -> RunResult:
+    content_type = response.headers.get("Content-Type", "application/octet-stream")
+    sink.started(response.code, content_type)
+    if response.body:
+        sink.data(response.body)
+    return Finished(response.code, content_type, "stop", 0, 0)
+
+
+def _no_answer(error: Exception) -> RunResult:
+    seen = describe_error(error)
+    if isinstance(error, asyncio.CancelledError) or seen.sent:
+        return Broken(seen.detail)
+    return NeverRan(seen.detail)
--- /dev/null
+++ b/src/bilberryshed/runtime/_claim_desk.py
@@ -0,0 +1,110 @@
+"""Claims of non-idempotent calls, on the table service."""
+
+import asyncio
+import base64
+from dataclasses import replace
+
+from returns.result import Failure, Result, Success
+
+from bilberryshed.coordination import (
+    Claim,
+    ClaimInsert,
+    ClaimState,
+    Doubtful,
+    Existing,
+    Mine,
+    ReadClaim,
+    Unclaimed,
+    WriteClaim,
+    claim_ref,
+)
+from bilberryshed.protocol import JournalEntry, UsageRecord
+from bilberryshed.runtime._context import RouterContext
+from bilberryshed.state import Put, Row, RowRef, StoreError
+
+ERROR_PAUSE = 0.1  # seconds between tries
+
+ClaimResult = Mine | Existing | Unclaimed | Doubtful
+
+
+class ClaimDesk:
+    """Inserts claims, records answers on them, releases those that never started."""
+
+    def __init__(self, context: RouterContext) -> None:
+        self.context = context
+
+    async def insert(self, customer: str, key: str, claim: Claim) -> ClaimResult:
+        """Insert a claim and find out whether this attempt has it."""
+        insert = ClaimInsert(claim_ref(customer, key), claim)
+        action = insert.start()
+        while isinstance(action, ReadClaim | WriteClaim):
+            if isinstance(action, WriteClaim):
+                written = await self.context.tables.write((action.put,))
+                if isinstance(written, Failure):
+                    await asyncio.sleep(ERROR_PAUSE)
+                    action = insert.on_written(written.failure())
+                else:
+                    action = insert.on_written(written.unwrap())
+            else:
+                row = await self._read(action.ref)
+                if isinstance(row, Failure):
+                    await asyncio.sleep(ERROR_PAUSE)
+                    action = insert.on_row(row.failure())
+                else:
+                    action = insert.on_row(row.unwrap())
+        return action
+
+    async def record_answer(self, entry: JournalEntry) -> None:
+        """Record the answer on the claim; tries until the store has it."""
+        record = entry.record
+        answer = base64.b64encode(entry.answer).decode()
+        await self._change(
+            record.customer,
+            record.key,
+            record.attempt,
+            lambda claim: replace(
+                claim,
+                state=ClaimState.DONE,
+                status=entry.status,
+                content_type=entry.content_type,
+                answer=answer,
+            ),
+        )
+
+    async def release(self, customer: str, key: str, attempt: str) -> None:
+        """Release the claim of an attempt that never started; tries until the store has it."""
+        await self._change(
+            customer, key, attempt, lambda claim: replace(claim, state=ClaimState.RELEASED)
+        )
+
+    async def _change(self, customer: str, key: str, attempt: str, change) -> None:  # type: ignore
+        """Change a claim unless it is absent, another attempt's, or no longer open."""
+        ref = claim_ref(customer, key)
+        while True:
+            row = await self._read(ref)
+            if isinstance(row, Success):
+                found = row.unwrap()
+                if found.version == 0:
+                    return
+                claim = Claim.from_value(found.value)
+                if claim.attempt != attempt or claim.state != ClaimState.CLAIMED:
+                    return
+                put = Put(ref, found.version, change(claim).to_value())
+                written = await self.context.tables.write((put,))
+                if isinstance(written, Success) and written.unwrap():
+                    return
+            await asyncio.sleep(ERROR_PAUSE)
+
+    async def _read(self, ref: RowRef) -> Result[Row, StoreError]:
+        rows = await self.context.tables.read((ref,))
+        return rows.map(lambda found: found[0])
+
+
+def recorded_answer(claim: Claim) -> bytes:
+    """Return the body recorded on a claim."""
+    return base64.b64decode(claim.answer)
+
+
+def journal_entry(record: UsageRecord, status: int, content_type: str, body: bytes) -> JournalEntry:
+    """Return what is to be recorded for a finished non-idempotent call."""
+    return JournalEntry(record, False, status, content_type, body)
--- /dev/null
+++ b/src/bilberryshed/runtime/_context.py
@@ -0,0 +1,57 @@
+"""What the parts of a router share."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from bilberryshed.coordination import GrantBook, Members, Rollout, Routing
+from bilberryshed.runtime._process import new_boot_id
+from bilberryshed.state import ObjectStore, RouterSettings, TableService, VmList
+from bilberryshed.transport import (
+    HttpObjectStore,
+    HttpTableService,
+    HttpVmList,
+    Link,
+    Metrics,
+    TimerService,
+    logger,
+)
+
+
+class RouterContext:
+    """Settings, ports, decisions and links of one router."""
+
+    def __init__(self, settings: RouterSettings) -> None:
+        address, timeout = settings.platform, settings.platform_timeout
+        self.settings = settings
+        self.boot = new_boot_id(settings.name)
+        self.timers = TimerService()
+        self.metrics = Metrics(settings.statsd, "bilberryshed.router")
+        self.tables: TableService = HttpTableService(address, timeout)
+        self.objects: ObjectStore = HttpObjectStore(address, timeout)
+        self.vm_list: VmList = HttpVmList(address, timeout)
+        self.members = Members(settings.name, settings.zone)
+        self.rollout = Rollout()
+        self.routing = Routing(settings.policy)
+        self.book = GrantBook(self.boot)
+        self.peer_links: dict[str, Link] = {}
+        self.agent_links: dict[str, Link] = {}
+        self.draining = False
+        self.tasks: set[asyncio.Future[Any]] = set()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> "asyncio.Future[Any]":
+        """Run a coroutine on the loop; a failure is logged."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._reap)
+        return task
+
+    def send_peer(self, name: str, message: Any) -> bool:
+        """Send to another router; returns whether a link took the message."""
+        link = self.peer_links.get(name)
+        return link is not None and link.send(message)
+
+    def _reap(self, task: "asyncio.Future[Any]") -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger().error("task_failed", error=repr(task.exception()))
--- /dev/null
+++ b/src/bilberryshed/runtime/_execution.py
@@ -0,0 +1,135 @@
+"""One request being answered, and the callers that follow it."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from bilberryshed.protocol import Refusal, bill_id
+from bilberryshed.state import Budget, Customer, Service
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """A caller's request after all checks of its form and rights.
+
+    :param keyed: whether the caller gave the idempotency key itself
+    :param fingerprint: digest of method, path and body
+    :param prompt: text that the model reads, empty for a plain service
+    :param payload: JSON fields passed to the model engine
+    :param bound: tokens that it can use at most
+    """
+
+    request: str
+    customer: Customer
+    budget: Budget
+    service: Service
+    model: str
+    key: str
+    keyed: bool
+    fingerprint: str
+    method: str
+    path: str
+    body: bytes
+    prompt: bytes
+    payload: dict[str, Any]
+    max_tokens: int
+    bound: int
+
+    @property
+    def bill_id(self) -> str:
+        """Bill id of this request."""
+        return bill_id(self.customer.name, self.key)
+
+    @property
+    def target(self) -> str:
+        """What an agent must serve to run this."""
+        return self.model or self.service.name
+
+
+@dataclass(slots=True, frozen=True)
+class Usage:
+    """Usage shown to the caller, in tokens."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    finish: str
+
+
+@dataclass(slots=True)
+class Execution:
+    """Answer of one request as far as it is known.
+
+    :param pieces: verified pieces of the answer
+    :param refusal: why there is no whole answer, once that is decided
+    :param usage: set once the answer is whole
+    """
+
+    call: Call
+    created_at: float
+    pieces: list[bytes] = field(default_factory=list)
+    status: int = 0
+    content_type: str = ""
+    refusal: Refusal | None = None
+    usage: Usage | None = None
+    followers: int = 0
+    abandoned: asyncio.Event = field(default_factory=asyncio.Event)
+    changes: list["asyncio.Future[None]"] = field(default_factory=list)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the answer is whole or refused."""
+        return self.refusal is not None or self.usage is not None
+
+    def begin(self, status: int, content_type: str) -> None:
+        """Note how the backend server begins its answer."""
+        if not self.pieces:
+            self.status, self.content_type = status, content_type
+
+    def add(self, piece: bytes) -> None:
+        """Append a verified piece."""
+        self.pieces.append(piece)
+        self._notify()
+
+    def complete(self, usage: Usage) -> None:
+        """Note that the answer is whole."""
+        self.usage = usage
+        self._notify()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Note that there will be no whole answer."""
+        self.refusal = refusal
+        self._notify()
+
+    async def follow(self) -> AsyncIterator[bytes]:
+        """Yield all pieces, from the first, until the execution is over."""
+        position = 0
+        while True:
+            while position < len(self.pieces):
+                yield self.pieces[position]
+                position += 1
+            if self.is_over:
+                return
+            await self._changed()
+
+    async def wait(self) -> None:
+        """Wait until the execution is over."""
+        while not self.is_over:
+            await self._changed()
+
+    def leave(self) -> None:
+        """Note that a caller has gone; without callers and key, the work is abandoned."""
+        self.followers -= 1
+        if self.followers <= 0 and not self.call.keyed:
+            self.abandoned.set()
+
+    async def _changed(self) -> None:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.changes.append(future)
+        await future
+
+    def _notify(self) -> None:
+        changes, self.changes = self.changes, []
+        for future in changes:
+            if not future.done():
+                future.set_result(None)
--- /dev/null
+++ b/src/bilberryshed/runtime/_funding_desk.py
@@ -0,0 +1,291 @@
+"""Reserves tokens for requests, and moves tokens between the store and routers."""
+
+import asyncio
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from bilberryshed.coordination import (
+    Adopt,
+    AskPeer,
+    Close,
+    Funded,
+    Funding,
+    Grant,
+    Take,
+    TakeFromStore,
+    Unfunded,
+    Verdict,
+)
+from bilberryshed.protocol import (
+    Charge,
+    FundsAnswer,
+    FundsRequest,
+    Refusal,
+    RefusalCode,
+    Transfer,
+    TransferAck,
+)
+from bilberryshed.runtime._context import RouterContext
+from bilberryshed.runtime._grant_worker import GrantWorker
+from bilberryshed.state import Budget, budget_key
+from bilberryshed.transport import logger
+
+TICK = 0.1  # seconds
+RESEND_INTERVAL = 1.0  # seconds between sends of an unacknowledged transfer
+TOP_UP_SHARE = 0.25  # of the horizon, below which a grant is taken ahead of need
+RETRY_PAUSE = 0.25  # seconds between tries while running requests may release tokens
+RETRY_AFTER = 5  # seconds after which a refused caller may find tokens again
+
+
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """Tokens reserved for one request."""
+
+    budget: str
+    parts: tuple[Charge, ...]
+
+
+class FundingDesk:
+    """The router's side of :class:`GrantBook` and :class:`Funding`."""
+
+    def __init__(self, context: RouterContext) -> None:
+        self.context = context
+        self.book = context.book
+        self.funding = Funding(context.boot)
+        self.worker = GrantWorker(context)
+        self.next_grant = 1
+        self.waiters: dict[str, list[asyncio.Future[Unfunded | None]]] = {}
+        self.ask_budgets: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Subscribe to timers."""
+        timers, settings = self.context.timers, self.context.settings
+        timers.subscribe(TICK, self._on_tick)
+        timers.subscribe(RESEND_INTERVAL, self._resend)
+        timers.subscribe(settings.settle_interval, self._maintain)
+
+    async def reserve(
+        self, budget: Budget, tokens: int, patience: float
+    ) -> Result[Reservation, Refusal]:
+        """Reserve tokens, from wherever they can be had.
+
+        :param patience: seconds to wait for running requests to release tokens
+        """
+        key, deadline = budget.row_key, self.context.timers.now() + patience
+        self.book.note_demand(self.context.timers.now(), key, tokens)
+        if tokens > budget.paid:
+            return Failure(_refusal(Verdict.EXHAUSTED, key, tokens))
+        while True:
+            parts = self.book.reserve(key, tokens)
+            if parts is not None:
+                return Success(Reservation(key, parts))
+            unfunded = await self._more(budget, tokens)
+            if unfunded is None:
+                continue
+            now = self.context.timers.now()
+            releasable = unfunded.releasable + self.book.reserved(key)
+            certain = unfunded.verdict is Verdict.EXHAUSTED and releasable == 0
+            if certain or now + RETRY_PAUSE > deadline:
+                return Failure(_refusal(unfunded.verdict, key, tokens))
+            await asyncio.sleep(RETRY_PAUSE)
+
+    async def _more(self, budget: Budget, tokens: int) -> Unfunded | None:
+        key, now = budget.row_key, self.context.timers.now()
+        future: asyncio.Future[Unfunded | None] = asyncio.get_running_loop().create_future()
+        self.waiters.setdefault(key, []).append(future)
+        lacking = max(1, tokens - self.book.free(key))
+        wanted = int(self.book.demand(now, key) * self.context.settings.grant_horizon)
+        holder = self.context.members.holder(key)
+        self._act(self.funding.need(now, budget.customer, budget.name, lacking, wanted, holder))
+        return await future
+
+    # Actions --------------------------------------------------------------------------------
+
+    def _act(self, actions: list[AskPeer | TakeFromStore | Funded | Unfunded]) -> None:
+        for action in actions:
+            if isinstance(action, AskPeer):
+                request = action.request
+                self.ask_budgets[request.ask] = budget_key(request.customer, request.budget)
+                self.context.send_peer(action.peer, request)
+                self.context.metrics.count("funds_asked")
+            elif isinstance(action, TakeFromStore):
+                self._take(action.budget, action.need)
+            else:
+                self._wake(action.budget, action if isinstance(action, Unfunded) else None)
+
+    def _take(self, budget: str, need: int) -> None:
+        take = self._new_take(budget, need)
+        self.worker.submit(take, lambda taken, ok: self._on_taken(take, taken, ok))
+
+    def _new_take(self, budget: str, need: int) -> Take:
+        current = self.context.rollout.current
+        assert current is not None
+        known = current.sheet.budgets.get(budget)
+        grant = f"{self.context.boot}.g{self.next_grant}"
+        self.next_grant += 1
+        return Take(
+            grant=grant,
+            budget=budget,
+            holder=self.context.boot,
+            paid=known.paid if known else 0,
+            paid_version=current.version if known else 0,
+            need=need,
+            rate=self.book.demand(self.context.timers.now(), budget),
+            holders=1 + len(self.context.members.routers()),
+        )
+
+    def _on_taken(self, take: Take, taken: int, reached: bool) -> None:
+        self._credit(take, taken)
+        now, peers = self.context.timers.now(), self.context.members.routers()
+        self._act(self.funding.on_store(now, take.budget, taken, reached, peers))
+
+    def _credit(self, take: Take, taken: int) -> None:
+        if taken > 0:
+            self.book.add(Grant(take.grant, take.grant, take.budget, taken))
+            self.context.metrics.count("grants_taken")
+            logger().info("grant_taken", grant=take.grant, budget=take.budget, tokens=taken)
+
+    def _wake(self, budget: str, unfunded: Unfunded | None) -> None:
+        for future in self.waiters.pop(budget, []):
+            if not future.done():
+                future.set_result(unfunded)
+
+    # Messages of other routers --------------------------------------------------------------
+
+    def on_request(self, peer: str, request: FundsRequest) -> None:
+        """Give part of a budget to another router."""
+        key = budget_key(request.customer, request.budget)
+        self.book.note_demand(self.context.timers.now(), key, request.tokens)
+        if request.recall or self.book.free(key) >= request.tokens or not self._knows(key):
+            self._give(peer, request, exhausted=False)
+            return
+        take = self._new_take(key, request.tokens)
+
+        def on_taken(taken: int, reached: bool) -> None:
+            self._credit(take, taken)
+            self._give(peer, request, exhausted=reached and taken < request.tokens)
+
+        self.worker.submit(take, on_taken)
+
+    def _knows(self, budget: str) -> bool:
+        current = self.context.rollout.current
+        return current is not None and budget in current.sheet.budgets
+
+    def _give(self, peer: str, request: FundsRequest, exhausted: bool) -> None:
+        key = budget_key(request.customer, request.budget)
+        limit = request.tokens
+        if not request.recall:
+            limit = max(limit, min(request.wanted, self.book.free(key) // 2))
+        transfers: list[Transfer] = []
+        moved = 0
+        while moved < limit:
+            transfer = self.book.transfer(request.customer, request.budget, limit - moved, peer)
+            if transfer is None:
+                break
+            transfers.append(transfer)
+            moved += transfer.tokens
+        reserved = self.book.reserved(key)
+        answer = FundsAnswer(request.ask, moved, reserved, tuple(transfers), exhausted)
+        self.context.send_peer(peer, answer)
+
+    def on_answer(self, peer: str, answer: FundsAnswer) -> None:
+        """Take in tokens that another router gave."""
+        for transfer in answer.transfers:
+            self.on_transfer(peer, transfer)
+        budget = self.ask_budgets.pop(answer.ask, "")
+        now, peers = self.context.timers.now(), self.context.members.routers()
+        self._act(self.funding.on_answer(now, budget, answer, peers))
+
+    def on_transfer(self, peer: str, transfer: Transfer) -> None:
+        """Credit a transfer once and acknowledge it."""
+        key = budget_key(transfer.customer, transfer.budget)
+        if self.book.receive(transfer, key):
+            self.context.metrics.count("transfers_received")
+            self._wake(key, None)
+        self.context.send_peer(peer, TransferAck((transfer.transfer,)))
+
+    def on_ack(self, ack: TransferAck) -> None:
+        """Forget transfers that arrived."""
+        self.book.acknowledge(ack.transfers)
+
+    # Upkeep ---------------------------------------------------------------------------------
+
+    def _on_tick(self, now: float) -> None:
+        self._act(self.funding.on_tick(now, self.context.members.routers()))
+        self._top_up(now)
+
+    def _top_up(self, now: float) -> None:
+        current = self.context.rollout.current
+        if current is None or self.context.draining:
+            return
+        horizon = self.context.settings.grant_horizon * TOP_UP_SHARE
+        for key in self.book.budgets:
+            rate = self.book.demand(now, key)
+            budget = current.sheet.budgets.get(key)
+            wanted = int(rate * horizon)
+            if budget is None or wanted < 1 or self.book.free(key) >= wanted:
+                continue
+            if key in self.funding.paused or key in self.funding.rounds:
+                continue
+            holder = self.context.members.holder(key)
+            self._act(self.funding.need(now, budget.customer, budget.name, 1, wanted * 4, holder))
+
+    def _resend(self, now: float) -> None:
+        for to, transfer in tuple(self.book.outgoing.values()):
+            self.context.send_peer(to, transfer)
+
+    def _maintain(self, now: float) -> None:
+        """Adopt transferred parts and close grants that are used up."""
+        for grant in self.book.grants():
+            if grant.pinned:
+                continue
+            if not grant.adopted:
+                self._adopt(grant)
+            elif grant.idle and grant.free == 0:
+                self._close(grant)
+
+    def _adopt(self, grant: Grant) -> None:
+        grant.pinned = True
+        adopt = Adopt(grant.id, grant.source, grant.budget, self.context.boot, grant.amount)
+
+        def on_adopted(moved: int, reached: bool) -> None:
+            grant.pinned = False
+            if moved == adopt.tokens:
+                grant.source = grant.id
+
+        self.worker.submit(adopt, on_adopted)
+
+    def _close(self, grant: Grant) -> None:
+        grant.pinned = grant.closing = True
+        close = Close(grant.id, grant.budget, grant.amount, grant.settled)
+
+        def on_closed(moved: int, reached: bool) -> None:
+            if reached and moved == close.amount:
+                self.book.remove(grant.budget, grant.id)
+            else:
+                grant.pinned = grant.closing = False
+
+        self.worker.submit(close, on_closed)
+
+    def return_all(self) -> int:
+        """Start to return every grant on which nothing is outstanding.
+
+        :returns: grants still held, among them those being returned
+        """
+        for grant in self.book.grants():
+            if grant.pinned:
+                continue
+            if not grant.adopted:
+                self._adopt(grant)
+            elif grant.idle:
+                self._close(grant)
+        return len(self.book.grants()) + len(self.book.outgoing)
+
+
+def _refusal(verdict: Verdict, budget: str, tokens: int) -> Refusal:
+    if verdict is Verdict.EXHAUSTED:
+        reason = f"budget {budget} has less than the {tokens} tokens that this request may use"
+        return Refusal(RefusalCode.BUDGET_EXHAUSTED, reason, retry_after=RETRY_AFTER)
+    reason = f"no more of budget {budget} can be reached for {tokens} tokens"
+    return Refusal(RefusalCode.BUDGET_UNREACHABLE, reason, retry_after=RETRY_AFTER)
--- /dev/null
+++ b/src/bilberryshed/runtime/_grant_worker.py
@@ -0,0 +1,86 @@
+"""Carries grant changes to the table service, one batch at a time."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import TypeVar
+
+from returns.result import Failure, Result
+
+from bilberryshed.coordination import (
+    MAX_CHANGES,
+    Adopt,
+    Close,
+    Done,
+    GrantBatch,
+    GrantSizing,
+    ReadRows,
+    Take,
+)
+from bilberryshed.runtime._context import RouterContext
+from bilberryshed.state import Row, StoreError
+from bilberryshed.transport import logger
+
+ERROR_PAUSE = 0.1  # seconds before the store is tried again while a write is in doubt
+
+Change = Take | Close | Adopt
+Callback = Callable[[int, bool], None]
+T = TypeVar("T")
+
+
+class GrantWorker:
+    """Queue of changes and the batch under way."""
+
+    def __init__(self, context: RouterContext) -> None:
+        self.context = context
+        self.sizing = GrantSizing(context.settings.grant_horizon, context.settings.grant_least)
+        self.queue: deque[tuple[Change, Callback]] = deque()
+        self.running = False
+
+    def submit(self, change: Change, callback: Callback) -> None:
+        """Queue a change.
+
+        :param callback: takes the tokens moved and whether the store answered
+        """
+        self.queue.append((change, callback))
+        if not self.running:
+            self.running = True
+            self.context.spawn(self._work())
+
+    async def _work(self) -> None:
+        try:
+            while self.queue:
+                count = min(len(self.queue), MAX_CHANGES)
+                batch = [self.queue.popleft() for _ in range(count)]
+                done = await self._run(tuple(change for change, _ in batch))
+                for change, callback in batch:
+                    callback(done.taken.get(change, 0), done.error is None)
+        finally:
+            self.running = False
+
+    async def _run(self, changes: tuple[Change, ...]) -> Done:
+        batch = GrantBatch(changes, self.sizing)
+        action = batch.start()
+        while not isinstance(action, Done):
+            if isinstance(action, ReadRows):
+                rows = _plain(await self.context.tables.read(action.refs))
+                await self._pause_on_error(batch, rows)
+                action = batch.on_rows(rows)
+            else:
+                written = _plain(await self.context.tables.write(action.puts))
+                await self._pause_on_error(batch, written)
+                action = batch.on_written(written)
+        self.context.metrics.count("grant_batches")
+        return action
+
+    async def _pause_on_error(
+        self, batch: GrantBatch, answer: "tuple[Row, ...] | bool | StoreError"
+    ) -> None:
+        if isinstance(answer, StoreError):
+            self.context.metrics.count("store_errors")
+            logger().warning("store_error", detail=answer.detail, in_doubt=batch.doubtful)
+            await asyncio.sleep(ERROR_PAUSE)
+
+
+def _plain(result: Result[T, StoreError]) -> T | StoreError:
+    return result.failure() if isinstance(result, Failure) else result.unwrap()
--- /dev/null
+++ b/src/bilberryshed/runtime/_records_office.py
@@ -0,0 +1,124 @@
+"""Reads what the fleet keeps at the platform, for reports."""
+
+import json
+
+from returns.result import Failure, Result, Success
+
+from bilberryshed.coordination import Audit, Segment, TallyLine, audit
+from bilberryshed.protocol import FrameError, UsageRecord, decode
+from bilberryshed.runtime._sheet_office import SheetOffice
+from bilberryshed.runtime._slo_desk import SLO_PREFIX
+from bilberryshed.state import (
+    BUDGETS,
+    GRANTS,
+    Address,
+    BudgetRow,
+    GrantRow,
+    Row,
+    StoreError,
+    Vm,
+)
+from bilberryshed.transport import HttpObjectStore, HttpTableService, HttpVmList
+
+PAGE = 1_000  # rows or names read at once
+LEDGER_PREFIX = "ledger/"
+
+
+class RecordsOffice:
+    """Read access to ledger, rows and tallies.
+
+    :param platform: address of the platform
+    :param timeout: seconds for one call
+    """
+
+    def __init__(self, platform: Address, timeout: float = 5.0) -> None:
+        self.tables = HttpTableService(platform, timeout)
+        self.objects = HttpObjectStore(platform, timeout)
+        self.vm_list = HttpVmList(platform, timeout)
+        self.sheets = SheetOffice(platform, timeout)
+
+    async def records(self) -> Result[tuple[UsageRecord, ...], StoreError]:
+        """Read every record of the ledger, by shard and segment."""
+        names = await self._names(LEDGER_PREFIX)
+        if isinstance(names, Failure):
+            return names
+        records: list[UsageRecord] = []
+        for name in names.unwrap():
+            segment = await self._segment(name)
+            if isinstance(segment, Failure):
+                return segment
+            records += segment.unwrap().records
+        return Success(tuple(records))
+
+    async def audit(self) -> Result[Audit, StoreError]:
+        """Audit the ledger against budgets, grants and the accepted sheet."""
+        records = await self.records()
+        budgets = await self._rows(BUDGETS)
+        grants = await self._rows(GRANTS)
+        accepted = await self.sheets.accepted()
+        for result in (records, budgets, grants, accepted):
+            if isinstance(result, Failure):
+                return result
+        return Success(
+            audit(
+                records.unwrap(),
+                {row.ref.key: BudgetRow.from_value(row.value) for row in budgets.unwrap()},
+                {row.ref.key: GrantRow.from_value(row.value) for row in grants.unwrap()},
+                {key: budget.paid for key, budget in accepted.unwrap().sheet.budgets.items()},
+            )
+        )
+
+    async def tallies(self, since: float) -> Result[tuple[TallyLine, ...], StoreError]:
+        """Read service-level tallies.
+
+        :param since: seconds since the epoch
+        """
+        names = await self._names(SLO_PREFIX, f"{SLO_PREFIX}{int(since):012d}")
+        if isinstance(names, Failure):
+            return names
+        lines: list[TallyLine] = []
+        for name in names.unwrap():
+            data = await self.objects.get(name)
+            if isinstance(data, Failure):
+                return data
+            lines += [TallyLine(*line) for line in json.loads(data.unwrap() or b"[]")]
+        return Success(tuple(lines))
+
+    async def vms(self) -> Result[tuple[Vm, ...], StoreError]:
+        """Read the platform's VM list."""
+        return await self.vm_list.vms()
+
+    async def _segment(self, name: str) -> Result[Segment, StoreError]:
+        data = await self.objects.get(name)
+        if isinstance(data, Failure):
+            return data
+        try:
+            segment = decode(data.unwrap() or b"")
+        except FrameError as error:
+            return Failure(StoreError(False, f"{name}: {error}"))
+        if not isinstance(segment, Segment):
+            return Failure(StoreError(False, f"{name} is not a ledger segment"))
+        return Success(segment)
+
+    async def _names(self, prefix: str, after: str = "") -> Result[tuple[str, ...], StoreError]:
+        names: list[str] = []
+        while True:
+            page = await self.objects.names(prefix, after, PAGE)
+            if isinstance(page, Failure):
+                return page
+            names += page.unwrap()
+            if len(page.unwrap()) < PAGE:
+                return Success(tuple(names))
+            after = names[-1]
+
+    async def _rows(self, table: str) -> Result[tuple[Row, ...], StoreError]:
+        rows: list[Row] = []
+        after = ""
+        while True:
+            page = await self.tables.scan(table, "", after, PAGE)
+            if isinstance(page, Failure):
+                return page
+            rows += page.unwrap()
+            if len(page.unwrap()) < PAGE:
+                return Success(tuple(rows))
+            after = rows[-1].ref.key
--- /dev/null
+++ b/src/bilberryshed/runtime/_runner.py
@@ -0,0 +1,402 @@
+"""Answers requests: reservation, claim, attempts, bill."""
+
+import asyncio
+import random
+import uuid
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from bilberryshed.coordination import Claim, ClaimState, Existing, Mine, prompt_prefixes
+from bilberryshed.protocol import (
+    AttemptQuery,
+    Ended,
+    Failed,
+    JournalEntry,
+    NotRun,
+    Outcome,
+    Recorded,
+    RecordsKept,
+    Refusal,
+    RefusalCode,
+    UsageRecord,
+)
+from bilberryshed.runtime._attempts import AttemptResult, Attempts, Damaged
+from bilberryshed.runtime._claim_desk import ClaimDesk, journal_entry, recorded_answer
+from bilberryshed.runtime._context import RouterContext
+from bilberryshed.runtime._execution import Call, Execution, Usage
+from bilberryshed.runtime._funding_desk import FundingDesk, Reservation
+from bilberryshed.runtime._ledger_desk import LedgerDesk
+from bilberryshed.runtime._slo_desk import SloDesk
+from bilberryshed.transport import logger
+
+MAX_KEPT_ANSWERS = 2_000  # finished executions kept for retries
+CAPACITY_POLL = 0.02  # seconds between looks for a free agent
+ACK_INTERVAL = 0.25  # seconds between acknowledgements to one agent
+QUERY_INTERVAL = 2.0  # seconds between questions about lost attempts
+RETRY_SOON = 2  # seconds
+
+
+@dataclass(slots=True)
+class Doubt:
+    """A reservation of which lost attempts may have used something.
+
+    :param lost: agent by id of an attempt whose end is not known
+    :param billed: whether a record was offered to the ledger, whose verdict settles it
+    """
+
+    call: Call
+    reservation: Reservation
+    lost: dict[str, str] = field(default_factory=dict)
+    billed: bool = False
+
+
+class Runner:
+    """All requests of one router."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        funding: FundingDesk,
+        ledger: LedgerDesk,
+        claims: ClaimDesk,
+        slo: SloDesk,
+    ) -> None:
+        self.context = context
+        self.funding = funding
+        self.ledger = ledger
+        self.claims = claims
+        self.slo = slo
+        self.attempts = Attempts(context)
+        self.running: dict[str, Execution] = {}
+        self.finished: OrderedDict[str, Execution] = OrderedDict()
+        self.doubts: dict[str, Doubt] = {}
+        self.queued = 0
+        self.acks: dict[str, list[str]] = {}
+        self.random = random.Random()
+
+    def start(self) -> None:
+        """Subscribe to timers."""
+        self.context.timers.subscribe(ACK_INTERVAL, self._send_acks)
+        self.context.timers.subscribe(QUERY_INTERVAL, self._query_lost)
+
+    def open(self, call: Call) -> Result[Execution, Refusal]:
+        """Start a request, or join the one that has its bill id."""
+        known = self.running.get(call.bill_id) or self.finished.get(call.bill_id)
+        if known is not None and known.call.fingerprint != call.fingerprint:
+            reason = f"idempotency key {call.key!r} was used for another request"
+            return Failure(Refusal(RefusalCode.KEY_REUSED, reason))
+        if known is None:
+            known = Execution(call, self.context.timers.now())
+            self.running[call.bill_id] = known
+            self.context.spawn(self._execute(known))
+        else:
+            self.context.metrics.count("joined")
+        known.followers += 1
+        return Success(known)
+
+    async def _execute(self, execution: Execution) -> None:
+        call = execution.call
+        try:
+            refusal = await self._answer(execution)
+        except Exception as error:
+            logger().error("execution_failed", request=call.request, error=repr(error))
+            reason = "the router failed while answering"
+            refusal = Refusal(RefusalCode.OUTCOME_UNKNOWN, reason, Outcome.UNKNOWN)
+        if refusal is not None:
+            execution.refuse(refusal)
+            self.context.metrics.count(f"refused_{refusal.code}")
+            logger().info(
+                "refused", request=call.request, code=refusal.code, outcome=refusal.outcome
+            )
+        self.slo.note(execution, refusal)
+        del self.running[call.bill_id]
+        if refusal is None and call.keyed:
+            self._keep(execution)
+
+    def _keep(self, execution: Execution) -> None:
+        self.finished[execution.call.bill_id] = execution
+        while len(self.finished) > MAX_KEPT_ANSWERS:
+            self.finished.popitem(last=False)
+
+    async def _answer(self, execution: Execution) -> Refusal | None:
+        call = execution.call
+        doubt = self.doubts.pop(call.bill_id, None)
+        if doubt is None:
+            reserved = await self.funding.reserve(
+                call.budget, call.bound, self.context.settings.funding_wait
+            )
+            if isinstance(reserved, Failure):
+                return reserved.failure()
+            doubt = Doubt(call, reserved.unwrap())
+        if call.service.idempotent:
+            return await self._run_idempotent(execution, doubt)
+        return await self._run_once(execution, doubt)
+
+    # Idempotent requests --------------------------------------------------------------------
+
+    async def _run_idempotent(self, execution: Execution, doubt: Doubt) -> Refusal | None:
+        excluded: set[str] = set()
+        result: AttemptResult | None = None
+        started = bool(doubt.lost)
+        for _ in range(self.context.settings.attempts):
+            agent = await self._choose(execution.call, excluded)
+            if agent is None:
+                break
+            attempt = uuid.uuid4().hex
+            result = await self._attempt(execution, agent, attempt, doubt)
+            if isinstance(result, Ended):
+                self._complete(execution, doubt, agent, result)
+                return None
+            started = started or not isinstance(result, NotRun)
+            excluded.add(agent)
+            self.context.metrics.count("retries")
+        self._conclude_unanswered(doubt)
+        return _give_up(execution.call, result, started)
+
+    async def _attempt(
+        self, execution: Execution, agent: str, attempt: str, doubt: Doubt
+    ) -> AttemptResult:
+        result = await self.attempts.run(execution, agent, attempt, doubt.reservation)
+        now = self.context.timers.now()
+        if isinstance(result, NotRun):
+            self.context.routing.released(agent)
+        else:
+            self.context.routing.finished(now, agent, isinstance(result, Ended))
+        if not isinstance(result, Ended | NotRun | Failed):
+            doubt.lost[attempt] = agent
+        if not isinstance(result, Ended):
+            logger().warning(
+                "attempt_lost",
+                request=execution.call.request,
+                attempt=attempt,
+                agent=agent,
+                result=type(result).__name__,
+                reason=getattr(result, "reason", "link lost"),
+            )
+        return result
+
+    async def _choose(self, call: Call, excluded: set[str]) -> str | None:
+        """Wait for an agent that can take an attempt."""
+        prefixes = prompt_prefixes(call.target, call.prompt) if call.model else ()
+        settings, timers = self.context.settings, self.context.timers
+        if self.queued >= settings.queue_limit:
+            return None
+        deadline = timers.now() + settings.queue_wait
+        self.queued += 1
+        try:
+            while True:
+                draws = (self.random.random(), self.random.random())
+                for skipped in (frozenset(excluded), frozenset[str]()):
+                    agent = self.context.routing.choose(
+                        timers.now(), call.target, prefixes, skipped, draws
+                    )
+                    if agent is not None:
+                        return agent.name
+                if timers.now() >= deadline:
+                    return None
+                await asyncio.sleep(CAPACITY_POLL)
+        finally:
+            self.queued -= 1
+
+    def _complete(self, execution: Execution, doubt: Doubt, agent: str, ended: Ended) -> None:
+        execution.complete(Usage(ended.prompt_tokens, ended.completion_tokens, ended.finish))
+        self.context.metrics.count("answered")
+        logger().info(
+            "answered",
+            request=execution.call.request,
+            attempt=ended.attempt,
+            customer=execution.call.customer.name,
+            tokens=ended.record.tokens,
+            sheet=self.context.rollout.version,
+        )
+        self._bill(doubt, agent, ended.record)
+
+    # Non-idempotent requests ----------------------------------------------------------------
+
+    async def _run_once(self, execution: Execution, doubt: Doubt) -> Refusal | None:
+        call, attempt = execution.call, uuid.uuid4().hex
+        agent = await self._choose(call, set())
+        if agent is None:
+            self._conclude_unanswered(doubt)
+            return _no_capacity(call)
+        claimed = await self.claims.insert(
+            call.customer.name, call.key, Claim(attempt, call.fingerprint)
+        )
+        if not isinstance(claimed, Mine):
+            self.context.routing.released(agent)
+            self._conclude_unanswered(doubt)
+            if isinstance(claimed, Existing):
+                return _replay(execution, claimed.claim)
+            self._release_claim(call, attempt)
+            reason = f"the call could not be recorded first: {claimed.error.detail}"
+            return Refusal(RefusalCode.STORE_UNAVAILABLE, reason, retry_after=RETRY_SOON)
+        return await self._run_claimed(execution, doubt, agent, attempt)
+
+    async def _run_claimed(
+        self, execution: Execution, doubt: Doubt, agent: str | None, attempt: str
+    ) -> Refusal | None:
+        """Run the claimed attempt; only agents that certainly did not start it are passed over."""
+        call, excluded = execution.call, set[str]()
+        for _ in range(self.context.settings.attempts):
+            if agent is None:
+                break
+            result = await self._attempt(execution, agent, attempt, doubt)
+            if isinstance(result, Ended):
+                self._complete(execution, doubt, agent, result)
+                body = b"".join(execution.pieces)
+                entry = journal_entry(result.record, execution.status, execution.content_type, body)
+                self.context.spawn(self.claims.record_answer(entry))
+                return None
+            if not isinstance(result, NotRun):
+                self._conclude_unanswered(doubt)
+                reason = "the call was started and its outcome is not known yet"
+                return Refusal(RefusalCode.OUTCOME_UNKNOWN, reason, Outcome.UNKNOWN, RETRY_SOON)
+            excluded.add(agent)
+            agent = await self._choose(call, excluded)
+        self._release_claim(call, attempt)
+        self._conclude_unanswered(doubt)
+        return _no_capacity(call)
+
+    def _release_claim(self, call: Call, attempt: str) -> None:
+        self.context.spawn(self.claims.release(call.customer.name, call.key, attempt))
+
+    # Bills ----------------------------------------------------------------------------------
+
+    def _bill(self, doubt: Doubt, agent: str, record: UsageRecord) -> None:
+        """Settle a reservation by the record that the ledger keeps.
+
+        With one attempt the unused rest is free at once. With lost attempts, the ledger may keep
+        another attempt's record, so that the whole reservation is held until its verdict.
+        """
+        if doubt.billed:
+            return
+        doubt.billed = True
+        self.doubts.pop(doubt.call.bill_id, None)
+        if doubt.lost:
+            self.ledger.offer(record, lambda kept: self._settle_doubt(doubt, agent, kept))
+            return
+        budget, charges = doubt.reservation.budget, record.charges
+        self.context.book.spend(budget, doubt.reservation.parts, charges)
+
+        def on_kept(kept: UsageRecord) -> None:
+            self.context.book.settle(budget, charges, kept)
+            self._acknowledge(agent, record.attempt)
+
+        self.ledger.offer(record, on_kept)
+
+    def _settle_doubt(self, doubt: Doubt, agent: str, kept: UsageRecord) -> None:
+        reservation = doubt.reservation
+        self.context.book.release(reservation.budget, reservation.parts)
+        self.context.book.settle(reservation.budget, (), kept)
+        self._acknowledge(agent, kept.attempt)
+        for attempt, name in doubt.lost.items():
+            self._acknowledge(name, attempt)
+
+    def _acknowledge(self, agent: str, attempt: str) -> None:
+        """Let an agent forget a record; it ignores attempts that it does not know."""
+        self.acks.setdefault(agent, []).append(attempt)
+
+    def _send_acks(self, now: float) -> None:
+        acks, self.acks = self.acks, {}
+        for agent, attempts in acks.items():
+            link = self.context.agent_links.get(agent)
+            if link is not None:
+                link.send(RecordsKept(tuple(attempts)))
+
+    def _conclude_unanswered(self, doubt: Doubt) -> None:
+        """Release a reservation, or park it if a lost attempt may still be billed to it."""
+        if doubt.lost:
+            self.doubts[doubt.call.bill_id] = doubt
+        else:
+            self.context.book.release(doubt.reservation.budget, doubt.reservation.parts)
+
+    # Messages of agents ---------------------------------------------------------------------
+
+    def _query_lost(self, now: float) -> None:
+        """Ask agents about parked attempts."""
+        lost: dict[str, list[str]] = {}
+        for doubt in self.doubts.values():
+            for attempt, agent in doubt.lost.items():
+                lost.setdefault(agent, []).append(attempt)
+        for agent, attempts in lost.items():
+            link = self.context.agent_links.get(agent)
+            if link is not None:
+                link.send(AttemptQuery(tuple(attempts)))
+
+    def on_attempt_result(self, result: NotRun | Failed) -> None:
+        """Handle an agent's answer about an attempt that is no longer followed."""
+        for bill, doubt in list(self.doubts.items()):
+            if result.attempt in doubt.lost:
+                del doubt.lost[result.attempt]
+                del self.doubts[bill]
+                if isinstance(result, NotRun) and not doubt.call.service.idempotent:
+                    self._release_claim(doubt.call, result.attempt)
+                self._conclude_unanswered(doubt)
+
+    def on_recorded(self, agent: str, recorded: Recorded) -> None:
+        """Fetch the ledger's record of a parked reservation by offering an empty one."""
+        for doubt in list(self.doubts.values()):
+            if recorded.attempt in doubt.lost:
+                empty = _empty_record(doubt.call, recorded.attempt, self.context.timers.wall())
+                self._bill(doubt, agent, empty)
+
+    def on_journal(self, agent: str, entry: JournalEntry) -> None:
+        """Deliver a record that only the agent witnessed."""
+        doubt = self.doubts.get(entry.record.bill_id)
+        self.context.spawn(self._deliver(agent, entry, doubt))
+
+    async def _deliver(self, agent: str, entry: JournalEntry, doubt: Doubt | None) -> None:
+        if not entry.idempotent:
+            await self.claims.record_answer(entry)
+        if doubt is not None:
+            self._bill(doubt, agent, entry.record)
+            return
+        attempt = entry.record.attempt
+        self.ledger.offer(entry.record, lambda kept: self._acknowledge(agent, attempt))
+
+
+def _no_capacity(call: Call) -> Refusal:
+    reason = f"no backend server has room for {call.target}"
+    return Refusal(RefusalCode.NO_CAPACITY, reason, retry_after=RETRY_SOON)
+
+
+def _give_up(call: Call, result: AttemptResult | None, started: bool) -> Refusal:
+    if not started:
+        return _no_capacity(call)
+    if isinstance(result, Damaged):
+        return Refusal(
+            RefusalCode.ANSWER_DAMAGED, result.reason, Outcome.UNKNOWN, retry_after=RETRY_SOON
+        )
+    reason = getattr(result, "reason", "the backend server was lost while it answered")
+    return Refusal(RefusalCode.BACKEND_FAILED, reason, Outcome.UNKNOWN, retry_after=RETRY_SOON)
+
+
+def _replay(execution: Execution, claim: Claim) -> Refusal | None:
+    call = execution.call
+    if claim.fingerprint != call.fingerprint:
+        reason = f"idempotency key {call.key!r} was used for another call"
+        return Refusal(RefusalCode.KEY_REUSED, reason)
+    if claim.state == ClaimState.DONE:
+        execution.begin(claim.status, claim.content_type)
+        execution.add(recorded_answer(claim))
+        execution.complete(Usage(0, 0, "stop"))
+        return None
+    reason = "an earlier call with this key was started and its outcome is not known yet"
+    return Refusal(RefusalCode.IN_PROGRESS, reason, Outcome.UNKNOWN, RETRY_SOON)
+
+
+def _empty_record(call: Call, attempt: str, wall: float) -> UsageRecord:
+    return UsageRecord(
+        customer=call.customer.name,
+        budget=call.budget.name,
+        key=call.key,
+        request=call.request,
+        attempt=attempt,
+        service=call.service.name,
+        model=call.model,
+        tokens=0,
+        charges=(),
+        finished_at=wall,
+    )
--- /dev/null
+++ b/src/bilberryshed/runtime/_slo_desk.py
@@ -0,0 +1,49 @@
+"""Publishes a router's service-level tallies as objects."""
+
+import json
+from dataclasses import astuple
+
+from bilberryshed.coordination import SloTally
+from bilberryshed.protocol import Refusal, RefusalCode
+from bilberryshed.runtime._context import RouterContext
+from bilberryshed.runtime._execution import Execution
+
+SLO_PREFIX = "slo/"
+CALLER_FAULTS = frozenset(
+    {RefusalCode.KEY_REUSED, RefusalCode.BUDGET_EXHAUSTED, RefusalCode.IN_PROGRESS}
+)
+
+
+class SloDesk:
+    """Counts answered and refused requests, and writes the counts now and then."""
+
+    def __init__(self, context: RouterContext) -> None:
+        self.context = context
+        self.tally = SloTally()
+        self.number = 0
+
+    def start(self) -> None:
+        """Subscribe to timers."""
+        interval = self.context.settings.slo_interval
+        self.context.timers.subscribe(interval, lambda now: self.context.spawn(self.publish()))
+
+    def note(self, execution: Execution, refusal: Refusal | None) -> None:
+        """Count a request unless its caller is at fault."""
+        call = execution.call
+        if refusal is not None and refusal.code in CALLER_FAULTS:
+            return
+        elapsed = self.context.timers.now() - execution.created_at
+        met = refusal is None and elapsed <= call.service.deadline
+        self.context.metrics.timing(f"answer.{call.service.name}", elapsed)
+        self.tally.add(call.service.name, call.customer.name, met)
+
+    async def publish(self) -> None:
+        """Write the running interval; a failed write loses only statistics."""
+        wall = self.context.timers.wall()
+        lines = self.tally.close(wall)
+        if not lines:
+            return
+        self.number += 1
+        name = f"{SLO_PREFIX}{int(wall):012d}/{self.context.boot}.{self.number}"
+        data = json.dumps([astuple(line) for line in lines]).encode()
+        await self.context.objects.put_if_absent(name, data)
--- /dev/null
+++ b/src/bilberryshed/runtime/_status.py
@@ -0,0 +1,46 @@
+"""Status, liveness and readiness of a process, over HTTP."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from tornado.web import RequestHandler
+
+StatusSource = Callable[[], dict[str, Any]]
+
+
+class StatusHandler(RequestHandler):
+    """``GET /status``: what the process knows of itself, as JSON."""
+
+    def initialize(self, source: StatusSource) -> None:
+        """Keep the source of the status."""
+        self.source = source
+
+    def get(self) -> None:
+        """Send the status."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(self.source()))
+
+
+class LiveHandler(RequestHandler):
+    """``GET /live``: the loop runs."""
+
+    def get(self) -> None:
+        """Send 200."""
+        self.finish("live\n")
+
+
+class ReadyHandler(RequestHandler):
+    """``GET /ready``: 200 if the process takes new work, else 503."""
+
+    def initialize(self, ready: Callable[[], bool]) -> None:
+        """Keep the check."""
+        self.ready = ready
+
+    def get(self) -> None:
+        """Send the readiness."""
+        if not self.ready():
+            self.set_status(503)
+            self.finish("not ready\n")
+            return
+        self.finish("ready\n")
--- /dev/null
+++ b/src/bilberryshed/state/_ports.py
@@ -0,0 +1,113 @@
+"""Ports: what the fleet asks of the platform."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Result
+
+
+@dataclass(slots=True, frozen=True)
+class StoreError:
+    """A call to the platform did not return an answer.
+
+    :param ambiguous: whether a write may nevertheless have taken effect
+    :param detail: what was seen
+    """
+
+    ambiguous: bool
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class RowRef:
+    """Place of a row."""
+
+    table: str
+    key: str
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """A row as read.
+
+    :param version: 0 if the row is absent, else raised by every write; never reused for a key
+    :param value: columns, empty if absent
+    """
+
+    ref: RowRef
+    version: int
+    value: dict[str, Any]
+
+
+@dataclass(slots=True, frozen=True)
+class Put:
+    """Write of one row on condition that its version is unchanged.
+
+    :param version: version that the row must have
+    :param value: new columns; ``None`` deletes the row
+    """
+
+    ref: RowRef
+    version: int
+    value: dict[str, Any] | None
+
+
+@dataclass(slots=True, frozen=True)
+class Vm:
+    """An entry of the platform's VM list.
+
+    :param role: ``router`` or ``agent``
+    :param link: ``IP:PORT`` of its link listener
+    :param state: ``live``, ``leaving`` or ``gone``
+    """
+
+    name: str
+    role: str
+    zone: str
+    link: str
+    state: str
+
+
+class TableService(ABC):
+    """Transactional rows; contract in ``features/ports.feature``."""
+
+    @abstractmethod
+    async def read(self, refs: tuple[RowRef, ...]) -> Result[tuple[Row, ...], StoreError]:
+        """Read rows together, in the order of ``refs``."""
+
+    @abstractmethod
+    async def write(self, puts: tuple[Put, ...]) -> Result[bool, StoreError]:
+        """Write all rows or none; ``False`` if a version did not match."""
+
+    @abstractmethod
+    async def scan(
+        self, table: str, prefix: str, after: str, limit: int
+    ) -> Result[tuple[Row, ...], StoreError]:
+        """Read up to ``limit`` rows whose key has ``prefix`` and is above ``after``, by key."""
+
+
+class ObjectStore(ABC):
+    """Immutable objects; contract in ``features/ports.feature``."""
+
+    @abstractmethod
+    async def put_if_absent(self, name: str, data: bytes) -> Result[bool, StoreError]:
+        """Create an object; ``False`` if the name is taken."""
+
+    @abstractmethod
+    async def get(self, name: str) -> Result[bytes | None, StoreError]:
+        """Read an object; ``None`` if there is none."""
+
+    @abstractmethod
+    async def names(
+        self, prefix: str, after: str, limit: int
+    ) -> Result[tuple[str, ...], StoreError]:
+        """List up to ``limit`` names that have ``prefix`` and are above ``after``, in order."""
+
+
+class VmList(ABC):
+    """The platform's lagging list of VMs."""
+
+    @abstractmethod
+    async def vms(self) -> Result[tuple[Vm, ...], StoreError]:
+        """Read the list."""
--- /dev/null
+++ b/src/bilberryshed/state/_settings.py
@@ -0,0 +1,212 @@
+"""INI settings of the long-running programs, checked as a whole at start.
+
+A settings class lists its keys as :class:`Key` objects; :func:`load_settings` reads the file,
+checks every key and reports all findings together.
+"""
+
+import configparser
+import ipaddress
+from collections.abc import Callable
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+from typing import Any, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from bilberryshed.protocol import Finding
+
+S = TypeVar("S")
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Address:
+    """IP number and port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Parse ``IP:PORT``.
+
+        :raises ValueError: if the host is no IP number or the port is out of range
+        """
+        host, _, port = text.strip().rpartition(":")
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 < int(port) < 65536:
+            raise ValueError(f"port {port} is not between 1 and 65535")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_seconds(text: str) -> float:
+    """Parse a positive number of seconds."""
+    value = float(text)
+    if not 0 < value < float("inf"):
+        raise ValueError(f"{text} is not a positive number of seconds")
+    return value
+
+
+def parse_count(text: str) -> int:
+    """Parse a positive whole number."""
+    value = int(text)
+    if value < 1:
+        raise ValueError(f"{text} is not a positive whole number")
+    return value
+
+
+def parse_name(text: str) -> str:
+    """Parse a name of letters, digits, dots and hyphens."""
+    if not text or not all(c.isalnum() or c in ".-_" for c in text):
+        raise ValueError(f"{text!r} is not a name of letters, digits, dots, hyphens")
+    return text
+
+
+def parse_optional_address(text: str) -> Address | None:
+    """Parse ``IP:PORT`` or an empty text."""
+    return Address.parse(text) if text.strip() else None
+
+
+def parse_optional_path(text: str) -> Path | None:
+    """Parse a path or an empty text."""
+    return Path(text) if text.strip() else None
+
+
+def parse_backend_kind(text: str) -> str:
+    """Parse the kind of a backend server."""
+    if text not in ("engine", "service"):
+        raise ValueError(f"{text!r} is neither engine nor service")
+    return text
+
+
+def parse_yes_no(text: str) -> bool:
+    """Parse ``yes`` or ``no``."""
+    if text not in ("yes", "no"):
+        raise ValueError(f"{text!r} is neither yes nor no")
+    return text == "yes"
+
+
+def _key(section: str, parse: Callable[[str], Any], default: str | None = None) -> Any:
+    metadata = {"section": section, "parse": parse, "default": default}
+    return field(metadata=metadata)
+
+
+@dataclass(slots=True, frozen=True)
+class RouterSettings:
+    """Settings of ``bilberryshed-router``; durations in seconds, sizes in bytes."""
+
+    name: str = _key("vm", parse_name)
+    zone: str = _key("vm", parse_name)
+    listen: Address = _key("vm", Address.parse)
+    link_listen: Address = _key("vm", Address.parse)
+    platform: Address = _key("platform", Address.parse)
+    platform_timeout: float = _key("platform", parse_seconds, "2")
+    vm_list_interval: float = _key("platform", parse_seconds, "1")
+    sheet_interval: float = _key("sheet", parse_seconds, "0.5")
+    ledger_shards: int = _key("ledger", parse_count, "8")
+    ledger_interval: float = _key("ledger", parse_seconds, "0.25")
+    grant_horizon: float = _key("grants", parse_seconds, "30")
+    grant_least: int = _key("grants", parse_count, "2000")
+    funding_wait: float = _key("grants", parse_seconds, "2")
+    settle_interval: float = _key("grants", parse_seconds, "2")
+    policy: str = _key("routing", parse_name, "affinity")
+    attempts: int = _key("routing", parse_count, "3")
+    queue_limit: int = _key("routing", parse_count, "200")
+    queue_wait: float = _key("routing", parse_seconds, "3")
+    drain_limit: float = _key("stop", parse_seconds, "60")
+    max_body: int = _key("limits", parse_count, "1048576")
+    max_tokens_limit: int = _key("limits", parse_count, "32768")
+    slo_interval: float = _key("metrics", parse_seconds, "60")
+    statsd: Address | None = _key("metrics", parse_optional_address, "")
+    secret_file: Path | None = _key("security", parse_optional_path, "")
+    certificate: Path | None = _key("security", parse_optional_path, "")
+    certificate_key: Path | None = _key("security", parse_optional_path, "")
+    link_ca: Path | None = _key("security", parse_optional_path, "")
+
+
+@dataclass(slots=True, frozen=True)
+class AgentSettings:
+    """Settings of ``bilberryshed-agent``; durations in seconds."""
+
+    name: str = _key("vm", parse_name)
+    zone: str = _key("vm", parse_name)
+    link_listen: Address = _key("vm", Address.parse)
+    status_listen: Address = _key("vm", Address.parse)
+    backend: Address = _key("backend", Address.parse)
+    kind: str = _key("backend", parse_backend_kind)
+    service: str = _key("backend", str, "")
+    checks_fencing: bool = _key("backend", parse_yes_no, "no")
+    slots: int = _key("backend", parse_count, "16")
+    load_interval: float = _key("backend", parse_seconds, "0.25")
+    platform: Address = _key("platform", Address.parse)
+    platform_timeout: float = _key("platform", parse_seconds, "2")
+    drain_limit: float = _key("stop", parse_seconds, "60")
+    journal_retry: float = _key("journal", parse_seconds, "2")
+    statsd: Address | None = _key("metrics", parse_optional_address, "")
+    secret_file: Path | None = _key("security", parse_optional_path, "")
+    certificate: Path | None = _key("security", parse_optional_path, "")
+    certificate_key: Path | None = _key("security", parse_optional_path, "")
+
+
+def load_settings(cls: type[S], path: Path) -> Result[S, tuple[Finding, ...]]:
+    """Read and check a settings file.
+
+    :param cls: settings class
+    :param path: INI file
+    :returns: the settings, or every finding
+    """
+    source = str(path)
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return Failure((Finding(source, "file", f"cannot be read: {error.strerror}"),))
+    except UnicodeDecodeError as error:
+        return Failure((Finding(source, f"byte {error.start}", "is not UTF-8"),))
+    except configparser.Error as error:
+        return Failure((Finding(source, _line(error), str(error.message).splitlines()[0]),))
+    return _check(cls, source, parser)
+
+
+def _line(error: configparser.Error) -> str:
+    lineno = getattr(error, "lineno", None)
+    if lineno is None and getattr(error, "errors", None):
+        lineno = error.errors[0][0]  # type: ignore[attr-defined]
+    return f"line {lineno}" if lineno else "file"
+
+
+def _check(
+    cls: type[S], source: str, parser: configparser.ConfigParser
+) -> Result[S, tuple[Finding, ...]]:
+    findings = _unknown_keys(cls, source, parser)
+    values: dict[str, Any] = {}
+    for item in fields(cls):  # type: ignore[arg-type]
+        section = item.metadata["section"]
+        text = parser.get(section, item.name, fallback=item.metadata["default"])
+        place = f"[{section}] {item.name}"
+        if text is None:
+            findings.append(Finding(source, place, "is missing"))
+            continue
+        try:
+            values[item.name] = item.metadata["parse"](text)
+        except ValueError as error:
+            findings.append(Finding(source, place, str(error)))
+    if findings:
+        return Failure(tuple(findings))
+    return Success(cls(**values))
+
+
+def _unknown_keys(cls: type[Any], source: str, parser: configparser.ConfigParser) -> list[Finding]:
+    known = {(item.metadata["section"], item.name) for item in fields(cls)}
+    sections = {section for section, _ in known}
+    findings = []
+    for section in parser.sections():
+        if section not in sections:
+            findings.append(Finding(source, f"[{section}]", "is not a known section"))
+            continue
+        for key in parser[section]:
+            if (section, key) not in known:
+                findings.append(Finding(source, f"[{section}] {key}", "is not a known key"))
+    return findings
--- /dev/null
+++ b/src/bilberryshed/transport/__init__.py
@@ -0,0 +1,29 @@
+"""Timers, logs, metrics, HTTP and links."""
+
+from bilberryshed.transport._http import HttpError, describe_error, http_client
+from bilberryshed.transport._links import Link, LinkClient, LinkHandlers, LinkServer
+from bilberryshed.transport._logs import configure_logs, logger
+from bilberryshed.transport._metrics import Metrics
+from bilberryshed.transport._platform import HttpObjectStore, HttpTableService, HttpVmList
+from bilberryshed.transport._timers import Subscription, TimerService
+from bilberryshed.transport._tls import client_context, server_context
+
+__all__ = [
+    "HttpError",
+    "HttpObjectStore",
+    "HttpTableService",
+    "HttpVmList",
+    "Link",
+    "LinkClient",
+    "LinkHandlers",
+    "LinkServer",
+    "Metrics",
+    "Subscription",
+    "TimerService",
+    "client_context",
+    "configure_logs",
+    "describe_error",
+    "http_client",
+    "logger",
+    "server_context",
+]
--- /dev/null
+++ b/src/bilberryshed/transport/_http.py
@@ -0,0 +1,42 @@
+"""HTTP client of the fleet, on tornado's curl client."""
+
+from dataclasses import dataclass
+
+import pycurl
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+
+MAX_CLIENTS = 512  # concurrent requests of one process
+NEVER_SENT = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
+
+
+@dataclass(slots=True, frozen=True)
+class HttpError:
+    """No answer, or an answer that says the call failed.
+
+    :param status: HTTP status, 599 if there was no answer
+    :param sent: whether the request may have reached the server
+    """
+
+    status: int
+    sent: bool
+    detail: str
+
+
+def http_client() -> AsyncHTTPClient:
+    """Return the shared client of this process."""
+    AsyncHTTPClient.configure(
+        "tornado.curl_httpclient.CurlAsyncHTTPClient", max_clients=MAX_CLIENTS
+    )
+    return AsyncHTTPClient()
+
+
+def describe_error(error: Exception) -> HttpError:
+    """Classify an exception of the client."""
+    if isinstance(error, CurlError):
+        return HttpError(599, error.errno not in NEVER_SENT, str(error))
+    if isinstance(error, HTTPClientError):
+        return HttpError(error.code, True, str(error))
+    if isinstance(error, OSError):
+        return HttpError(599, False, str(error))
+    return HttpError(599, True, repr(error))
--- /dev/null
+++ b/src/bilberryshed/transport/_links.py
@@ -0,0 +1,222 @@
+"""Links between processes of the fleet: websockets that carry CBOR messages.
+
+A link starts with a :class:`Hello` in each direction. Messages are sent in order by one writer
+task; a link whose peer does not read is closed once its queue is full.
+"""
+
+import asyncio
+import hmac
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import websockets
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+
+from bilberryshed.protocol import FrameError, Hello, decode, encode
+from bilberryshed.state import Address
+from bilberryshed.transport._logs import logger
+
+MAX_MESSAGE = 16 * 1024 * 1024  # bytes
+MAX_QUEUED = 20_000  # messages waiting to be sent on one link
+HELLO_TIMEOUT = 2.0  # seconds
+PING_INTERVAL = 1.0  # seconds
+PING_TIMEOUT = 2.0  # seconds
+RECONNECT_FIRST = 0.05  # seconds
+RECONNECT_MOST = 1.0  # seconds
+
+
+@dataclass(slots=True)
+class LinkHandlers:
+    """What the owner of links does with them.
+
+    :param on_up: a link is up
+    :param on_message: a message came
+    :param on_down: a link that was up is down
+    """
+
+    on_up: Callable[["Link"], None]
+    on_message: Callable[["Link", Any], None]
+    on_down: Callable[["Link"], None]
+
+
+class Link:
+    """One established link.
+
+    :param peer: what the other side said of itself
+    """
+
+    __slots__ = ("peer", "socket", "queue", "closed")
+
+    def __init__(self, peer: Hello, socket: Any) -> None:
+        self.peer = peer
+        self.socket = socket
+        self.queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED)
+        self.closed = False
+
+    def send(self, message: Any) -> bool:
+        """Queue a message.
+
+        :returns: whether the link took it, which does not say that it arrives
+        """
+        if self.closed:
+            return False
+        try:
+            self.queue.put_nowait(encode(message))
+        except asyncio.QueueFull:
+            self.abort()
+            return False
+        return True
+
+    def abort(self) -> None:
+        """Close the link at once; queued messages are lost."""
+        self.closed = True
+        self.socket.transport.abort()
+
+    async def flush(self) -> None:
+        """Wait until every queued message was handed to the socket."""
+        await self.queue.join()
+
+    async def run(self, handlers: LinkHandlers) -> None:
+        """Carry messages until the link is down."""
+        writer = asyncio.create_task(self._write())
+        handlers.on_up(self)
+        try:
+            async for data in self.socket:
+                handlers.on_message(self, decode(data))
+        except websockets.ConnectionClosed:
+            pass
+        except FrameError as error:
+            logger().warning("link_bad_frame", peer=self.peer.name, error=str(error))
+        finally:
+            self.closed = True
+            writer.cancel()
+            self.socket.transport.abort()
+            handlers.on_down(self)
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                data = await self.queue.get()
+                await self.socket.send(data)
+                self.queue.task_done()
+        except websockets.ConnectionClosed:
+            self.closed = True
+
+
+class LinkServer:
+    """Accepts links on one address."""
+
+    __slots__ = ("hello", "handlers", "tls", "server", "links")
+
+    def __init__(self, hello: Hello, handlers: LinkHandlers, tls: ssl.SSLContext | None) -> None:
+        self.hello = hello
+        self.handlers = handlers
+        self.tls = tls
+        self.server: Server | None = None
+        self.links: set[Link] = set()
+
+    async def start(self, address: Address) -> None:
+        """Listen.
+
+        :raises OSError: if the address cannot be bound
+        """
+        self.server = await serve(
+            self._accept,
+            address.host,
+            address.port,
+            ssl=self.tls,
+            compression=None,
+            max_size=MAX_MESSAGE,
+            ping_interval=PING_INTERVAL,
+            ping_timeout=PING_TIMEOUT,
+        )
+
+    async def close(self) -> None:
+        """Stop listening and close all links."""
+        for link in tuple(self.links):
+            link.abort()
+        if self.server is not None:
+            self.server.close()
+
+    async def _accept(self, socket: ServerConnection) -> None:
+        try:
+            peer = await _receive_hello(socket, self.hello.secret)
+            await socket.send(encode(self.hello))
+        except (TimeoutError, FrameError, websockets.ConnectionClosed) as error:
+            logger().warning("link_refused", error=str(error) or type(error).__name__)
+            return
+        link = Link(peer, socket)
+        self.links.add(link)
+        try:
+            await link.run(self.handlers)
+        finally:
+            self.links.discard(link)
+
+
+class LinkClient:
+    """Keeps one outgoing link up until it is closed."""
+
+    __slots__ = ("address", "hello", "handlers", "tls", "task")
+
+    def __init__(
+        self,
+        address: Address,
+        hello: Hello,
+        handlers: LinkHandlers,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        self.address = address
+        self.hello = hello
+        self.handlers = handlers
+        self.tls = tls
+        self.task = asyncio.create_task(self._keep_up())
+
+    def close(self) -> None:
+        """Close the link and do not reconnect."""
+        self.task.cancel()
+
+    async def _keep_up(self) -> None:
+        delay = RECONNECT_FIRST
+        while True:
+            if await self._connect_once():
+                delay = RECONNECT_FIRST
+            await asyncio.sleep(delay)
+            delay = min(RECONNECT_MOST, delay * 2)
+
+    async def _connect_once(self) -> bool:
+        scheme = "wss" if self.tls else "ws"
+        try:
+            socket = await connect(
+                f"{scheme}://{self.address}",
+                ssl=self.tls,
+                compression=None,
+                max_size=MAX_MESSAGE,
+                open_timeout=HELLO_TIMEOUT,
+                ping_interval=PING_INTERVAL,
+                ping_timeout=PING_TIMEOUT,
+                proxy=None,
+            )
+        except (OSError, TimeoutError, websockets.WebSocketException):
+            return False
+        try:
+            await socket.send(encode(self.hello))
+            peer = await _receive_hello(socket, self.hello.secret)
+        except (TimeoutError, FrameError, websockets.ConnectionClosed):
+            socket.transport.abort()
+            return False
+        await Link(peer, socket).run(self.handlers)
+        return True
+
+
+async def _receive_hello(socket: Any, secret: str) -> Hello:
+    async with asyncio.timeout(HELLO_TIMEOUT):
+        data = await socket.recv()
+    hello = decode(data)
+    if not isinstance(hello, Hello):
+        raise FrameError(f"expected Hello, found {type(hello).__name__}")
+    if not hmac.compare_digest(hello.secret.encode(), secret.encode()):
+        raise FrameError(f"{hello.name!r} gave a wrong link secret")
+    return hello
--- /dev/null
+++ b/src/bilberryshed/transport/_timers.py
@@ -0,0 +1,67 @@
+"""The timer service of a process: parts subscribe to it for periodic work and for the time."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+Callback = Callable[[float], object]
+
+
+class Subscription:
+    """A periodic call; cancel it to stop."""
+
+    __slots__ = ("interval", "callback", "handle", "cancelled")
+
+    def __init__(self, interval: float, callback: Callback) -> None:
+        self.interval = interval
+        self.callback = callback
+        self.handle: asyncio.TimerHandle | None = None
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Stop the periodic call."""
+        self.cancelled = True
+        if self.handle is not None:
+            self.handle.cancel()
+
+
+class TimerService:
+    """Calls subscribers on the running loop and tells the time."""
+
+    __slots__ = ("subscriptions",)
+
+    def __init__(self) -> None:
+        self.subscriptions: list[Subscription] = []
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+        return time.time()
+
+    def subscribe(self, interval: float, callback: Callback) -> Subscription:
+        """Call back every ``interval`` seconds, first after one interval.
+
+        :param callback: takes the monotonic time
+        """
+        subscription = Subscription(interval, callback)
+        self.subscriptions.append(subscription)
+        self._arm(subscription)
+        return subscription
+
+    def close(self) -> None:
+        """Cancel all subscriptions."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
+
+    def _arm(self, subscription: Subscription) -> None:
+        loop = asyncio.get_running_loop()
+        subscription.handle = loop.call_later(subscription.interval, self._fire, subscription)
+
+    def _fire(self, subscription: Subscription) -> None:
+        if subscription.cancelled:
+            return
+        self._arm(subscription)
+        subscription.callback(self.now())
--- /dev/null
+++ b/src/bilberryshed_load/_fleet.py
@@ -0,0 +1,158 @@
+"""Starts, watches and stops the processes of a fleet on this machine."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+from bilberryshed_load._plans import HOST, FleetPlan, ProcessPlan
+
+START_LIMIT = 20.0  # seconds
+POLL = 0.05  # seconds
+
+
+class FleetError(Exception):
+    """Raised when a process does not start or stop as it should."""
+
+
+class Fleet:
+    """The processes of one plan.
+
+    :param plan: what to start; logs go beside its settings
+    """
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.plan = plan
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self) -> None:
+        """Start all processes and wait until they answer.
+
+        :raises FleetError: if one does not
+        """
+        for process in self.plan.processes:
+            self.start_one(process)
+        for process in self.plan.processes:
+            if process.program != "bilberryshed-standin":
+                self.wait_for(process, "/live")
+
+    def start_one(self, process: ProcessPlan) -> None:
+        """Start one process."""
+        program = Path(sys.executable).parent / process.program
+        log = (self.plan.directory / f"{process.name}.log").open("ab")
+        with log:
+            self.running[process.name] = subprocess.Popen(
+                [program, str(process.settings)], stdout=log, stderr=log
+            )
+        if process.program == "bilberryshed-standin":
+            self.wait_for(process, "/vms")
+
+    def wait_for(self, process: ProcessPlan, path: str) -> None:
+        """Wait until a process answers a path with 200.
+
+        :raises FleetError: if it does not within the limit
+        """
+        deadline = time.monotonic() + START_LIMIT
+        while time.monotonic() < deadline:
+            if self.running[process.name].poll() is not None:
+                break
+            try:
+                with urllib.request.urlopen(f"http://{HOST}:{process.port}{path}", timeout=1):
+                    return
+            except OSError:
+                time.sleep(POLL)
+        raise FleetError(f"{process.name} did not answer {path}; see its log in the run directory")
+
+    def wait_ready(self) -> None:
+        """Wait until every router takes requests and every router sees every agent."""
+        for process in self._of("bilberryshed-router"):
+            self.wait_for(process, "/ready")
+        agents = len(self._of("bilberryshed-agent"))
+        deadline = time.monotonic() + START_LIMIT
+        for process in self._of("bilberryshed-router"):
+            while len(self.status(process.name)["agents"]) < agents:
+                if time.monotonic() > deadline:
+                    raise FleetError(f"{process.name} does not see all {agents} agents")
+                time.sleep(POLL)
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Return the status page of a process."""
+        url = f"http://{HOST}:{self.plan.process(name).port}/status"
+        with urllib.request.urlopen(url, timeout=2) as response:
+            status: dict[str, Any] = json.load(response)
+        return status
+
+    def statuses(self, program: str) -> list[dict[str, Any]]:
+        """Return the status pages of all running processes of a program."""
+        return [self.status(p.name) for p in self._of(program) if self.is_running(p.name)]
+
+    def is_running(self, name: str) -> bool:
+        """Whether a process runs."""
+        return name in self.running and self.running[name].poll() is None
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.running[name].kill()
+        self.running[name].wait()
+
+    def pause(self, name: str, paused: bool) -> None:
+        """Freeze or thaw a process."""
+        self.running[name].send_signal(signal.SIGSTOP if paused else signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully."""
+        self.running[name].terminate()
+
+    def wait(self, name: str, limit: float) -> int:
+        """Wait for a process to exit.
+
+        :returns: its exit code
+        :raises FleetError: if it does not exit within ``limit`` seconds
+        """
+        try:
+            return self.running[name].wait(limit)
+        except subprocess.TimeoutExpired as error:
+            raise FleetError(f"{name} did not stop within {limit} s") from error
+
+    def settle(self, limit: float) -> bool:
+        """Wait until no record is undelivered anywhere.
+
+        :returns: whether that happened within ``limit`` seconds
+        """
+        deadline = time.monotonic() + limit
+        while time.monotonic() < deadline:
+            routers = self.statuses("bilberryshed-router")
+            agents = self.statuses("bilberryshed-agent")
+            left = sum(s["unbilled"] + s["running"] for s in routers)
+            left += sum(s["journal"] + s["running"] for s in agents)
+            if left == 0:
+                return True
+            time.sleep(POLL)
+        return False
+
+    def stop(self, limit: float = 30.0) -> list[str]:
+        """Stop routers, then agents, gracefully; the stand-ins go on.
+
+        :returns: names of processes that did not finish their work
+        """
+        failed: list[str] = []
+        for program in ("bilberryshed-router", "bilberryshed-agent"):
+            names = [p.name for p in self._of(program) if self.is_running(p.name)]
+            for name in names:
+                self.terminate(name)
+            failed += [name for name in names if self.wait(name, limit) != 0]
+        return failed
+
+    def close(self) -> None:
+        """End every process that is left, at once."""
+        for process in self.running.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+    def _of(self, program: str) -> list[ProcessPlan]:
+        return [p for p in self.plan.processes if p.program == program]
--- /dev/null
+++ b/src/bilberryshed_standins/__init__.py
@@ -0,0 +1,17 @@
+"""Stand-ins for the systems that the fleet meets: platform, model engines, plain services.
+
+They are for development and tests only. Each has switches for the faults that the real system has.
+"""
+
+from bilberryshed_standins._engine_core import EngineCore, EngineLimits, whole_text
+from bilberryshed_standins._faults import FaultSwitches
+from bilberryshed_standins._memory import MemoryObjects, MemoryTables
+
+__all__ = [
+    "EngineCore",
+    "EngineLimits",
+    "FaultSwitches",
+    "MemoryObjects",
+    "MemoryTables",
+    "whole_text",
+]
--- /dev/null
+++ b/src/bilberryshed_standins/_engine.py
@@ -0,0 +1,282 @@
+"""Stand-in for a model engine, over HTTP."""
+
+import asyncio
+import json
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, HTTPError
+
+from bilberryshed_standins._engine_core import EngineCore, EngineLimits, Generated, Sequence
+from bilberryshed_standins._faults import FaultSwitches
+from bilberryshed_standins._serving import FaultsHandler, StandinHandler
+
+CRASH_MARK = "CRASH-THE-ENGINE"  # a prompt with this text crashes the engine that runs it
+EVENT_GAP = 10  # every tenth cache event is never published
+
+
+@dataclass(slots=True)
+class EngineSettings:
+    """Settings of one engine stand-in; durations in seconds.
+
+    :param models: model versions loaded at start
+    :param checks_fencing: whether orders with an old fencing number are refused
+    :param load_lag: age of published load reports and cache events
+    :param restart: time that a crashed engine is away
+    """
+
+    name: str
+    models: tuple[str, ...]
+    step: float = 0.01
+    checks_fencing: bool = True
+    load_lag: float = 0.2
+    restart: float = 2.0
+    limits: EngineLimits = field(default_factory=EngineLimits)
+
+
+class EngineStandin:
+    """One engine: a core that steps, and what HTTP handlers need."""
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self.core = EngineCore(settings.limits)
+        self.switches = FaultSwitches()
+        self.models = list(settings.models)
+        self.outputs: dict[int, asyncio.Queue[Generated | None]] = {}
+        self.loads: deque[tuple[float, dict[str, Any]]] = deque(maxlen=200)
+        self.fencing = 0
+        self.orders: list[dict[str, Any]] = []
+        self.boots = 1
+        self.down_until = 0.0
+        self.speed = 1.0
+        self.completed: list[str] = []
+        self.task: asyncio.Task[None] | None = None
+
+    def application(self) -> Application:
+        """Return the HTTP application."""
+        args = {"owner": self}
+        return Application(
+            [
+                (r"/v1/chat/completions", CompletionHandler, args),
+                (r"/cancel", CancelHandler, args),
+                (r"/load", LoadHandler, args),
+                (r"/cache/events", CacheEventsHandler, args),
+                (r"/orders", OrdersHandler, args),
+                (r"/tokenize", TokenizeHandler, args),
+                (r"/speed", SpeedHandler, args),
+                (r"/crash", CrashHandler, args),
+                (r"/completed", CompletedHandler, args),
+                (r"/faults", FaultsHandler, args),
+            ]
+        )
+
+    def start(self) -> None:
+        """Start stepping."""
+        self.task = asyncio.create_task(self._run())
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the engine is away after a crash."""
+        return time.monotonic() < self.down_until
+
+    def submit(self, sequence: Sequence) -> "asyncio.Queue[Generated | None]":
+        """Queue a sequence and return where its results appear; ``None`` means a crash."""
+        output: asyncio.Queue[Generated | None] = asyncio.Queue()
+        self.outputs[id(sequence)] = output
+        self.core.submit(sequence)
+        return output
+
+    def crash(self) -> None:
+        """Lose everything that is in memory and stay away for a while."""
+        self.boots += 1
+        self.down_until = time.monotonic() + self.settings.restart
+        self.core = EngineCore(self.settings.limits)
+        for output in self.outputs.values():
+            output.put_nowait(None)
+        self.outputs.clear()
+
+    def published_load(self) -> dict[str, Any]:
+        """Return the load as it was ``load_lag`` ago."""
+        published = self.loads[0][1] if self.loads else self._load()
+        for at, load in self.loads:
+            if at + self.settings.load_lag <= time.monotonic():
+                published = load
+        return published
+
+    async def _run(self) -> None:
+        due = time.monotonic()
+        while True:
+            due = max(due + self.settings.step / self.speed, time.monotonic() - 0.05)
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            for generated in self.core.step():
+                self._deliver(generated)
+            self.loads.append((time.monotonic(), self._load()))
+
+    def _deliver(self, generated: Generated) -> None:
+        output = self.outputs.get(id(generated.sequence))
+        if output is None:
+            return
+        output.put_nowait(generated)
+        if generated.finish:
+            del self.outputs[id(generated.sequence)]
+
+    def _load(self) -> dict[str, Any]:
+        return {
+            "running": len(self.core.running),
+            "queued": len(self.core.waiting),
+            "slots": self.settings.limits.slots,
+            "models": list(self.models),
+            "boot": self.boots,
+        }
+
+
+class EngineHandler(StandinHandler):
+    """Base: a crashed engine breaks every connection."""
+
+    owner: EngineStandin
+
+    async def prepare(self) -> None:
+        if self.owner.is_down:
+            self.break_connection()
+            return
+        await super().prepare()
+
+
+class CompletionHandler(EngineHandler):
+    """``POST /v1/chat/completions``, streamed as server-sent events."""
+
+    async def post(self) -> None:
+        body = self.json_body()
+        if body["model"] not in self.owner.models:
+            raise HTTPError(404, reason=f"model {body['model']} is not loaded")
+        prompt = "\n".join(str(m.get("content", "")) for m in body["messages"])
+        sequence = Sequence(
+            request=str(body.get("request_id", "")),
+            prompt=prompt.encode(),
+            max_tokens=int(body["max_tokens"]),
+            priority=int(body.get("priority", 5)),
+            generated=len(str(body.get("continue_text", "")).split()),
+        )
+        if CRASH_MARK in prompt:
+            self.owner.crash()
+        if self.owner.is_down:
+            self.break_connection()
+            return
+        self.set_header("Content-Type", "text/event-stream")
+        await self._stream(sequence, self.owner.submit(sequence))
+
+    async def _stream(self, sequence: Sequence, output: "asyncio.Queue[Generated | None]") -> None:
+        finish = ""
+        while not finish:
+            generated = await output.get()
+            if generated is None:
+                self.break_connection()
+                return
+            finish = generated.finish
+            if not await self._send_event(_event(sequence, generated.text, finish)):
+                self.owner.core.cancel(sequence.request)
+                return
+        self.owner.completed.append(sequence.request)
+        self.write("data: [DONE]\n\n")
+
+    async def _send_event(self, event: dict[str, Any]) -> bool:
+        self.write(f"data: {json.dumps(event)}\n\n")
+        try:
+            await self.flush()
+        except StreamClosedError:
+            return False
+        return True
+
+
+def _event(sequence: Sequence, text: str, finish: str) -> dict[str, Any]:
+    event: dict[str, Any] = {
+        "id": sequence.request,
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": finish or None}],
+    }
+    if finish:
+        event["usage"] = {
+            "prompt_tokens": sequence.prompt_tokens,
+            "completion_tokens": sequence.generated,
+        }
+    return event
+
+
+class CancelHandler(EngineHandler):
+    """``POST /cancel``."""
+
+    async def post(self) -> None:
+        found = self.owner.core.cancel(str(self.json_body()["request_id"]))
+        await self.answer({"found": found})
+
+
+class LoadHandler(EngineHandler):
+    """``GET /load``."""
+
+    async def get(self) -> None:
+        await self.answer(self.owner.published_load())
+
+
+class CacheEventsHandler(EngineHandler):
+    """``GET /cache/events?after=N``: late and with gaps."""
+
+    async def get(self) -> None:
+        after = int(self.get_argument("after", "0"))
+        events = [
+            [event.number, event.block, event.stored]
+            for event in self.owner.core.events[after:]
+            if event.number % EVENT_GAP
+        ]
+        await self.answer({"events": events, "next": len(self.owner.core.events)})
+
+
+class OrdersHandler(EngineHandler):
+    """``POST /orders``: load or unload a model version, or change role."""
+
+    async def post(self) -> None:
+        body = self.json_body()
+        number = int(body["fencing"])
+        if self.owner.settings.checks_fencing and number < self.owner.fencing:
+            raise HTTPError(409, reason=f"fencing number {number} is old")
+        self.owner.fencing = max(self.owner.fencing, number)
+        self.owner.orders.append(body)
+        model = str(body.get("model", ""))
+        if body["order"] == "load" and model not in self.owner.models:
+            self.owner.models.append(model)
+        if body["order"] == "unload" and model in self.owner.models:
+            self.owner.models.remove(model)
+        await self.answer({"models": self.owner.models})
+
+
+class TokenizeHandler(EngineHandler):
+    """``POST /tokenize``: the exact token count of a prompt."""
+
+    async def post(self) -> None:
+        prompt = "\n".join(str(m.get("content", "")) for m in self.json_body()["messages"])
+        await self.answer({"tokens": Sequence("", prompt.encode(), 1, 0).prompt_tokens})
+
+
+class SpeedHandler(EngineHandler):
+    """``POST /speed``: run at a share of the normal speed."""
+
+    async def post(self) -> None:
+        self.owner.speed = float(self.json_body()["speed"])
+        await self.answer({})
+
+
+class CrashHandler(EngineHandler):
+    """``POST /crash``."""
+
+    async def post(self) -> None:
+        await self.answer({})
+        self.owner.crash()
+
+
+class CompletedHandler(EngineHandler):
+    """``GET /completed``: ids of requests that ran to their end."""
+
+    async def get(self) -> None:
+        await self.answer({"requests": self.owner.completed})
--- /dev/null
+++ b/src/bilberryshed_standins/_engine_core.py
@@ -0,0 +1,194 @@
+"""A model engine without I/O: continuous batching, priorities, a limited prefix cache.
+
+Time passes in steps. In one step the engine reads prompts, up to a number of tokens, and generates
+one token for each sequence whose prompt it has read. The text is a function of the prompt, so that
+a resumed answer continues as the first would have.
+"""
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import xxhash
+
+BLOCK_BYTES = 256  # bytes of prompt in one cache block
+BYTES_PER_TOKEN = 4
+WORDS = ("salt", "grit", "road", "plough", "drift", "thaw", "lamp", "lane", "porch", "wire")
+
+
+@dataclass(slots=True, frozen=True)
+class EngineLimits:
+    """Speed and size of an engine.
+
+    :param slots: sequences run at once
+    :param prefill: prompt tokens read in a step
+    :param cache_blocks: prefix cache blocks kept
+    """
+
+    slots: int = 16
+    prefill: int = 512
+    cache_blocks: int = 512
+
+
+@dataclass(slots=True)
+class Sequence:
+    """One request inside the engine; token counts."""
+
+    request: str
+    prompt: bytes
+    max_tokens: int
+    priority: int
+    generated: int = 0
+    unread: int = 0
+    finish: str = ""
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Tokens of the prompt."""
+        return count_tokens(self.prompt)
+
+
+@dataclass(slots=True, frozen=True)
+class Generated:
+    """A step's result for one sequence.
+
+    :param text: next piece of the answer, empty at the end
+    :param finish: why the sequence ended, empty while it goes on
+    """
+
+    sequence: Sequence
+    text: str
+    finish: str
+
+
+@dataclass(slots=True, frozen=True)
+class CacheEvent:
+    """A block that entered or left the prefix cache."""
+
+    number: int
+    block: int
+    stored: bool
+
+
+@dataclass(slots=True)
+class EngineCore:
+    """State of one engine."""
+
+    limits: EngineLimits
+    running: list[Sequence] = field(default_factory=list)
+    waiting: list[tuple[int, int, Sequence]] = field(default_factory=list)
+    arrivals: int = 0
+    cache: dict[int, None] = field(default_factory=dict)
+    events: list[CacheEvent] = field(default_factory=list)
+    hit_tokens: int = 0
+    read_tokens: int = 0
+
+    def submit(self, sequence: Sequence) -> None:
+        """Queue a sequence by priority, then by arrival."""
+        self.arrivals += 1
+        heapq.heappush(self.waiting, (sequence.priority, self.arrivals, sequence))
+
+    def cancel(self, request: str) -> bool:
+        """End a sequence before its time."""
+        for sequence in [*self.running, *(entry[2] for entry in self.waiting)]:
+            if sequence.request == request and not sequence.finish:
+                sequence.finish = "cancelled"
+                return True
+        return False
+
+    def step(self) -> list[Generated]:
+        """Run one step."""
+        self._admit()
+        budget = self.limits.prefill
+        results: list[Generated] = []
+        for sequence in self.running:
+            if sequence.finish:
+                results.append(Generated(sequence, "", sequence.finish))
+                continue
+            if sequence.unread > 0:
+                share = min(budget, sequence.unread)
+                sequence.unread -= share
+                budget -= share
+            if sequence.unread == 0:
+                results.append(self._generate(sequence))
+        self.running = [s for s in self.running if not s.finish]
+        return results
+
+    @property
+    def idle(self) -> bool:
+        """Whether a step would do nothing."""
+        return not self.running and not self.waiting
+
+    def _admit(self) -> None:
+        while self.waiting and len(self.running) < self.limits.slots:
+            sequence = heapq.heappop(self.waiting)[2]
+            sequence.unread = self._uncached(sequence)
+            self.running.append(sequence)
+
+    def _uncached(self, sequence: Sequence) -> int:
+        blocks = tuple(prefix_blocks(sequence.prompt))
+        hits = 0
+        while hits < len(blocks) and blocks[hits] in self.cache:
+            hits += 1
+        self._store(blocks)
+        cached = min(sequence.prompt_tokens, hits * BLOCK_BYTES // BYTES_PER_TOKEN)
+        self.hit_tokens += cached
+        self.read_tokens += sequence.prompt_tokens
+        return sequence.prompt_tokens - cached
+
+    def _store(self, blocks: tuple[int, ...]) -> None:
+        for block in blocks:
+            if self.cache.pop(block, 0) is None:
+                self.cache[block] = None
+                continue
+            self.cache[block] = None
+            self._event(block, True)
+        while len(self.cache) > self.limits.cache_blocks:
+            oldest = next(iter(self.cache))
+            del self.cache[oldest]
+            self._event(oldest, False)
+
+    def _event(self, block: int, stored: bool) -> None:
+        self.events.append(CacheEvent(len(self.events) + 1, block, stored))
+
+    def _generate(self, sequence: Sequence) -> Generated:
+        text = word(sequence.prompt, sequence.generated)
+        sequence.generated += 1
+        if sequence.generated >= sequence.max_tokens:
+            sequence.finish = "length"
+        elif _is_last(sequence.prompt, sequence.generated):
+            sequence.finish = "stop"
+        return Generated(sequence, text, sequence.finish)
+
+
+def count_tokens(prompt: bytes) -> int:
+    """Return the number of tokens of a prompt, at least 1 and at most its bytes."""
+    return max(1, -(-len(prompt) // BYTES_PER_TOKEN))
+
+
+def word(prompt: bytes, position: int) -> str:
+    """Return the piece of text that a prompt leads to at a position."""
+    digest = xxhash.xxh3_64_intdigest(prompt, seed=position)
+    return WORDS[digest % len(WORDS)] + " "
+
+
+def whole_text(prompt: bytes, max_tokens: int) -> str:
+    """Return the answer that a prompt leads to."""
+    pieces = []
+    for position in range(max_tokens):
+        pieces.append(word(prompt, position))
+        if _is_last(prompt, position + 1):
+            break
+    return "".join(pieces)
+
+
+def prefix_blocks(prompt: bytes) -> Iterator[int]:
+    """Return hashes of growing prefixes, one for each whole block."""
+    digest = xxhash.xxh3_64()
+    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        digest.update(prompt[start : start + BLOCK_BYTES])
+        yield digest.intdigest()
+
+
+def _is_last(prompt: bytes, generated: int) -> bool:
+    return generated >= 8 + xxhash.xxh3_64_intdigest(prompt) % 25
