--- a/src/bilberryshed_load/_demo.py
+++ b/src/bilberryshed_load/_demo.py
@@ -1,8 +1,6 @@
 """The demonstration: a whole fleet, a short load, and a verdict on every promise."""
 
 import asyncio
-import subprocess
-import sys
 import tempfile
 import time
 from dataclasses import dataclass, field
@@ -14,6 +12,7 @@
 from bilberryshed_load._callers import CallerPool
 from bilberryshed_load._fleet import Fleet
 from bilberryshed_load._plans import Deployment, plan_fleet
+from bilberryshed_load._tools import run_tool, submit_sheet
 from bilberryshed_load._workloads import Mix, questions
 
 IN_FORCE_LIMIT = 4.0  # seconds for a sheet to be in force everywhere
@@ -57,7 +56,7 @@
     platform = fleet.plan.platform
     print(f"starting {len(fleet.plan.processes)} processes for {deployment.name}")
     fleet.start()
-    _tool("bilberryshed-sheet", "submit", str(sheet), "--platform", platform, "--base", "0")
+    submit_sheet(platform, sheet, 0)
     accepted_at = time.monotonic()
     fleet.wait_ready()
     in_force = time.monotonic() - accepted_at
@@ -70,8 +69,8 @@
     verdict.check(fleet.settle(SETTLE_LIMIT), "every record reaches the ledger")
     unfinished = fleet.stop()
     verdict.check(not unfinished, f"planned stops finish their work: {unfinished}")
-    _tool("bilberryshed-report", "burn", "--platform", platform)
-    _tool("bilberryshed-report", "audit", "--platform", platform, may_fail=True)
+    run_tool("bilberryshed-report", "burn", "--platform", platform)
+    run_tool("bilberryshed-report", "audit", "--platform", platform, may_fail=True)
     audit = asyncio.run(_audit(platform))
     _judge(verdict, pool, audit, kill)
     for promise in verdict.broken:
@@ -122,8 +121,3 @@
 
 async def _audit(platform: str) -> Audit:
     return (await RecordsOffice(Address.parse(platform)).audit()).unwrap()
-
-
-def _tool(program: str, *arguments: str, may_fail: bool = False) -> None:
-    command = [str(Path(sys.executable).parent / program), *arguments]
-    subprocess.run(command, check=not may_fail)
--- a/src/bilberryshed_load/program.py
+++ b/src/bilberryshed_load/program.py
@@ -7,6 +7,7 @@
 
 from bilberryshed import __version__
 from bilberryshed_load._demo import run_demo
+from bilberryshed_load._overhead import measure_overhead, measure_router_core
 from bilberryshed_load._plans import DEPLOYMENTS
 
 EXIT_BROKEN = 1
@@ -34,6 +35,31 @@
     sys.exit(EXIT_BROKEN if verdict.broken else 0)
 
 
+def overhead(
+    *, etc: Path = Path("etc"), requests: int = 600, rate: float = 60.0, seed: int = 1
+) -> None:
+    """Measure what router and agent add, side by side with direct calls to the engine.
+
+    :param etc: directory of the sample sheets
+    :param requests: requests of each kind
+    :param rate: requests a second of both kinds together
+    :param seed: seed of all random choices
+    """
+    measure_overhead(etc, requests, rate, seed)
+
+
+def core(*, etc: Path = Path("etc"), seconds: float = 8.0, callers: int = 64) -> None:
+    """Measure how many requests a second one core of a router carries.
+
+    :param etc: directory of the sample sheets
+    :param seconds: length of each of three runs
+    :param callers: callers that each wait for their answer before asking again
+    """
+    measure_router_core(etc, seconds, callers)
+
+
 def main() -> None:
     """Entry point of the program."""
-    defopt.run({"demo": demo}, version=__version__, argv=sys.argv[1:])
+    defopt.run(
+        {"demo": demo, "overhead": overhead, "core": core}, version=__version__, argv=sys.argv[1:]
+    )
