--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 features: setup
 	mkdir -p build
 	rm -f build/behave.json
-	$(BIN)/behave --format progress --format json --outfile build/behave.json features
+	$(BIN)/behave --format json --outfile build/behave.json --format progress features
 
 clean:
 	rm -rf .venv build
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -26,3 +26,6 @@
 
   Scenario: The sample settings have no findings
     Then the sample settings in etc have no findings
+
+  Scenario: The settings reference is up to date
+    Then docs/operators/settings.md is what scripts/settings_reference.py writes
--- a/features/steps/basic_steps.py
+++ b/features/steps/basic_steps.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import re
+import subprocess
+import sys
 import tempfile
 import types
 import typing
@@ -353,3 +355,11 @@
 @then("the policies of settings and the registered ones are the same")
 def then_policies(context):
     assert set(ROUTING_POLICIES) == set(policies)
+
+
+@then("docs/operators/settings.md is what scripts/settings_reference.py writes")
+def then_reference(context):
+    page = Path("docs/operators/settings.md")
+    written = page.read_text(encoding="utf-8")
+    subprocess.run([sys.executable, "scripts/settings_reference.py"], check=True)
+    assert page.read_text(encoding="utf-8") == written
--- /dev/null
+++ b/scripts/settings_reference.py
@@ -0,0 +1,71 @@
+"""Writes docs/operators/settings.md from the settings classes."""
+
+from dataclasses import fields
+from pathlib import Path
+
+from bilberryshed.state import AgentSettings, RouterSettings
+
+TARGET = Path("docs/operators/settings.md")
+HEADER = """# Settings
+
+INI files. Addresses are `IP:PORT`. A key without default must be given; an unknown key is a
+finding. Written by `scripts/settings_reference.py`.
+"""
+MEANINGS = {
+    "name": "VM name, unique in the fleet",
+    "zone": "availability zone",
+    "listen": "address of the callers' API",
+    "link_listen": "address of the link listener",
+    "status_listen": "address of the status page",
+    "backend": "address of the backend server",
+    "kind": "engine or service",
+    "service": "plain service that the backend server offers, empty for an engine",
+    "checks_fencing": "whether the backend server refuses old fencing numbers",
+    "slots": "attempts that run at once; twice as many are admitted",
+    "load_interval": "time between load reports, s",
+    "journal_retry": "time before an unconfirmed record is sent again, s",
+    "platform": "address of the platform",
+    "platform_timeout": "limit of one call, s",
+    "vm_list_interval": "time between reads of the VM list, s",
+    "sheet_interval": "time between polls of the accepted version, s",
+    "ledger_shards": "shards of the ledger; the same on all routers, never changed",
+    "ledger_interval": "time between commits, s",
+    "grant_horizon": "demand that a grant covers, s",
+    "grant_least": "smallest grant while the budget is plentiful, tokens",
+    "funding_wait": "longest wait for tokens of running requests, s",
+    "settle_interval": "time between adoptions and closings of grants, s",
+    "policy": "affinity, two_choices, least_connections, round_robin or random",
+    "attempts": "attempts for one request",
+    "queue_limit": "requests that wait for a backend server",
+    "queue_wait": "longest such wait, s",
+    "drain_limit": "longest graceful stop, s",
+    "max_body": "largest body, bytes",
+    "max_tokens_limit": "largest max_tokens",
+    "slo_interval": "time between service-level tallies, s",
+    "statsd": "statsd server; empty for none",
+    "secret_file": "file with the link secret, the same everywhere; empty for none",
+    "certificate": "PEM certificate; TLS for callers and incoming links if set",
+    "certificate_key": "PEM key of the certificate",
+    "link_ca": "PEM file of the CA of outgoing links; TLS on them if set",
+}
+
+
+def reference(title: str, cls: type) -> list[str]:
+    """Return the table of one settings class."""
+    lines = [f"## {title}", "", "| section | key | default | meaning |", "|---|---|---|---|"]
+    for item in fields(cls):
+        default = item.metadata["default"]
+        shown = "must be given" if default is None else f"`{default}`" if default else "empty"
+        section, meaning = item.metadata["section"], MEANINGS[item.name]
+        lines.append(f"| `{section}` | `{item.name}` | {shown} | {meaning} |")
+    return lines
+
+
+def main() -> None:
+    """Write the page."""
+    parts = [HEADER, *reference("Router", RouterSettings), "", *reference("Agent", AgentSettings)]
+    TARGET.write_text("\n".join(parts) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
