--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,11 @@
 	rm -f build/behave.json
 	$(BIN)/behave --format json --outfile build/behave.json --format progress features
 
+model:
+	scripts/model_check.sh
+
+slopes: setup
+	$(BIN)/bilberryshed-load slopes
+
 clean:
 	rm -rf .venv build
--- a/src/bilberryshed_load/_fleet.py
+++ b/src/bilberryshed_load/_fleet.py
@@ -86,6 +86,23 @@
             status: dict[str, Any] = json.load(response)
         return status
 
+    def counters(self) -> dict[str, int]:
+        """Return the calls that the platform stand-in has served."""
+        with urllib.request.urlopen(f"http://{self.plan.platform}/counters") as response:
+            counters: dict[str, int] = json.load(response)
+        return counters
+
+    def post_platform(self, path: str, body: dict[str, Any]) -> None:
+        """Post JSON to the platform stand-in."""
+        url = f"http://{self.plan.platform}{path}"
+        urllib.request.urlopen(url, json.dumps(body).encode(), timeout=2).close()
+
+    def memory_kb(self, name: str) -> float:
+        """Return the resident memory of a process, in kB."""
+        status = Path(f"/proc/{self.running[name].pid}/status").read_text(encoding="ascii")
+        line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+        return float(line.split()[1])
+
     def statuses(self, program: str) -> list[dict[str, Any]]:
         """Return the status pages of all running processes of a program."""
         return [self.status(p.name) for p in self._of(program) if self.is_running(p.name)]
--- /dev/null
+++ b/src/bilberryshed_load/_slopes.py
@@ -0,0 +1,353 @@
+"""Slopes of state, messages, processor time and memory, at three sizes or more each."""
+
+import asyncio
+import gc
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from bilberryshed.coordination import (
+    Grant,
+    GrantBook,
+    Rollout,
+    Segment,
+    ShardWriter,
+    SheetInForce,
+)
+from bilberryshed.protocol import Charge, Heartbeat, Hello, LoadReport, UsageRecord, encode
+from bilberryshed.state import Address, parse_sheet
+from bilberryshed.transport import Link, LinkHandlers, LinkServer
+from bilberryshed_load._callers import Question, ask
+from bilberryshed_load._fleet import Fleet
+from bilberryshed_load._plans import DEPLOYMENTS, HOST, FleetPlan, free_port, plan_fleet
+from bilberryshed_load._tools import submit_sheet
+
+BUDGET_SIZES = (1_000, 10_000, 100_000)
+RECORD_SIZES = (1_000, 10_000, 100_000)
+LINK_SIZES = (10, 50, 100, 200)
+RATES = (20, 60, 120)  # requests a second
+REPORT_INTERVAL = 0.25  # seconds, as agents report
+BEAT_INTERVAL = 0.5  # seconds, as routers do
+WATCH = 8.0  # seconds over which idle processor time is taken
+SETTLE = 3.0  # seconds before that
+MODEL = "brae-small@5"
+
+
+@dataclass(slots=True, frozen=True)
+class Slope:
+    """Least-squares line through measured points."""
+
+    name: str
+    unit: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+
+    def line(self) -> str:
+        """Return points, slope and intercept as text."""
+        slope, intercept = np.polyfit(self.sizes, self.values, 1)
+        points = ", ".join(
+            f"{size:g}: {value:.4g}" for size, value in zip(self.sizes, self.values, strict=True)
+        )
+        return f"{self.name}: {slope:.4g} {self.unit} each, {intercept:.4g} at none ({points})"
+
+
+def measure_slopes(etc: Path) -> None:
+    """Measure and print all slopes."""
+    for slope in (*_in_process(), *_in_fleet(etc)):
+        print(slope.line(), flush=True)
+
+
+# In this process ------------------------------------------------------------------------------
+
+
+def _in_process() -> list[Slope]:
+    return [
+        _memory("memory of a budget held", BUDGET_SIZES, _book),
+        _time("time to look through a budget held", BUDGET_SIZES, _book, _scan_book),
+        _memory("memory of a budget in the sheet", BUDGET_SIZES, _rollout),
+        _time("time to parse a budget of the sheet", BUDGET_SIZES, _sheet_text, _parse),
+        _size("bytes of a budget in the sheet", BUDGET_SIZES, lambda n: len(_sheet_text(n))),
+        _memory("memory of a bill id of a shard", RECORD_SIZES, _writer),
+        _time("time to keep a record", RECORD_SIZES, _records, _keep),
+        _size("bytes of a record in a segment", RECORD_SIZES, lambda n: len(_segment(n))),
+    ]
+
+
+def _memory(name: str, sizes: tuple[int, ...], make: Callable[[int], Any]) -> Slope:
+    values = []
+    for size in sizes:
+        gc.collect()
+        tracemalloc.start()
+        kept = make(size)
+        gc.collect()
+        values.append(float(tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        del kept
+    return Slope(name, "bytes", tuple(map(float, sizes)), tuple(values))
+
+
+def _time(
+    name: str, sizes: tuple[int, ...], make: Callable[[int], Any], use: Callable[[Any], Any]
+) -> Slope:
+    values = []
+    for size in sizes:
+        subject = make(size)
+        began = time.process_time()
+        use(subject)
+        values.append((time.process_time() - began) * 1e6)
+    return Slope(name, "us", tuple(map(float, sizes)), tuple(values))
+
+
+def _size(name: str, sizes: tuple[int, ...], measure: Callable[[int], int]) -> Slope:
+    return Slope(name, "bytes", tuple(map(float, sizes)), tuple(float(measure(n)) for n in sizes))
+
+
+def _book(size: int) -> GrantBook:
+    book = GrantBook("router.0123456789ab")
+    for number in range(size):
+        key = f"customer-{number % 260}/budget-{number}"
+        grant = f"router.0123456789ab.g{number}"
+        book.add(Grant(grant, grant, key, 100_000))
+        book.note_demand(1.0, key, 100)
+    return book
+
+
+def _scan_book(book: GrantBook) -> None:
+    for key in book.budgets:
+        book.demand(2.0, key)
+        book.free(key)
+
+
+def _sheet_text(size: int) -> bytes:
+    lines = ["[customers]", "customer,key_sha256,priority,weight,services"]
+    for number in range(260):
+        digest = sha256(f"key-{number}".encode()).hexdigest()
+        lines.append(f"customer-{number},{digest},1,1,chat")
+    lines += ["[budgets]", "customer,budget,paid"]
+    lines += [f"customer-{n % 260},budget-{n},1000000" for n in range(size)]
+    lines += ["[services]", "service,kind,idempotent,models,deadline_ms,price"]
+    lines += ["chat,model,yes,m@1,30000,0", "[models]", "model,version,adapter,engines,role"]
+    lines += ["m,1,,1,mixed"]
+    return "\n".join(lines).encode()
+
+
+def _parse(content: bytes) -> Any:
+    return parse_sheet("slopes", content).unwrap()
+
+
+def _rollout(size: int) -> Rollout:
+    rollout = Rollout()
+    content = _sheet_text(size)
+    rollout.apply(SheetInForce(1, "digest", content, _parse(content)))
+    return rollout
+
+
+def _records(size: int) -> tuple[UsageRecord, ...]:
+    return tuple(
+        UsageRecord(
+            customer=f"customer-{number % 260}",
+            budget=f"budget-{number % 5000}",
+            key=f"{number:032x}",
+            request=f"{number + 1:032x}",
+            attempt=f"{number + 2:032x}",
+            service="chat",
+            model="m@1",
+            tokens=240,
+            charges=(Charge(f"router.0123456789ab.g{number % 5000}", 240),),
+            finished_at=1.7e9 + number,
+        )
+        for number in range(size)
+    )
+
+
+def _segment(size: int) -> bytes:
+    return encode(Segment("router.0123456789ab.0.1", _records(size)))
+
+
+def _keep(records: tuple[UsageRecord, ...]) -> ShardWriter:
+    writer = ShardWriter(0, "router.0123456789ab")
+    writer.caught_up = True
+    for record in records:
+        writer.offer(record)
+    while writer.next_action() is not None:
+        writer.on_put(True)
+    return writer
+
+
+def _writer(size: int) -> ShardWriter:
+    return _keep(_records(size))
+
+
+# Against a real router ------------------------------------------------------------------------
+
+
+class _FakeMembers:
+    """Agents or routers that only keep their links alive."""
+
+    def __init__(self, role: str, count: int, message: Any, interval: float) -> None:
+        self.role = role
+        self.message = message
+        self.interval = interval
+        self.ports = [free_port() for _ in range(count)]
+        self.servers: list[LinkServer] = []
+
+    def vms(self) -> list[dict[str, str]]:
+        """Return their entries in the VM list; names sort after every router's."""
+        return [
+            {
+                "name": f"z-{self.role}-{number}",
+                "role": self.role,
+                "zone": "inverness",
+                "link": f"{HOST}:{port}",
+                "state": "live",
+            }
+            for number, port in enumerate(self.ports)
+        ]
+
+    async def start(self) -> None:
+        """Listen for links."""
+        handlers = LinkHandlers(lambda link: None, _ignore, lambda link: None)
+        for number, port in enumerate(self.ports):
+            hello = Hello(f"z-{self.role}-{number}", f"boot-{number}", self.role, "inverness", "")
+            server = LinkServer(hello, handlers, None)
+            await server.start(Address(HOST, port))
+            self.servers.append(server)
+
+    async def talk(self, seconds: float) -> None:
+        """Send the message on every link at the interval."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            for server in self.servers:
+                for link in server.links:
+                    link.send(self.message)
+            await asyncio.sleep(self.interval)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for server in self.servers:
+            await server.close()
+
+
+def _ignore(link: Link, message: Any) -> None:
+    """Take no notice of a message."""
+
+
+def _in_fleet(etc: Path) -> list[Slope]:
+    report = LoadReport((), (MODEL,), 3, 0, 16, False, True, ())
+    beat = Heartbeat(False, 1)
+    agents = [_idle("agent", n, report, REPORT_INTERVAL) for n in LINK_SIZES]
+    peers = [_idle("router", n, beat, BEAT_INTERVAL) for n in LINK_SIZES]
+    sizes = tuple(map(float, LINK_SIZES))
+    rates = [_at_rate(etc, rate) for rate in RATES]
+    return [
+        Slope("router cpu for an agent linked", "cores", sizes, tuple(a[0] for a in agents)),
+        Slope("router memory for an agent linked", "kB", sizes, tuple(a[1] for a in agents)),
+        Slope("router cpu for a peer linked", "cores", sizes, tuple(p[0] for p in peers)),
+        Slope("router memory for a peer linked", "kB", sizes, tuple(p[1] for p in peers)),
+        Slope(
+            "router cpu for a request of 16 tokens a second",
+            "cores",
+            tuple(map(float, RATES)),
+            tuple(r[0] for r in rates),
+        ),
+        Slope(
+            "agent cpu for a request of 16 tokens a second",
+            "cores",
+            tuple(map(float, RATES)),
+            tuple(r[1] for r in rates),
+        ),
+        Slope(
+            "store writes for a request a second",
+            "writes/s",
+            tuple(map(float, RATES)),
+            tuple(r[2] for r in rates),
+        ),
+        Slope(
+            "store reads for a request a second",
+            "reads/s",
+            tuple(map(float, RATES)),
+            tuple(r[3] for r in rates),
+        ),
+    ]
+
+
+def _bare_plan(directory: Path) -> FleetPlan:
+    plan = plan_fleet(DEPLOYMENTS["cairnbrae"], directory)
+    first = next(p for p in plan.processes if p.program == "bilberryshed-router")
+    plan.processes = [plan.processes[0], first]
+    return plan
+
+
+def _idle(role: str, count: int, message: Any, interval: float) -> tuple[float, float]:
+    """Return processor share and memory in kB of a router with ``count`` links."""
+    with tempfile.TemporaryDirectory(prefix="bilberryshed-") as directory:
+        fleet = Fleet(_bare_plan(Path(directory)))
+        members = _FakeMembers(role, count, message, interval)
+        router = fleet.plan.processes[1].name
+        try:
+            fleet.start()
+            return asyncio.run(_watch(fleet, router, members))
+        finally:
+            fleet.close()
+
+
+async def _watch(fleet: Fleet, router: str, members: _FakeMembers) -> tuple[float, float]:
+    await members.start()
+    for vm in members.vms():
+        await asyncio.to_thread(fleet.post_platform, "/vms", vm)
+    await members.talk(SETTLE)
+    before = await asyncio.to_thread(fleet.status, router)
+    began = time.monotonic()
+    await members.talk(WATCH)
+    after = await asyncio.to_thread(fleet.status, router)
+    await members.close()
+    cpu = (after["cpu_seconds"] - before["cpu_seconds"]) / (time.monotonic() - began)
+    return cpu, fleet.memory_kb(router)
+
+
+def _at_rate(etc: Path, rate: int) -> tuple[float, float, float, float]:
+    """Return shares of cores and store calls a second at a rate of requests."""
+    deployment = DEPLOYMENTS["cairnbrae"]
+    with tempfile.TemporaryDirectory(prefix="bilberryshed-") as directory:
+        fleet = Fleet(plan_fleet(deployment, Path(directory)))
+        try:
+            fleet.start()
+            submit_sheet(fleet.plan.platform, etc / deployment.sheet, 0)
+            fleet.wait_ready()
+            before = _usage(fleet)
+            began = time.monotonic()
+            asyncio.run(_steady(fleet.plan.router_urls, rate))
+            elapsed = time.monotonic() - began
+            after = _usage(fleet)
+        finally:
+            fleet.close()
+    used = [(b - a) / elapsed for a, b in zip(before, after, strict=True)]
+    return used[0], used[1], used[2], used[3]
+
+
+def _usage(fleet: Fleet) -> tuple[float, float, float, float]:
+    routers = sum(s["cpu_seconds"] for s in fleet.statuses("bilberryshed-router"))
+    agents = sum(s["cpu_seconds"] for s in fleet.statuses("bilberryshed-agent"))
+    counters = fleet.counters()
+    writes = counters["table_writes"] + counters["object_writes"]
+    reads = counters["table_reads"] + counters["object_reads"]
+    return routers, agents, float(writes), float(reads)
+
+
+async def _steady(routers: list[str], rate: int) -> None:
+    tasks = []
+    began = time.monotonic()
+    for number in range(int(rate * WATCH)):
+        await asyncio.sleep(max(0.0, began + number / rate - time.monotonic()))
+        question = Question(
+            "highland-council", "", "drivers", prompt=f"steady {rate} {number}", max_tokens=16
+        )
+        tasks.append(asyncio.create_task(ask(routers[number % len(routers)], question)))
+    await asyncio.gather(*tasks)
--- a/src/bilberryshed_load/program.py
+++ b/src/bilberryshed_load/program.py
@@ -9,6 +9,7 @@
 from bilberryshed_load._demo import run_demo
 from bilberryshed_load._overhead import measure_overhead, measure_router_core
 from bilberryshed_load._plans import DEPLOYMENTS
+from bilberryshed_load._slopes import measure_slopes
 
 EXIT_BROKEN = 1
 
@@ -58,8 +59,18 @@
     measure_router_core(etc, seconds, callers)
 
 
+def slopes(*, etc: Path = Path("etc")) -> None:
+    """Measure how state, messages, processor time and memory grow; see docs/CAPACITY.md.
+
+    :param etc: directory of the sample sheets
+    """
+    measure_slopes(etc)
+
+
 def main() -> None:
     """Entry point of the program."""
     defopt.run(
-        {"demo": demo, "overhead": overhead, "core": core}, version=__version__, argv=sys.argv[1:]
+        {"demo": demo, "overhead": overhead, "core": core, "slopes": slopes},
+        version=__version__,
+        argv=sys.argv[1:],
     )
