Reclaim of a dead holder's grants on evidence; a holder may leave a row with parts in it

Cause: what a dead router held was stranded for good, and a holder with an unadopted part could not close its grant, so that its planned stop ran into the drain limit. Change: revocation, acknowledgements by every process, closing by what the ledger bills; closing leaves transferred parts in the row. Before: grants of a killed router open for ever.

--- a/features/grants.feature
+++ b/features/grants.feature
@@ -98,12 +98,26 @@
       | read ok, write delayed         |
       | read ok, write lost, read down |
 
-  Scenario: A grant with a part that is not adopted cannot be closed
+  Scenario Outline: Closing a grant leaves a part that is not adopted, while the store fails: <faults>
     Given a budget of 10000 tokens
-    And router A holds a grant of 500 tokens of which 0 are settled
+    And router A holds a grant of 500 tokens of which 120 are settled
     When router A transfers 200 tokens to router B
-    And router A tries to close the grant
-    Then the store's grants of A and B hold 500 and 0 tokens
+    And the store's calls go: <faults>
+    And router A closes the grant until it succeeds
+    Then the store's grants of A and B hold 200 and 0 tokens
+    And the budget has 320 tokens granted and 120 settled
+    When the network does: deliver, acknowledge
+    And router B adopts the part until it succeeds
+    Then the store's grants of A and B hold 0 and 200 tokens
+    And the budget has 320 tokens granted and 120 settled
+
+    Examples:
+      | faults                        |
+      | read ok, write ok             |
+      | read ok, write lost           |
+      | read ok, write vanished       |
+      | read ok, write delayed        |
+      | read ok, write lost, read down|
 
   Scenario Outline: Grant sizes follow demand while the budget is plentiful: <rate>, <free>
     When a router needs <need> tokens at <rate> a second with <free> free and <holders> holders
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -29,10 +29,13 @@
 IN_FORCE_LIMIT = 4.0  # seconds
 
 
-def start_fleet(context):
-    """Start a Cairnbrae fleet with its sheet."""
+def start_fleet(context, overrides=None):
+    """Start a Cairnbrae fleet with its sheet.
+
+    :param overrides: router settings by section and key
+    """
     directory = tempfile.TemporaryDirectory(prefix="bilberryshed-")
-    fleet = Fleet(plan_fleet(DEPLOYMENTS["cairnbrae"], Path(directory.name)))
+    fleet = Fleet(plan_fleet(DEPLOYMENTS["cairnbrae"], Path(directory.name), overrides=overrides))
     fleet.directory = directory
     fleet.start()
     submit(fleet, SHEET, 0)
--- /dev/null
+++ b/features/steps/reclaim_steps.py
@@ -0,0 +1,153 @@
+"""Steps for the release of a dead holder's grants."""
+
+import time
+
+from behave import given, then, when
+from fleet_steps import office, run, start_fleet
+
+from bilberryshed.coordination import Present, Reclaim
+from bilberryshed.protocol import Charge, UsageRecord
+from bilberryshed.state import GRANTS, GrantRow, Vm, budget_key
+
+BUDGET = budget_key("council", "winter")
+MEMBERS = {"A": "A.1", "x": "x.1", "y": "y.1"}
+
+
+def vm(name, state="live"):
+    """Return an entry of the list."""
+    return Vm(name, "agent", "wick", "127.0.0.1:1", state)
+
+
+@given("router B holds grant B.1.g1 of {amount:d} tokens")
+def given_grant(context, amount):
+    context.grants = {"B.1.g1": GrantRow(BUDGET, "B.1", amount)}
+    context.boots = dict(MEMBERS)
+    context.listed = {name: vm(name) for name in MEMBERS}
+    context.reclaim = Reclaim()
+
+
+@given("router A has adopted B.1.t1 of {amount:d} tokens")
+def given_adopted(context, amount):
+    context.grants["B.1.t1"] = GrantRow(BUDGET, "A.1", amount)
+
+
+@given("the list says B is {listed} and its link is {link}")
+@when("the list says B is {listed} and its link is {link}")
+def when_listed(context, listed, link):
+    if listed != "missing":
+        context.listed["B"] = vm("B", listed)
+    if link == "up":
+        context.boots["B"] = "B.1"
+    elif link != "down":
+        context.boots["B"] = "B.2"
+    context.revoked = context.reclaim.suspect(context.grants, present(context))
+
+
+def present(context):
+    """Return who is there."""
+    return Present(tuple(context.listed.values()), context.boots)
+
+
+@when("these acknowledge: {names}")
+def when_acks(context, names):
+    for name in names.split(", "):
+        if name != "nobody":
+            context.reclaim.acknowledge(name, context.boots[name], ("B.1",))
+
+
+@when("then {event}")
+def when_event(context, event):
+    name = event.split()[-2] if "appears" in event else event.split()[0]
+    if event.endswith("restarts"):
+        context.boots[name] += "0"
+    elif event.endswith("cut off"):
+        del context.boots[name]
+    elif event.endswith("is gone"):
+        del context.boots[name]
+        context.listed[name] = vm(name, "gone")
+    elif event.endswith("appears"):
+        context.listed[name] = vm(name)
+        context.boots[name] = f"{name}.1"
+
+
+@when("the ledger holds bills of {bills}")
+def when_bills(context, bills):
+    context.records = []
+    for number, bill in enumerate(bills.split(", ")):
+        if bill != "nothing":
+            tokens, grant = bill.split(" on ")
+            charges = (Charge(grant, int(tokens)),)
+            fields = ("council", "winter", f"k{number}", "r", "a", "s", "m@1", int(tokens))
+            context.records.append(UsageRecord(*fields, charges, 0.0))
+
+
+@then("B.1 is {verdict}")
+def then_revoked(context, verdict):
+    assert context.revoked == (("B.1",) if verdict == "revoked" else ())
+
+
+@then("the evidence is {evidence}")
+def then_evidence(context, evidence):
+    assert context.reclaim.is_complete(present(context)) == (evidence == "complete")
+
+
+@then("closing settles {settled:d} tokens")
+def then_settled(context, settled):
+    closings = context.reclaim.closings(context.grants, context.records)
+    assert [(c.grant, c.settled) for c in closings] == [("B.1.g1", settled)], closings
+
+
+@given("a Cairnbrae fleet with its sheet in force that reclaims every second")
+def given_reclaiming(context):
+    context.fleet = start_fleet(context, {"grants": {"reclaim_interval": "1"}})
+    context.first_boot = context.fleet.status("r-inverness-1")["boot"]
+
+
+@when("r-inverness-1 is started again")
+def when_restarted(context):
+    process = context.fleet.plan.process("r-inverness-1")
+    context.fleet.start_one(process)
+    context.fleet.wait_for(process, "/ready")
+
+
+@when("a-e1 is frozen and r-inverness-1 is started again")
+def when_frozen(context):
+    context.fleet.settle(15.0)
+    context.fleet.pause("a-e1", True)
+    when_restarted(context)
+
+
+def open_grants(context):
+    """Return the open grants of the killed router."""
+    rows = run(context, lambda: office(context).tables.scan(GRANTS, "", "", 1000)).unwrap()
+    grants = [GrantRow.from_value(row.value) for row in rows]
+    return [grant for grant in grants if grant.holder == context.first_boot]
+
+
+def wait_closed(context, limit):
+    """Wait until no grant of the killed router is open."""
+    deadline = time.monotonic() + limit
+    while open_grants(context):
+        assert time.monotonic() < deadline, open_grants(context)
+        time.sleep(0.2)
+
+
+@then("within {limit:d} seconds no grant of the killed router is open")
+def then_closed(context, limit):
+    wait_closed(context, limit)
+
+
+@then("for {seconds:d} seconds the grants of the killed router stay open")
+def then_open(context, seconds):
+    deadline = time.monotonic() + seconds
+    before = open_grants(context)
+    assert before, "the killed router held nothing"
+    while time.monotonic() < deadline:
+        assert len(open_grants(context)) == len(before)
+        time.sleep(0.2)
+
+
+@then("after a-e1 thaws, within {limit:d} seconds no grant of the killed router is open")
+def then_thawed(context, limit):
+    context.fleet.pause("a-e1", False)
+    wait_closed(context, limit)
--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -34,6 +34,7 @@
     "grant_least": "smallest grant while the budget is plentiful, tokens",
     "funding_wait": "longest wait for tokens of running requests, s",
     "settle_interval": "time between adoptions and closings of grants, s",
+    "reclaim_interval": "time between looks for grants of routers that are gone, s",
     "policy": "affinity, two_choices, least_connections, round_robin or random",
     "attempts": "attempts for one request",
     "queue_limit": "requests that wait for a backend server",
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -38,6 +38,13 @@
 from bilberryshed.coordination._ledger import GetSegment, PutSegment, Segment, ShardWriter
 from bilberryshed.coordination._membership import ListChange, Member, Members
 from bilberryshed.coordination._prefixes import prompt_prefixes
+from bilberryshed.coordination._reclaim import (
+    GrantToClose,
+    Present,
+    Reclaim,
+    boot_of_grant,
+    vm_of_boot,
+)
 from bilberryshed.coordination._rendezvous import owner, ranked, shard_of
 from bilberryshed.coordination._rollout import Rollout, SheetInForce
 from bilberryshed.coordination._routing import AgentView, Choice, Routing, policies, policy
@@ -53,6 +60,11 @@
 )
 
 __all__ = [
+    "vm_of_boot",
+    "boot_of_grant",
+    "Reclaim",
+    "Present",
+    "GrantToClose",
     "TallyLine",
     "audit",
     "BudgetLine",
--- a/src/bilberryshed/coordination/_grant_store.py
+++ b/src/bilberryshed/coordination/_grant_store.py
@@ -46,9 +46,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Close:
-    """Close a grant: count what was settled and return the rest.
+    """Close the holder's part of a grant: count what was settled and return the rest.
 
-    :param amount: tokens that the row must still hold; a larger row has unadopted transfers
+    :param amount: tokens of the part; what the row has beyond them are unadopted transfers, which
+        stay in it until they are adopted
     """
 
     grant: str
@@ -154,6 +155,8 @@
                 return found[put.ref].version > 0
             if put.value is None:
                 return found[put.ref].version == 0
+            if put.value["left"]:
+                return found[put.ref].version == 0 or bool(found[put.ref].value["left"])
         return False
 
     def _plan(self, rows: dict[RowRef, Row]) -> None:
@@ -207,16 +210,18 @@
     grant_ref, budget_ref = RowRef(GRANTS, change.grant), RowRef(BUDGETS, change.budget)
     if not values[grant_ref]:
         return change.amount
-    if GrantRow.from_value(values[grant_ref]).amount != change.amount:
-        return 0
+    row = GrantRow.from_value(values[grant_ref])
+    if row.left or row.amount < change.amount:
+        return change.amount if row.left else 0
     budget = BudgetRow.from_value(values[budget_ref])
     budget = replace(
         budget,
         granted=budget.granted - (change.amount - change.settled),
         settled=budget.settled + change.settled,
     )
+    rest = replace(row, amount=row.amount - change.amount, left=True)
     _put(budget_ref, budget.to_value(), values, changed)
-    _put(grant_ref, None, values, changed)
+    _put(grant_ref, rest.to_value() if rest.amount else None, values, changed)
     return change.amount
 
 
@@ -231,6 +236,7 @@
         return 0
     source = replace(source, amount=source.amount - change.tokens)
     own = GrantRow(change.budget, change.holder, change.tokens)
-    _put(source_ref, source.to_value(), values, changed)
+    is_empty = source.left and source.amount == 0
+    _put(source_ref, None if is_empty else source.to_value(), values, changed)
     _put(own_ref, own.to_value(), values, changed)
     return change.tokens
--- /dev/null
+++ b/src/bilberryshed/coordination/_reclaim.py
@@ -0,0 +1,154 @@
+"""Release of grants whose holder is gone, on evidence and never on time.
+
+A boot id is suspected when its VM is gone from the platform's list or another boot id runs on it.
+It is then revoked: every process refuses its work from now on and acknowledges once nothing that it
+ran for it, and no record that names its grants, is undelivered. Only when every process of the
+fleet has acknowledged every revoked boot id are the grants closed. Whoever cannot acknowledge keeps
+them parked.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from bilberryshed.protocol import UsageRecord
+from bilberryshed.state import GrantRow, Vm
+
+
+def vm_of_boot(boot: str) -> str:
+    """Return the VM name in a boot id."""
+    return boot.rpartition(".")[0]
+
+
+def boot_of_grant(grant: str) -> str:
+    """Return the boot id that made a grant id or transfer id."""
+    return grant.rpartition(".")[0]
+
+
+@dataclass(slots=True, frozen=True)
+class Present:
+    """Who is there, as the router that reclaims sees it.
+
+    :param listed: the platform's list
+    :param boots: boot id by VM name of every process that is linked, this router included
+    """
+
+    listed: tuple[Vm, ...]
+    boots: Mapping[str, str]
+
+    @property
+    def members(self) -> frozenset[str]:
+        """VM names of all processes that must acknowledge."""
+        live = {vm.name for vm in self.listed if vm.state != "gone"}
+        return frozenset(live | set(self.boots))
+
+    def is_gone(self, boot: str) -> bool:
+        """Whether the platform or a successor on the same VM says that a process is gone."""
+        name = vm_of_boot(boot)
+        running = self.boots.get(name)
+        if running is not None:
+            return running != boot
+        return name not in {vm.name for vm in self.listed if vm.state != "gone"}
+
+
+@dataclass(slots=True, frozen=True)
+class GrantToClose:
+    """A grant of a revoked boot id, and what the ledger has billed to it."""
+
+    grant: str
+    budget: str
+    amount: int
+    settled: int
+
+
+@dataclass(slots=True)
+class Reclaim:
+    """Revocations under way, as one router knows them.
+
+    :param acks: boot ids of acknowledging processes, by VM name, for each revoked boot id
+    """
+
+    acks: dict[str, dict[str, str]] = field(default_factory=dict)
+
+    def suspect(self, grants: Mapping[str, GrantRow], present: Present) -> tuple[str, ...]:
+        """Revoke the holders of open grants that are gone.
+
+        :returns: boot ids newly revoked
+        """
+        holders = {row.holder for row in grants.values() if not row.left}
+        new = sorted(h for h in holders if h not in self.acks and present.is_gone(h))
+        for boot in new:
+            self.acks[boot] = {}
+        for boot in [boot for boot in self.acks if boot not in holders]:
+            del self.acks[boot]
+        return tuple(new)
+
+    @property
+    def revoked(self) -> tuple[str, ...]:
+        """Boot ids whose revocation is to be acknowledged."""
+        return tuple(sorted(self.acks))
+
+    def acknowledge(self, name: str, boot: str, revoked: Iterable[str]) -> None:
+        """Note a process's acknowledgement.
+
+        :param name: VM name of the process
+        :param boot: its boot id; a successor must acknowledge again
+        """
+        for item in revoked:
+            if item in self.acks:
+                self.acks[item][name] = boot
+
+    def missing(self, present: Present) -> tuple[str, ...]:
+        """Return the VM names whose acknowledgement of some revocation is missing."""
+        return tuple(
+            sorted(
+                name
+                for name in present.members
+                if any(not _is_current(acks, name, present) for acks in self.acks.values())
+            )
+        )
+
+    def is_complete(self, present: Present) -> bool:
+        """Whether every process has acknowledged every revocation."""
+        return bool(self.acks) and not self.missing(present)
+
+    def closings(
+        self, grants: Mapping[str, GrantRow], records: Iterable[UsageRecord]
+    ) -> tuple[GrantToClose, ...]:
+        """Return the grants to close once the evidence is complete.
+
+        Records on parts that the holder transferred and nobody adopted name no row of their own;
+        they are counted against the holder's rows of the same budget, so that what they used is
+        not returned.
+
+        :param records: every record that the ledger holds
+        """
+        rows = {g: row for g, row in grants.items() if row.holder in self.acks and not row.left}
+        billed = dict.fromkeys(rows, 0)
+        loose: dict[tuple[str, str], int] = {}
+        for record in records:
+            budget = f"{record.customer}/{record.budget}"
+            for charge in record.charges:
+                boot = boot_of_grant(charge.grant)
+                if charge.grant in rows:
+                    billed[charge.grant] += charge.tokens
+                elif boot in self.acks and charge.grant not in grants and _is_part(charge.grant):
+                    loose[boot, budget] = loose.get((boot, budget), 0) + charge.tokens
+        closings = []
+        for grant, row in sorted(rows.items()):
+            spare = max(0, row.amount - billed[grant])
+            extra = min(spare, loose.get((row.holder, row.budget), 0))
+            if extra:
+                loose[row.holder, row.budget] -= extra
+            settled = min(row.amount, billed[grant] + extra)
+            closings.append(GrantToClose(grant, row.budget, row.amount, settled))
+        return tuple(closings)
+
+
+def _is_current(acks: Mapping[str, str], name: str, present: Present) -> bool:
+    """An acknowledgement counts while the process that gave it is still linked."""
+    boot = acks.get(name)
+    return boot is not None and present.boots.get(name) == boot
+
+
+def _is_part(grant: str) -> bool:
+    return grant.rpartition(".")[2].startswith("t")
--- a/src/bilberryshed/runtime/_funding_desk.py
+++ b/src/bilberryshed/runtime/_funding_desk.py
@@ -271,7 +271,7 @@
     def return_all(self) -> int:
         """Start to return every grant on which nothing is outstanding.
 
-        :returns: grants still held, among them those being returned
+        :returns: grants still held and transfers under way to linked routers
         """
         for grant in self.book.grants():
             if grant.pinned:
@@ -280,7 +280,9 @@
                 self._adopt(grant)
             elif grant.idle:
                 self._close(grant)
-        return len(self.book.grants()) + len(self.book.outgoing)
+        linked = self.context.peer_links
+        under_way = sum(to in linked for to, _ in self.book.outgoing.values())
+        return len(self.book.grants()) + under_way
 
 
 def _refusal(verdict: Verdict, budget: str, tokens: int) -> Refusal:
--- a/src/bilberryshed/runtime/_ledger_desk.py
+++ b/src/bilberryshed/runtime/_ledger_desk.py
@@ -70,6 +70,30 @@
         """Records that are not known to be kept."""
         return len(self.waiting) + len(self.peer_offers)
 
+    def undelivered(self) -> list[UsageRecord]:
+        """Return the records here that the ledger may not hold yet."""
+        records = [waiting.record for waiting in self.waiting.values()]
+        for writer in self.writers.values():
+            records += writer.waiting.values()
+        return records
+
+    async def all_records(self) -> tuple[UsageRecord, ...] | None:
+        """Read every shard to its end.
+
+        :returns: every record that the ledger holds, ``None`` if the store failed
+        """
+        records: list[UsageRecord] = []
+        for shard in range(self.context.settings.ledger_shards):
+            writer = ShardWriter(shard, self.context.boot)
+            while not writer.caught_up:
+                name = segment_object(shard, writer.next)
+                got = await self.context.objects.get(name)
+                if isinstance(got, Failure):
+                    return None
+                writer.on_got(got.unwrap())
+            records += writer.kept.values()
+        return tuple(records)
+
     # Messages of other routers --------------------------------------------------------------
 
     def on_offer(self, peer: str, offer: RecordsOffer) -> None:
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -22,6 +22,7 @@
     Recorded,
     RecordsOffer,
     RecordsVerdict,
+    Revoke,
     RevokeAck,
     SheetNotice,
     Started,
@@ -39,6 +40,7 @@
 from bilberryshed.runtime._funding_desk import FundingDesk
 from bilberryshed.runtime._ledger_desk import LedgerDesk
 from bilberryshed.runtime._process import hello
+from bilberryshed.runtime._reclaim_desk import ReclaimDesk
 from bilberryshed.runtime._runner import Runner
 from bilberryshed.runtime._sheet_keeper import SheetKeeper
 from bilberryshed.runtime._slo_desk import SloDesk
@@ -75,6 +77,7 @@
         self.slo = SloDesk(self.context)
         self.runner = Runner(self.context, self.funding, self.ledger, self.claims, self.slo)
         self.sheets = SheetKeeper(self.context)
+        self.reclaim = ReclaimDesk(self.context, self.funding, self.ledger)
         self.hello = hello(settings, "router", self.context.boot)
         self.handlers = LinkHandlers(self._on_up, self._on_message, self._on_down)
         self.server_tls = server_context(settings.certificate, settings.certificate_key)
@@ -104,6 +107,7 @@
         self.ledger.start()
         self.runner.start()
         self.slo.start()
+        self.reclaim.start()
         timers = self.context.timers
         timers.subscribe(HEARTBEAT_INTERVAL, self._heartbeat)
         timers.subscribe(self.settings.vm_list_interval, self._refresh)
@@ -127,7 +131,8 @@
             Failed: self._on_no_answer,
             Recorded: lambda link, m: self.runner.on_recorded(link.peer.name, m),
             JournalEntry: lambda link, m: self.runner.on_journal(link.peer.name, m),
-            RevokeAck: lambda link, m: None,
+            Revoke: self.reclaim.on_revoke,
+            RevokeAck: self.reclaim.on_ack,
             FundsRequest: lambda link, m: self.funding.on_request(link.peer.name, m),
             FundsAnswer: lambda link, m: self.funding.on_answer(link.peer.name, m),
             Transfer: lambda link, m: self.funding.on_transfer(link.peer.name, m),
@@ -139,9 +144,14 @@
 
     def _on_up(self, link: Link) -> None:
         name = link.peer.name
+        if link.peer.boot in self.reclaim.refused:
+            link.abort()
+            return
         self.context.members.on_link_up(link.peer)
         if link.peer.role == "agent":
             self.context.agent_links[name] = link
+            if self.reclaim.refused:
+                link.send(Revoke(tuple(self.reclaim.refused)))
             self.context.routing.agents[name] = AgentView(name, link.peer.zone, healthy=False)
         else:
             self.context.peer_links[name] = link
@@ -206,6 +216,7 @@
         if not isinstance(vms, Success):
             self.context.metrics.count("vm_list_failed")
             return
+        self.reclaim.listed = vms.unwrap()
         change = self.context.members.on_list(vms.unwrap())
         for vm in change.gone:
             self._disconnect(vm.name)
@@ -312,6 +323,7 @@
                 {"bill": bill, "tokens": sum(part.tokens for part in doubt.reservation.parts)}
                 for bill, doubt in self.runner.doubts.items()
             ],
+            "revoked": {boot: len(acks) for boot, acks in self.reclaim.reclaim.acks.items()},
             "held": {budget: book.held(budget) for budget in book.budgets},
             "peers": sorted(self.context.peer_links),
             "agents": {
--- a/src/bilberryshed/state/_rows.py
+++ b/src/bilberryshed/state/_rows.py
@@ -51,16 +51,23 @@
     :param budget: budget key
     :param holder: boot id of the holder
     :param amount: tokens granted
+    :param left: whether the holder has closed its part and only transferred parts remain
     """
 
     budget: str
     holder: str
     amount: int
+    left: bool = False
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "GrantRow":
         """Read the columns of a row."""
-        return cls(str(value["budget"]), str(value["holder"]), int(value["amount"]))
+        return cls(
+            str(value["budget"]),
+            str(value["holder"]),
+            int(value["amount"]),
+            bool(value.get("left", False)),
+        )
 
     def to_value(self) -> dict[str, Any]:
         """Return the columns of a row."""
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -120,6 +120,7 @@
     grant_least: int = _key("grants", parse_count, "2000")
     funding_wait: float = _key("grants", parse_seconds, "2")
     settle_interval: float = _key("grants", parse_seconds, "2")
+    reclaim_interval: float = _key("grants", parse_seconds, "5")
     policy: str = _key("routing", parse_policy, "affinity")
     attempts: int = _key("routing", parse_count, "3")
     queue_limit: int = _key("routing", parse_count, "200")
--- a/src/bilberryshed_load/_slopes.py
+++ b/src/bilberryshed_load/_slopes.py
@@ -60,7 +60,9 @@
 
 def measure_slopes(etc: Path) -> None:
     """Measure and print all slopes."""
-    for slope in (*_in_process(), *_in_fleet(etc)):
+    for slope in _in_process():
+        print(slope.line(), flush=True)
+    for slope in _in_fleet(etc):
         print(slope.line(), flush=True)
 
 
