Grants follow demand and balance; budgets running dry measured in model time

Cause: top-ups asked for single tokens ten times a second once a budget was nearly dry, the first noisy forecasts fixed how a budget was split, and a holder never gave back what it did not need, so that a zone cut off starved while another had plenty. Change: a holder keeps a target in hand, four times its part of what is left in the store, by demand that zones write into the budget's row; it returns a surplus; a take ahead of need must be worth a write. Policies played in model time with the real funding desk.

--- a/features/grants.feature
+++ b/features/grants.feature
@@ -119,19 +119,32 @@
       | read ok, write delayed        |
       | read ok, write lost, read down|
 
-  Scenario Outline: Grant sizes follow demand while the budget is plentiful: <rate>, <free>
-    When a router needs <need> tokens at <rate> a second with <free> free and <holders> holders
+  Scenario Outline: Grant sizes follow demand and the balance: <rate> of <others>, <free> free
+    When <need> tokens are needed with <held> held at rate <rate>, others <others>, <free> free
     Then it takes <amount> tokens
-
-    Examples:
-      | need | rate | free   | holders | amount |
-      | 10   | 0    | 100000 | 3       | 2000   |
-      | 10   | 200  | 100000 | 3       | 6000   |
-      | 10   | 9000 | 100000 | 3       | 8333   |
-      | 10   | 200  | 1200   | 3       | 100    |
-      | 10   | 200  | 60     | 3       | 10     |
-      | 10   | 200  | 4      | 3       | 4      |
-      | 10   | 200  | 0      | 3       | 0      |
+    And <surplus> tokens are surplus
+
+    Examples: plentiful
+      | need | held | rate | others | free   | amount | surplus |
+      | 10   | 0    | 0    | 0      | 100000 | 2000   | 0       |
+      | 10   | 0    | 200  | 0      | 100000 | 6000   | 0       |
+      | 10   | 0    | 200  | 200    | 100000 | 6000   | 0       |
+      | 10   | 9000 | 200  | 200    | 100000 | 10     | 0       |
+      | 10   | 20000| 200  | 200    | 100000 | 10     | 14000   |
+
+    Examples: scarce, in proportion to demand
+      | need | held | rate | others | free   | amount | surplus |
+      | 10   | 0    | 9000 | 3000   | 80000  | 60000  | 0       |
+      | 10   | 0    | 3000 | 9000   | 80000  | 40000  | 0       |
+      | 10   | 50000| 3000 | 9000   | 10000  | 10     | 40000   |
+      | 10   | 0    | 200  | 200    | 1200   | 800    | 0       |
+      | 10   | 0    | 200  | 200    | 4      | 4      | 0       |
+      | 10   | 0    | 200  | 200    | 0      | 0      | 0       |
+
+    Examples: ahead of need
+      | need | held | rate | others | free   | amount | surplus |
+      | 0    | 0    | 200  | 0      | 100000 | 6000   | 0       |
+      | 0    | 0    | 200  | 0      | 1200   | 0      | 0       |
 
   Scenario: The ledger's verdict settles a bill once
     Given a budget of 10000 tokens
--- a/features/steps/grant_steps.py
+++ b/features/steps/grant_steps.py
@@ -13,7 +13,16 @@
 )
 from support import FaultyTables, drive
 
-from bilberryshed.coordination import Adopt, Close, Grant, GrantBatch, GrantBook, GrantSizing, Take
+from bilberryshed.coordination import (
+    Adopt,
+    Close,
+    Demand,
+    Grant,
+    GrantBatch,
+    GrantBook,
+    GrantSizing,
+    Take,
+)
 from bilberryshed.protocol import Charge, UsageRecord
 from bilberryshed.state import BUDGETS, BudgetRow, Put, RowRef
 
@@ -23,7 +32,7 @@
 
 def take(router, need, paid, number=1, holders=1):
     """Return a take of a router."""
-    return Take(f"{router}.g{number}", BUDGET, router, paid, 1, need, 0.0, holders)
+    return Take(f"{router}.g{number}", BUDGET, router, paid, 1, need, 0, 0.0, holders, router)
 
 
 def record(key, charges):
@@ -141,10 +150,12 @@
 
 
 @when(
-    "a router needs {need:d} tokens at {rate:d} a second with {free:d} free and {holders:d} holders"
+    "{need:d} tokens are needed with {held:d} held at rate {rate:d}, others {others:d}, {free:d} free"
 )
-def when_sizing(context, need, rate, free, holders):
-    context.amount = SIZING.amount(need, float(rate), free, holders)
+def when_sizing(context, need, held, rate, others, free):
+    demand = Demand(float(rate), float(others), 3)
+    context.amount = SIZING.amount(need, held, demand, free)
+    context.surplus = SIZING.surplus(held, demand, free)
 
 
 @when("router A reserves 100 tokens, uses 40, and hears the verdict twice")
@@ -245,6 +256,11 @@
     assert context.amount == amount, context.amount
 
 
+@then("{surplus:d} tokens are surplus")
+def then_surplus(context, surplus):
+    assert context.surplus == surplus, context.surplus
+
+
 class GrantHistories(RuleBasedStateMachine):
     """Random histories of three routers; every charge ever made is counted against the budget."""
 
--- a/features/steps/sheet_steps.py
+++ b/features/steps/sheet_steps.py
@@ -130,7 +130,7 @@
 
 @when("a router that still has version 1 takes a grant for {need:d} tokens")
 def when_old_take(context, need):
-    take = Take("A.g1", BUDGET, "A", 1000, 1, need, 0.0, 1)
+    take = Take("A.g1", BUDGET, "A", 1000, 1, need, 0, 0.0, 1, "wick")
     drive(GrantBatch((take,), GrantSizing(30.0, 2000)), context.store)
 
 
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -34,6 +34,7 @@
     Done,
     GrantBatch,
     Take,
+    demand_for,
 )
 from bilberryshed.coordination._ledger import GetSegment, PutSegment, Segment, ShardWriter
 from bilberryshed.coordination._membership import ListChange, Member, Members
@@ -49,7 +50,7 @@
 from bilberryshed.coordination._rollout import Rollout, SheetInForce
 from bilberryshed.coordination._routing import AgentView, Choice, Routing, policies, policy
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
-from bilberryshed.coordination._sizing import GrantSizing
+from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
 from bilberryshed.coordination._submission import (
     Accepted,
@@ -87,6 +88,7 @@
     "ClaimState",
     "Close",
     "Closing",
+    "Demand",
     "Done",
     "Doubtful",
     "Existing",
@@ -120,6 +122,7 @@
     "WriteRows",
     "burn_rates",
     "claim_ref",
+    "demand_for",
     "owner",
     "policies",
     "policy",
--- a/src/bilberryshed/coordination/_grant_book.py
+++ b/src/bilberryshed/coordination/_grant_book.py
@@ -61,7 +61,8 @@
     rate_at: float = 0.0
 
 
-RATE_TIME_CONSTANT = 10.0  # seconds over which demand is averaged
+RATE_TIME_CONSTANT = 60.0  # seconds over which demand is averaged
+LEAST_RATE = 0.1  # tokens a second below which a budget counts as idle
 
 
 class GrantBook:
@@ -70,7 +71,7 @@
     :param boot: boot id of the router; prefixes the ids of its transfers
     """
 
-    __slots__ = ("boot", "budgets", "credited", "outgoing", "next_transfer")
+    __slots__ = ("boot", "budgets", "credited", "outgoing", "next_transfer", "active")
 
     def __init__(self, boot: str) -> None:
         self.boot = boot
@@ -78,6 +79,7 @@
         self.credited: set[str] = set()
         self.outgoing: dict[str, tuple[str, Transfer]] = {}
         self.next_transfer = 1
+        self.active: dict[str, None] = {}
 
     def add(self, grant: Grant) -> bool:
         """Credit a grant once.
@@ -181,6 +183,15 @@
         for transfer in transfers:
             self.outgoing.pop(transfer, None)
 
+    def returnable(self, budget: str, tokens: int) -> Grant | None:
+        """Return the idle grant that gives back the most without exceeding ``tokens``."""
+        fitting = (
+            grant
+            for grant in self._state(budget).grants.values()
+            if grant.adopted and grant.idle and not grant.pinned and 0 < grant.free <= tokens
+        )
+        return max(fitting, key=lambda grant: grant.free, default=None)
+
     def remove(self, budget: str, grant: str) -> None:
         """Forget a grant whose row is closed."""
         self._state(budget).grants.pop(grant, None)
@@ -191,10 +202,17 @@
 
     def note_demand(self, now: float, budget: str, tokens: int) -> None:
         """Count tokens asked for, to forecast demand."""
+        self.active[budget] = None
         state = self._state(budget)
         state.rate = self._decayed(state, now) + tokens / RATE_TIME_CONSTANT
         state.rate_at = now
 
+    def active_budgets(self, now: float) -> list[str]:
+        """Return budgets with demand, and forget those whose demand has faded."""
+        for budget in [b for b in self.active if self.demand(now, b) < LEAST_RATE]:
+            del self.active[budget]
+        return list(self.active)
+
     def demand(self, now: float, budget: str) -> float:
         """Return the forecast demand in tokens per second."""
         state = self.budgets.get(budget)
--- a/src/bilberryshed/coordination/_grant_store.py
+++ b/src/bilberryshed/coordination/_grant_store.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
-from bilberryshed.coordination._sizing import GrantSizing
+from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.state import (
     BUDGETS,
     GRANTS,
@@ -30,8 +30,10 @@
 
     :param paid: tokens paid according to sheet ``paid_version``
     :param need: tokens that waiting requests lack
+    :param held: free tokens in hand
     :param rate: forecast demand, tokens per second
-    :param holders: number of processes that may hold this budget
+    :param holders: number of availability zones that may hold this budget
+    :param zone: availability zone of the holder
     """
 
     grant: str
@@ -40,8 +42,10 @@
     paid: int
     paid_version: int
     need: int
+    held: int
     rate: float
     holders: int
+    zone: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -78,10 +82,12 @@
 
     :param taken: tokens by change; 0 for a take that found nothing or a change that was skipped
     :param error: the store could not be reached and nothing took effect
+    :param budgets: budgets as they were read last, by key, before the changes
     """
 
     taken: dict[Change, int]
     error: StoreError | None
+    budgets: dict[str, BudgetRow]
 
 
 Action = ReadRows | WriteRows | Done
@@ -90,13 +96,14 @@
 class GrantBatch:
     """One transaction's worth of changes; drive it with the answer to each action."""
 
-    __slots__ = ("changes", "sizing", "puts", "taken", "doubtful", "reading_back")
+    __slots__ = ("changes", "sizing", "puts", "taken", "budgets", "doubtful", "reading_back")
 
     def __init__(self, changes: tuple[Change, ...], sizing: GrantSizing) -> None:
         self.changes = changes[:MAX_CHANGES]
         self.sizing = sizing
         self.puts: tuple[Put, ...] = ()
         self.taken: dict[Change, int] = {}
+        self.budgets: dict[str, BudgetRow] = {}
         self.doubtful = False
         self.reading_back = False
 
@@ -111,12 +118,12 @@
         if isinstance(rows, StoreError):
             if self.doubtful:
                 return self._read_back()
-            return Done({}, rows)
+            return Done({}, rows, {})
         if self.reading_back:
             return self._judge(rows)
         self._plan({row.ref: row for row in rows})
         if not self.puts:
-            return Done(self.taken, None)
+            return Done(self.taken, None, self.budgets)
         return WriteRows(self.puts)
 
     def on_written(self, written: bool | StoreError) -> Action:
@@ -126,9 +133,9 @@
                 self.doubtful = True
             if self.doubtful:
                 return self._read_back()
-            return Done({}, written)
+            return Done({}, written, {})
         if written:
-            return Done(self.taken, None)
+            return Done(self.taken, None, self.budgets)
         if self.doubtful:
             return self._read_back()
         return self.start()
@@ -140,7 +147,7 @@
     def _judge(self, rows: tuple[Row, ...]) -> Action:
         found = {row.ref: row for row in rows}
         if self._took_effect(found):
-            return Done(self.taken, None)
+            return Done(self.taken, None, self.budgets)
         if all(found[put.ref].version == put.version for put in self.puts):
             return WriteRows(self.puts)
         self.doubtful = False
@@ -161,6 +168,11 @@
 
     def _plan(self, rows: dict[RowRef, Row]) -> None:
         values = {ref: row.value for ref, row in rows.items()}
+        self.budgets = {
+            ref.key: BudgetRow.from_value(value)
+            for ref, value in values.items()
+            if ref.table == BUDGETS
+        }
         changed: dict[RowRef, dict | None] = {}
         self.taken = {}
         for change in self.changes:
@@ -191,15 +203,23 @@
     changed[ref] = value
 
 
+def demand_for(take: Take, budget: BudgetRow) -> Demand:
+    """Return the demand for a budget as the taker and the row know it."""
+    others = sum(rate for zone, rate in budget.rates.items() if zone != take.zone)
+    return Demand(take.rate, float(others), take.holders)
+
+
 def _take(change: Take, values: Values, changed: Changed, sizing: GrantSizing) -> int:
     budget_ref = RowRef(BUDGETS, change.budget)
     budget = BudgetRow.from_value(values[budget_ref])
     if change.paid_version > budget.paid_version:
         budget = replace(budget, paid=change.paid, paid_version=change.paid_version)
-    amount = sizing.amount(change.need, change.rate, budget.free, change.holders)
+    demand = demand_for(change, budget)
+    amount = sizing.amount(change.need, change.held, demand, budget.free)
     if amount <= 0:
         return 0
-    budget = replace(budget, granted=budget.granted + amount)
+    rates = {**budget.rates, change.zone: int(change.rate)}
+    budget = replace(budget, granted=budget.granted + amount, rates=rates)
     grant = GrantRow(change.budget, change.holder, amount)
     _put(budget_ref, budget.to_value(), values, changed)
     _put(RowRef(GRANTS, change.grant), grant.to_value(), values, changed)
--- a/src/bilberryshed/coordination/_membership.py
+++ b/src/bilberryshed/coordination/_membership.py
@@ -101,6 +101,10 @@
         ]
         return [*names, self.name]
 
+    def zones(self) -> int:
+        """Return the number of availability zones with a router."""
+        return len({self.zone, *(self.by_name[name].vm.zone for name in self.routers())})
+
     def holder(self, budget: str) -> str | None:
         """Return the router of this zone that holds a budget, ``None`` if it is this one."""
         chosen = owner(budget, self.duty_routers(self.zone))
--- a/src/bilberryshed/runtime/_context.py
+++ b/src/bilberryshed/runtime/_context.py
@@ -6,11 +6,8 @@
 
 from bilberryshed.coordination import GrantBook, Members, Rollout, Routing
 from bilberryshed.runtime._process import new_boot_id
-from bilberryshed.state import ObjectStore, RouterSettings, TableService, VmList
+from bilberryshed.state import Platform, RouterSettings
 from bilberryshed.transport import (
-    HttpObjectStore,
-    HttpTableService,
-    HttpVmList,
     Link,
     Metrics,
     TimerService,
@@ -21,15 +18,14 @@
 class RouterContext:
     """Settings, ports, decisions and links of one router."""
 
-    def __init__(self, settings: RouterSettings) -> None:
-        address, timeout = settings.platform, settings.platform_timeout
+    def __init__(self, settings: RouterSettings, platform: Platform) -> None:
         self.settings = settings
         self.boot = new_boot_id(settings.name)
         self.timers = TimerService()
         self.metrics = Metrics(settings.statsd, "bilberryshed.router")
-        self.tables: TableService = HttpTableService(address, timeout)
-        self.objects: ObjectStore = HttpObjectStore(address, timeout)
-        self.vm_list: VmList = HttpVmList(address, timeout)
+        self.tables = platform.tables
+        self.objects = platform.objects
+        self.vm_list = platform.vm_list
         self.members = Members(settings.name, settings.zone)
         self.rollout = Rollout()
         self.routing = Routing(settings.policy)
--- a/src/bilberryshed/runtime/_funding_desk.py
+++ b/src/bilberryshed/runtime/_funding_desk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 
 from returns.result import Failure, Result, Success
 
@@ -16,6 +17,7 @@
     TakeFromStore,
     Unfunded,
     Verdict,
+    demand_for,
 )
 from bilberryshed.protocol import (
     Charge,
@@ -33,7 +35,10 @@
 
 TICK = 0.1  # seconds
 RESEND_INTERVAL = 1.0  # seconds between sends of an unacknowledged transfer
-TOP_UP_SHARE = 0.25  # of the horizon, below which a grant is taken ahead of need
+TOP_UP_SHARE = 0.75  # of the target, below which a grant is taken ahead of need
+TOP_UP_INTERVAL = 0.5  # seconds
+TAKE_PAUSE = 2.0  # seconds between takes ahead of need for one budget
+READ_PAUSE = 10.0  # seconds after which the row of a budget in use is read again
 RETRY_PAUSE = 0.25  # seconds between tries while running requests may release tokens
 RETRY_AFTER = 5  # seconds after which a refused caller may find tokens again
 
@@ -57,11 +62,14 @@
         self.next_grant = 1
         self.waiters: dict[str, list[asyncio.Future[Unfunded | None]]] = {}
         self.ask_budgets: dict[str, str] = {}
+        self.next_top_up: dict[str, float] = {}
+        self.next_take: dict[str, float] = {}
 
     def start(self) -> None:
         """Subscribe to timers."""
         timers, settings = self.context.timers, self.context.settings
         timers.subscribe(TICK, self._on_tick)
+        timers.subscribe(TOP_UP_INTERVAL, self._top_up)
         timers.subscribe(RESEND_INTERVAL, self._resend)
         timers.subscribe(settings.settle_interval, self._maintain)
 
@@ -131,8 +139,10 @@
             paid=known.paid if known else 0,
             paid_version=current.version if known else 0,
             need=need,
+            held=self.book.free(budget),
             rate=self.book.demand(self.context.timers.now(), budget),
-            holders=1 + len(self.context.members.routers()),
+            holders=self.context.members.zones(),
+            zone=self.context.settings.zone,
         )
 
     def _on_taken(self, take: Take, taken: int, reached: bool) -> None:
@@ -156,7 +166,6 @@
     def on_request(self, peer: str, request: FundsRequest) -> None:
         """Give part of a budget to another router."""
         key = budget_key(request.customer, request.budget)
-        self.book.note_demand(self.context.timers.now(), key, request.tokens)
         if request.recall or self.book.free(key) >= request.tokens or not self._knows(key):
             self._give(peer, request, exhausted=False)
             return
@@ -185,6 +194,8 @@
                 break
             transfers.append(transfer)
             moved += transfer.tokens
+        if not request.recall:
+            self.book.note_demand(self.context.timers.now(), key, max(moved, request.tokens))
         reserved = self.book.reserved(key)
         answer = FundsAnswer(request.ask, moved, reserved, tuple(transfers), exhausted)
         self.context.send_peer(peer, answer)
@@ -213,23 +224,37 @@
 
     def _on_tick(self, now: float) -> None:
         self._act(self.funding.on_tick(now, self.context.members.routers()))
-        self._top_up(now)
 
     def _top_up(self, now: float) -> None:
+        """Keep what this router holds for its zone near the target, by what it last read."""
         current = self.context.rollout.current
         if current is None or self.context.draining:
             return
-        horizon = self.context.settings.grant_horizon * TOP_UP_SHARE
-        for key in self.book.budgets:
-            rate = self.book.demand(now, key)
-            budget = current.sheet.budgets.get(key)
-            wanted = int(rate * horizon)
-            if budget is None or wanted < 1 or self.book.free(key) >= wanted:
-                continue
-            if key in self.funding.paused or key in self.funding.rounds:
-                continue
-            holder = self.context.members.holder(key)
-            self._act(self.funding.need(now, budget.customer, budget.name, 1, wanted * 4, holder))
+        for key in self.book.active_budgets(now):
+            if key in current.sheet.budgets and self.context.members.holder(key) is None:
+                self._balance(now, key)
+
+    def _balance(self, now: float, key: str) -> None:
+        """Take ahead of need, return a surplus, or read the budget's row again."""
+        take, held = self._new_take(key, 0), self.book.free(key)
+        row = self.worker.seen.get(key)
+        if row is not None:
+            demand = demand_for(take, row)
+            surplus = self.worker.sizing.surplus(held, demand, row.free)
+            grant = self.book.returnable(key, surplus)
+            if grant is not None:
+                self._close(grant)
+                return
+            enough = held >= TOP_UP_SHARE * self.worker.sizing.target(demand, row.free)
+            if enough and now < self.next_top_up.get(key, 0.0):
+                return
+        if now >= self.next_take.get(key, 0.0):
+            self.next_take[key] = now + TAKE_PAUSE
+            self.next_top_up[key] = now + READ_PAUSE
+            self.worker.submit(take, partial(self._on_topped_up, take))
+
+    def _on_topped_up(self, take: Take, taken: int, reached: bool) -> None:
+        self._credit(take, taken)
 
     def _resend(self, now: float) -> None:
         for to, transfer in tuple(self.book.outgoing.values()):
--- a/src/bilberryshed/runtime/_grant_worker.py
+++ b/src/bilberryshed/runtime/_grant_worker.py
@@ -18,7 +18,7 @@
     Take,
 )
 from bilberryshed.runtime._context import RouterContext
-from bilberryshed.state import Row, StoreError
+from bilberryshed.state import BudgetRow, Row, StoreError
 from bilberryshed.transport import logger
 
 ERROR_PAUSE = 0.1  # seconds before the store is tried again while a write is in doubt
@@ -36,6 +36,7 @@
         self.sizing = GrantSizing(context.settings.grant_horizon, context.settings.grant_least)
         self.queue: deque[tuple[Change, Callback]] = deque()
         self.running = False
+        self.seen: dict[str, BudgetRow] = {}
 
     def submit(self, change: Change, callback: Callback) -> None:
         """Queue a change.
@@ -53,6 +54,7 @@
                 count = min(len(self.queue), MAX_CHANGES)
                 batch = [self.queue.popleft() for _ in range(count)]
                 done = await self._run(tuple(change for change, _ in batch))
+                self.seen.update(done.budgets)
                 for change, callback in batch:
                     callback(done.taken.get(change, 0), done.error is None)
         finally:
--- a/src/bilberryshed/runtime/_ledger_desk.py
+++ b/src/bilberryshed/runtime/_ledger_desk.py
@@ -108,7 +108,6 @@
                 pending.kept[record.bill_id] = kept
         self.peer_offers.append(pending)
         self._answer_offers()
-        self._pump(writer)
 
     def on_verdict(self, verdict: RecordsVerdict) -> None:
         """Take in which records are kept."""
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -52,6 +52,7 @@
     LinkHandlers,
     LinkServer,
     client_context,
+    http_platform,
     logger,
     server_context,
 )
@@ -70,7 +71,8 @@
     def __init__(self, settings: RouterSettings) -> None:
         self.settings = settings
         self.max_tokens_limit = settings.max_tokens_limit
-        self.context = RouterContext(settings)
+        platform = http_platform(settings.platform, settings.platform_timeout)
+        self.context = RouterContext(settings, platform)
         self.funding = FundingDesk(self.context)
         self.ledger = LedgerDesk(self.context)
         self.claims = ClaimDesk(self.context)
--- a/src/bilberryshed/state/__init__.py
+++ b/src/bilberryshed/state/__init__.py
@@ -2,6 +2,7 @@
 
 from bilberryshed.state._ports import (
     ObjectStore,
+    Platform,
     Put,
     Row,
     RowRef,
@@ -63,6 +64,7 @@
     "GrantRow",
     "Model",
     "ObjectStore",
+    "Platform",
     "Put",
     "RouterSettings",
     "Row",
--- a/src/bilberryshed/state/_ports.py
+++ b/src/bilberryshed/state/_ports.py
@@ -111,3 +111,12 @@
     @abstractmethod
     async def vms(self) -> Result[tuple[Vm, ...], StoreError]:
         """Read the list."""
+
+
+@dataclass(slots=True, frozen=True)
+class Platform:
+    """All ports to the platform."""
+
+    tables: TableService
+    objects: ObjectStore
+    vm_list: VmList
--- a/src/bilberryshed/state/_rows.py
+++ b/src/bilberryshed/state/_rows.py
@@ -1,6 +1,6 @@
 """Typed values of the rows that the fleet keeps in the table service."""
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from bilberryshed.state._ports import RowRef
@@ -22,17 +22,25 @@
     :param paid_version: sheet version that set ``paid``
     :param granted: taken by grants since the budget exists, less what they returned
     :param settled: billed on grants that are closed
+    :param rates: demand of each availability zone as its holder last forecast it, tokens a second
     """
 
     paid: int = 0
     paid_version: int = 0
     granted: int = 0
     settled: int = 0
+    rates: dict[str, int] = field(default_factory=dict)
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "BudgetRow":
         """Read the columns of a row; an absent row is an empty budget."""
-        return cls(**{name: int(value.get(name, 0)) for name in cls.__slots__})
+        return cls(
+            int(value.get("paid", 0)),
+            int(value.get("paid_version", 0)),
+            int(value.get("granted", 0)),
+            int(value.get("settled", 0)),
+            dict(value.get("rates", {})),
+        )
 
     def to_value(self) -> dict[str, Any]:
         """Return the columns of a row."""
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -116,7 +116,7 @@
     sheet_interval: float = _key("sheet", parse_seconds, "0.5")
     ledger_shards: int = _key("ledger", parse_count, "8")
     ledger_interval: float = _key("ledger", parse_seconds, "0.25")
-    grant_horizon: float = _key("grants", parse_seconds, "30")
+    grant_horizon: float = _key("grants", parse_seconds, "900")
     grant_least: int = _key("grants", parse_count, "2000")
     funding_wait: float = _key("grants", parse_seconds, "2")
     settle_interval: float = _key("grants", parse_seconds, "2")
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -4,7 +4,12 @@
 from bilberryshed.transport._links import Link, LinkClient, LinkHandlers, LinkServer
 from bilberryshed.transport._logs import configure_logs, logger
 from bilberryshed.transport._metrics import Metrics
-from bilberryshed.transport._platform import HttpObjectStore, HttpTableService, HttpVmList
+from bilberryshed.transport._platform import (
+    HttpObjectStore,
+    HttpTableService,
+    HttpVmList,
+    http_platform,
+)
 from bilberryshed.transport._timers import Subscription, TimerService
 from bilberryshed.transport._tls import client_context, server_context
 
@@ -24,6 +29,7 @@
     "configure_logs",
     "describe_error",
     "http_client",
+    "http_platform",
     "logger",
     "server_context",
 ]
--- a/src/bilberryshed/transport/_platform.py
+++ b/src/bilberryshed/transport/_platform.py
@@ -10,6 +10,7 @@
 from bilberryshed.state import (
     Address,
     ObjectStore,
+    Platform,
     Put,
     Row,
     RowRef,
@@ -141,3 +142,15 @@
     async def vms(self) -> Result[tuple[Vm, ...], StoreError]:
         answer = await self._json("GET", "/vms", None)
         return answer.map(lambda item: tuple(Vm(**entry) for entry in item[1]["vms"]))
+
+
+def http_platform(address: Address, timeout: float) -> Platform:
+    """Return the ports to a platform over HTTP.
+
+    :param timeout: seconds for one call
+    """
+    return Platform(
+        HttpTableService(address, timeout),
+        HttpObjectStore(address, timeout),
+        HttpVmList(address, timeout),
+    )
--- a/src/bilberryshed/transport/_timers.py
+++ b/src/bilberryshed/transport/_timers.py
@@ -34,8 +34,8 @@
         self.subscriptions: list[Subscription] = []
 
     def now(self) -> float:
-        """Return monotonic time in seconds."""
-        return time.monotonic()
+        """Return the loop's monotonic time in seconds."""
+        return asyncio.get_running_loop().time()
 
     def wall(self) -> float:
         """Return seconds since the epoch."""
--- a/src/bilberryshed_load/program.py
+++ b/src/bilberryshed_load/program.py
@@ -9,6 +9,7 @@
 from bilberryshed_load._demo import run_demo
 from bilberryshed_load._overhead import measure_overhead, measure_router_core
 from bilberryshed_load._plans import DEPLOYMENTS
+from bilberryshed_load._policy import run_policies
 from bilberryshed_load._slopes import measure_slopes
 
 EXIT_BROKEN = 1
@@ -67,10 +68,19 @@
     measure_slopes(etc)
 
 
+def policy(*, seed: int = 1, budgets: int = 4) -> None:
+    """Play budgets running dry, under faults, against the oracle and the baselines.
+
+    :param seed: seed of the trace
+    :param budgets: number of budgets
+    """
+    run_policies(seed, budgets)
+
+
 def main() -> None:
     """Entry point of the program."""
     defopt.run(
-        {"demo": demo, "overhead": overhead, "core": core, "slopes": slopes},
+        {"demo": demo, "overhead": overhead, "core": core, "slopes": slopes, "policy": policy},
         version=__version__,
         argv=sys.argv[1:],
     )
