--- a/features/steps/grant_steps.py
+++ b/features/steps/grant_steps.py
@@ -150,7 +150,8 @@
 
 
 @when(
-    "{need:d} tokens are needed with {held:d} held at rate {rate:d}, others {others:d}, {free:d} free"
+    "{need:d} tokens are needed with {held:d} held at rate {rate:d}, "
+    "others {others:d}, {free:d} free"
 )
 def when_sizing(context, need, held, rate, others, free):
     demand = Demand(float(rate), float(others), 3)
--- a/src/bilberryshed_load/_policy.py
+++ b/src/bilberryshed_load/_policy.py
@@ -417,8 +417,6 @@
     def finish(self, ask: Ask, token: Any) -> None:
         """Spend what was used and settle it a little later."""
         name, reservation = token
-        if name in self.dead:
-            return
         book = self.desks[name].book
         charges = split_tokens(reservation.parts, ask.used)
         book.spend(reservation.budget, reservation.parts, charges)
@@ -441,7 +439,7 @@
         loop.call_later(RECLAIM_DELAY, self._reclaim, dead)
 
     def _reclaim(self, dead: FundingDesk) -> None:
-        """Close what the dead router held; unfinished requests count as fully used."""
+        """Close what the dead router held; requests that still run count as fully used."""
         survivor = next(desk for name, desk in self.desks.items() if name not in self.dead)
         for grant in dead.book.grants():
             if grant.adopted:
