Quarantine of requests that crash backend servers; not-run answers no longer use up attempts

Cause: one crashing request took down an engine for each of its three attempts, and again when it was sent again; and three refusals by busy agents in a row ended a request although its patience was not over. Change: suspects run alone, a second crash convicts, shared and durable; only attempts that may have run count.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -329,6 +329,12 @@
         fleet.pause(words[1], True)
         loop = asyncio.get_running_loop()
         loop.call_later(2.0, fleet.pause, words[1], False)
+    elif "a crashing request" in event:
+        question = Question(
+            "highland-council", "", "drivers", prompt="Is CRASH-THE-ENGINE open?", max_tokens=8
+        )
+        url = fleet.plan.router_urls[0]
+        context.crashing = asyncio.ensure_future(ask(url, question))
     elif "crashes" in event:
         post(fleet.plan.backends[words[1]], "/crash", {})
     elif "is stopped" in event:
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -39,6 +39,7 @@
 from bilberryshed.coordination._ledger import GetSegment, PutSegment, Segment, ShardWriter
 from bilberryshed.coordination._membership import ListChange, Member, Members
 from bilberryshed.coordination._prefixes import prompt_prefixes
+from bilberryshed.coordination._quarantine import Quarantine, Standing, Suspicion
 from bilberryshed.coordination._reclaim import (
     GrantToClose,
     Present,
@@ -61,6 +62,9 @@
 )
 
 __all__ = [
+    "Quarantine",
+    "Standing",
+    "Suspicion",
     "vm_of_boot",
     "boot_of_grant",
     "Reclaim",
--- a/src/bilberryshed/coordination/_agent_runs.py
+++ b/src/bilberryshed/coordination/_agent_runs.py
@@ -33,6 +33,7 @@
     is refused. An attempt id starts at most once.
 
     :param capacity: attempts that may be running or queued at once
+    :param lone: attempt that must run alone, empty for none
     """
 
     capacity: int
@@ -41,6 +42,7 @@
     revoked: set[str] = field(default_factory=set)
     journal: dict[str, JournalEntry] = field(default_factory=dict)
     draining: bool = False
+    lone: str = ""
 
     def admit(self, boot: str, dispatch: Dispatch, serves: bool) -> Refused | None:
         """Admit a dispatch or say why not.
@@ -53,8 +55,14 @@
             self.closed.setdefault(dispatch.attempt, Closing.NEVER_RAN)
             return refused
         self.running[dispatch.attempt] = dispatch
+        if dispatch.alone:
+            self.lone = dispatch.attempt
         return None
 
+    def may_start(self, attempt: str) -> bool:
+        """Whether an admitted attempt may start now; a lone one waits for the others to end."""
+        return attempt != self.lone or len(self.running) == 1
+
     def is_known(self, attempt: str) -> bool:
         """Whether an attempt id has been admitted, now or before."""
         return attempt in self.running or self.closed.get(attempt) in _STARTED
@@ -69,6 +77,8 @@
         if not serves:
             target = dispatch.model or dispatch.service
             return Refused(RefusalCode.NO_CAPACITY, f"{target} is not served here")
+        if self.lone:
+            return Refused(RefusalCode.NO_CAPACITY, "another attempt has to run alone here")
         if len(self.running) >= self.capacity:
             return Refused(RefusalCode.NO_CAPACITY, f"{len(self.running)} attempts are running")
         return None
@@ -80,6 +90,8 @@
         """
         self.running.pop(attempt, None)
         self.closed[attempt] = closing
+        if self.lone == attempt:
+            self.lone = ""
         if entry is not None:
             self.journal[attempt] = entry
 
--- a/src/bilberryshed/protocol/_messages.py
+++ b/src/bilberryshed/protocol/_messages.py
@@ -67,6 +67,8 @@
     :param body: HTTP body for the backend server
     :param priority: lower runs earlier
     :param deadline: seconds that the attempt may take
+    :param content: fingerprint of what the backend server reads
+    :param alone: whether nothing else may run on the backend server meanwhile
     """
 
     attempt: str
@@ -84,6 +86,8 @@
     body: bytes
     priority: int
     deadline: float
+    content: str
+    alone: bool
 
 
 @message(21)
@@ -191,10 +195,12 @@
     """The attempt started and will give no whole answer.
 
     :param reason: why, in words
+    :param crashed: whether the backend server crashed
     """
 
     attempt: str
     reason: str
+    crashed: bool
 
 
 @message(35)
@@ -341,6 +347,21 @@
     kept: tuple[UsageRecord, ...]
 
 
+@message(47)
+@dataclass(slots=True, frozen=True)
+class ContentNotice:
+    """Standing of a content that was running when a backend server crashed.
+
+    :param content: fingerprint
+    :param standing: ``suspect``, ``convicted``, or ``clear`` for one that ran to its end
+    :param until: seconds since the epoch at which it expires
+    """
+
+    content: str
+    standing: str
+    until: float
+
+
 @message(46)
 @dataclass(slots=True, frozen=True)
 class SheetNotice:
--- a/src/bilberryshed/protocol/_outcomes.py
+++ b/src/bilberryshed/protocol/_outcomes.py
@@ -33,6 +33,7 @@
     BACKEND_FAILED = "backend_failed"
     ANSWER_DAMAGED = "answer_damaged"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    QUARANTINED = "quarantined"
 
 
 HTTP_STATUS = {
@@ -55,6 +56,7 @@
     RefusalCode.BACKEND_FAILED: 502,
     RefusalCode.ANSWER_DAMAGED: 502,
     RefusalCode.OUTCOME_UNKNOWN: 502,
+    RefusalCode.QUARANTINED: 422,
 }
 
 
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -52,6 +52,7 @@
 )
 
 DRAIN_POLL = 0.05  # seconds
+LONE_POLL = 0.01  # seconds
 QUEUE_FACTOR = 2  # attempts admitted for each slot of the backend server
 
 
@@ -90,7 +91,7 @@
         self.runs = Runs(settings.slots * QUEUE_FACTOR)
         self.boot_of_attempt: dict[str, str] = {}
         self.journaled_at: dict[str, float] = {}
-        self.load = BackendLoad((), 0, 0, settings.slots)
+        self.load = BackendLoad((), 0, 0, settings.slots, 0)
         self.healthy = False
         self.tasks: set[asyncio.Task[None]] = set()
         handlers = LinkHandlers(self._on_up, self._on_message, self._on_down)
@@ -161,7 +162,7 @@
             if closing is Closing.NEVER_RAN:
                 link.send(NotRun(attempt, "no_capacity", "the attempt never ran at this agent"))
             elif closing is Closing.FAILED:
-                link.send(Failed(attempt, "the attempt ended without a record"))
+                link.send(Failed(attempt, "the attempt ended without a record", False))
             elif closing is Closing.RECORDED and attempt not in self.runs.journal:
                 link.send(Recorded(attempt))
 
@@ -178,7 +179,10 @@
     # Attempts -------------------------------------------------------------------------------
 
     async def _run(self, link: Link, dispatch: Dispatch) -> None:
+        while not self.runs.may_start(dispatch.attempt):
+            await asyncio.sleep(LONE_POLL)
         sink = _LinkSink(dispatch.attempt, link, keep=not dispatch.idempotent)
+        boot = self.load.boot
         result = await self.backend.run(dispatch, sink)
         if isinstance(result, Finished):
             self._finish(link, dispatch, sink, result)
@@ -187,9 +191,17 @@
         closing = Closing.NEVER_RAN if never_ran else Closing.FAILED
         self.runs.end(dispatch.attempt, closing)
         self.boot_of_attempt.pop(dispatch.attempt, None)
-        link.send(_no_answer(dispatch, result))
+        crashed = isinstance(result, Broken) and await self._has_crashed(boot)
+        link.send(_no_answer(dispatch, result, crashed))
         self.metrics.count("attempt_failed")
-        logger().warning("attempt_failed", attempt=dispatch.attempt, reason=result.reason)
+        logger().warning(
+            "attempt_failed", attempt=dispatch.attempt, reason=result.reason, crashed=crashed
+        )
+
+    async def _has_crashed(self, boot: int) -> bool:
+        """Whether the backend server is away, or has restarted since ``boot``."""
+        load = await self.backend.load()
+        return load is None or load.boot != boot
 
     def _finish(self, link: Link, dispatch: Dispatch, sink: _LinkSink, result: Finished) -> None:
         record = self._record(dispatch, result)
@@ -341,11 +353,11 @@
             logger().error("task_failed", error=repr(task.exception()))
 
 
-def _no_answer(dispatch: Dispatch, result: RunResult) -> NotRun | Failed:
+def _no_answer(dispatch: Dispatch, result: RunResult, crashed: bool) -> NotRun | Failed:
     if isinstance(result, NeverRan):
         return NotRun(dispatch.attempt, "no_capacity", result.reason)
     assert isinstance(result, Broken)
-    return Failed(dispatch.attempt, result.reason)
+    return Failed(dispatch.attempt, result.reason, crashed)
 
 
 async def serve_agent(settings: AgentSettings, stop: asyncio.Event) -> bool:
--- a/src/bilberryshed/runtime/_attempts.py
+++ b/src/bilberryshed/runtime/_attempts.py
@@ -69,10 +69,18 @@
                 self.frames[attempt].put_nowait(LinkLost(attempt))
 
     async def run(
-        self, execution: Execution, agent: str, attempt: str, reservation: Reservation
+        self,
+        execution: Execution,
+        agent: str,
+        attempt: str,
+        reservation: Reservation,
+        alone: bool,
     ) -> AttemptResult:
-        """Dispatch an attempt and follow it to its end."""
-        dispatch = _dispatch(execution, attempt, reservation)
+        """Dispatch an attempt and follow it to its end.
+
+        :param alone: whether nothing else may run on the backend server meanwhile
+        """
+        dispatch = _dispatch(execution, attempt, reservation, alone)
         link = self.context.agent_links.get(agent)
         self.frames[attempt] = asyncio.Queue()
         self.agent_of[attempt] = agent
@@ -125,7 +133,9 @@
         raise AnswerDamagedError(f"usage record of {record.attempt!r} does not match")
 
 
-def _dispatch(execution: Execution, attempt: str, reservation: Reservation) -> Dispatch:
+def _dispatch(
+    execution: Execution, attempt: str, reservation: Reservation, alone: bool
+) -> Dispatch:
     call = execution.call
     return Dispatch(
         attempt=attempt,
@@ -143,6 +153,8 @@
         body=_body(execution, attempt) if call.model else call.body,
         priority=call.customer.priority,
         deadline=call.service.deadline,
+        content=call.content,
+        alone=alone,
     )
 
 
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -54,12 +54,16 @@
 
 @dataclass(slots=True, frozen=True)
 class BackendLoad:
-    """What the backend server reports of itself."""
+    """What the backend server reports of itself.
+
+    :param boot: changes when the backend server restarts
+    """
 
     models: tuple[str, ...]
     running: int
     queued: int
     slots: int
+    boot: int
 
 
 class RunSink(ABC):
@@ -101,6 +105,7 @@
             int(body.get("running", 0)),
             int(body.get("queued", 0)),
             int(body.get("slots", 1)),
+            int(body.get("boot", 0)),
         )
 
     async def _control(self, method: str, path: str, body: Any) -> Any:
--- a/src/bilberryshed/runtime/_execution.py
+++ b/src/bilberryshed/runtime/_execution.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import xxhash
+
 from bilberryshed.protocol import Refusal, bill_id
 from bilberryshed.state import Budget, Customer, Service
 
@@ -41,6 +43,11 @@
         """Bill id of this request."""
         return bill_id(self.customer.name, self.key)
 
+    @property
+    def content(self) -> str:
+        """Fingerprint of what the backend server reads, whoever sends it."""
+        return xxhash.xxh3_128_hexdigest(self.target.encode() + b"\n" + (self.prompt or self.body))
+
     @property
     def target(self) -> str:
         """What an agent must serve to run this."""
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -11,6 +11,7 @@
 from bilberryshed.coordination import AgentView, SheetInForce
 from bilberryshed.protocol import (
     Chunk,
+    ContentNotice,
     Ended,
     Failed,
     FundsAnswer,
@@ -40,6 +41,7 @@
 from bilberryshed.runtime._funding_desk import FundingDesk
 from bilberryshed.runtime._ledger_desk import LedgerDesk
 from bilberryshed.runtime._process import hello
+from bilberryshed.runtime._quarantine_desk import QuarantineDesk
 from bilberryshed.runtime._reclaim_desk import ReclaimDesk
 from bilberryshed.runtime._runner import Runner
 from bilberryshed.runtime._sheet_keeper import SheetKeeper
@@ -77,7 +79,10 @@
         self.ledger = LedgerDesk(self.context)
         self.claims = ClaimDesk(self.context)
         self.slo = SloDesk(self.context)
-        self.runner = Runner(self.context, self.funding, self.ledger, self.claims, self.slo)
+        self.quarantine = QuarantineDesk(self.context)
+        self.runner = Runner(
+            self.context, self.funding, self.ledger, self.claims, self.slo, self.quarantine
+        )
         self.sheets = SheetKeeper(self.context)
         self.reclaim = ReclaimDesk(self.context, self.funding, self.ledger)
         self.hello = hello(settings, "router", self.context.boot)
@@ -110,6 +115,7 @@
         self.runner.start()
         self.slo.start()
         self.reclaim.start()
+        self.quarantine.start()
         timers = self.context.timers
         timers.subscribe(HEARTBEAT_INTERVAL, self._heartbeat)
         timers.subscribe(self.settings.vm_list_interval, self._refresh)
@@ -141,6 +147,7 @@
             TransferAck: lambda link, m: self.funding.on_ack(m),
             RecordsOffer: lambda link, m: self.ledger.on_offer(link.peer.name, m),
             RecordsVerdict: lambda link, m: self.ledger.on_verdict(m),
+            ContentNotice: lambda link, m: self.quarantine.on_notice(m),
             SheetNotice: lambda link, m: self.sheets.on_notice(m, link.peer.name),
         }
 
--- a/src/bilberryshed/runtime/_runner.py
+++ b/src/bilberryshed/runtime/_runner.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bilberryshed.coordination import Claim, ClaimState, Existing, Mine, prompt_prefixes
+from bilberryshed.coordination import Claim, ClaimState, Existing, Mine, Standing, prompt_prefixes
 from bilberryshed.protocol import (
     AttemptQuery,
     Ended,
@@ -28,6 +28,7 @@
 from bilberryshed.runtime._execution import Call, Execution, Usage
 from bilberryshed.runtime._funding_desk import FundingDesk, Reservation
 from bilberryshed.runtime._ledger_desk import LedgerDesk
+from bilberryshed.runtime._quarantine_desk import QuarantineDesk
 from bilberryshed.runtime._slo_desk import SloDesk
 from bilberryshed.transport import logger
 
@@ -62,12 +63,14 @@
         ledger: LedgerDesk,
         claims: ClaimDesk,
         slo: SloDesk,
+        quarantine: QuarantineDesk,
     ) -> None:
         self.context = context
         self.funding = funding
         self.ledger = ledger
         self.claims = claims
         self.slo = slo
+        self.quarantine = quarantine
         self.attempts = Attempts(context)
         self.running: dict[str, Execution] = {}
         self.finished: OrderedDict[str, Execution] = OrderedDict()
@@ -122,6 +125,8 @@
 
     async def _answer(self, execution: Execution) -> Refusal | None:
         call = execution.call
+        if self.quarantine.standing(call.content) is Standing.CONVICTED:
+            return _quarantined(Outcome.NOT_RUN)
         doubt = self.doubts.pop(call.bill_id, None)
         if doubt is None:
             reserved = await self.funding.reserve(
@@ -140,26 +145,42 @@
         excluded: set[str] = set()
         result: AttemptResult | None = None
         started = bool(doubt.lost)
-        for _ in range(self.context.settings.attempts):
+        tries = self.context.settings.attempts
+        patience = self.context.timers.now() + self.context.settings.queue_wait
+        while tries > 0:
+            if self.quarantine.standing(execution.call.content) is Standing.CONVICTED:
+                self._conclude_unanswered(doubt)
+                return _quarantined(Outcome.UNKNOWN if started else Outcome.NOT_RUN)
             agent = await self._choose(execution.call, excluded)
             if agent is None:
                 break
-            attempt = uuid.uuid4().hex
-            result = await self._attempt(execution, agent, attempt, doubt)
+            result = await self._attempt(execution, agent, uuid.uuid4().hex, doubt)
             if isinstance(result, Ended):
                 self._complete(execution, doubt, agent, result)
                 return None
-            started = started or not isinstance(result, NotRun)
-            excluded.add(agent)
             self.context.metrics.count("retries")
+            if isinstance(result, NotRun):
+                if self.context.timers.now() >= patience:
+                    break
+                await asyncio.sleep(CAPACITY_POLL)
+                continue
+            started = True
+            tries -= 1
+            excluded.add(agent)
         self._conclude_unanswered(doubt)
         return _give_up(execution.call, result, started)
 
     async def _attempt(
         self, execution: Execution, agent: str, attempt: str, doubt: Doubt
     ) -> AttemptResult:
-        result = await self.attempts.run(execution, agent, attempt, doubt.reservation)
+        content = execution.call.content
+        alone = self.quarantine.standing(content) is Standing.SUSPECT
+        result = await self.attempts.run(execution, agent, attempt, doubt.reservation, alone)
         now = self.context.timers.now()
+        if isinstance(result, Failed) and result.crashed and execution.call.model:
+            self.quarantine.on_crash(content, alone)
+        elif isinstance(result, Ended):
+            self.quarantine.on_success(content)
         if isinstance(result, NotRun):
             self.context.routing.released(agent)
         else:
@@ -357,6 +378,11 @@
         self.ledger.offer(entry.record, lambda kept: self._acknowledge(agent, attempt))
 
 
+def _quarantined(outcome: Outcome) -> Refusal:
+    reason = "backend servers crashed twice while they ran this content; it is not run again"
+    return Refusal(RefusalCode.QUARANTINED, reason, outcome)
+
+
 def _no_capacity(call: Call) -> Refusal:
     reason = f"no backend server has room for {call.target}"
     return Refusal(RefusalCode.NO_CAPACITY, reason, retry_after=RETRY_SOON)
--- a/src/bilberryshed/state/_rows.py
+++ b/src/bilberryshed/state/_rows.py
@@ -9,7 +9,7 @@
 GRANTS = "grants"
 CLAIMS = "claims"
 SHEETS = "sheets"
-REVOCATIONS = "revocations"
+SUSPICIONS = "suspicions"
 LEDGER_HINTS = "ledger_hints"
 SHEET_HEAD = RowRef(SHEETS, "head")
 
--- a/src/bilberryshed_standins/_engine.py
+++ b/src/bilberryshed_standins/_engine.py
@@ -69,6 +69,7 @@
                 (r"/speed", SpeedHandler, args),
                 (r"/crash", CrashHandler, args),
                 (r"/started", StartedHandler, args),
+                (r"/crashes", CrashesHandler, args),
                 (r"/faults", FaultsHandler, args),
             ]
         )
@@ -280,3 +281,10 @@
 
     async def get(self) -> None:
         await self.answer({"times": self.owner.started})
+
+
+class CrashesHandler(StandinHandler):
+    """``GET /crashes``: crashes so far; answered even while the engine is away."""
+
+    async def get(self) -> None:
+        await self.answer({"crashes": self.owner.boots - 1})
