Holders share nearly the whole balance by what each zone last said

Cause: a fifth of each balance stayed in the store, out of reach in an outage, and a router took half of its holder's hand at its first question, so that a zone held twice its part. Change: zones write demand and hand into the budget's row; a holder keeps nine tenths of its part of the whole; a router asks its zone's holder for ten seconds of demand.

--- a/features/grants.feature
+++ b/features/grants.feature
@@ -120,31 +120,32 @@
       | read ok, write lost, read down|
 
   Scenario Outline: Grant sizes follow demand and the balance: <rate> of <others>, <free> free
-    When <need> tokens are needed with <held> held at rate <rate>, others <others>, <free> free
+    When <need> tokens are needed with <held> held at rate <rate>, others <others> with <theirs>, <free> free
     Then it takes <amount> tokens
     And <surplus> tokens are surplus
 
     Examples: plentiful
-      | need | held | rate | others | free   | amount | surplus |
-      | 10   | 0    | 0    | 0      | 100000 | 2000   | 0       |
-      | 10   | 0    | 200  | 0      | 100000 | 6000   | 0       |
-      | 10   | 0    | 200  | 200    | 100000 | 6000   | 0       |
-      | 10   | 9000 | 200  | 200    | 100000 | 10     | 0       |
-      | 10   | 20000| 200  | 200    | 100000 | 10     | 14000   |
+      | need | held  | rate | others | theirs | free   | amount | surplus |
+      | 10   | 0     | 0    | 0      | 0      | 100000 | 2000   | 0       |
+      | 10   | 0     | 200  | 0      | 0      | 100000 | 6000   | 0       |
+      | 10   | 0     | 200  | 200    | 0      | 100000 | 6000   | 0       |
+      | 10   | 9000  | 200  | 200    | 0      | 100000 | 10     | 0       |
+      | 10   | 20000 | 200  | 200    | 0      | 100000 | 10     | 14000   |
 
     Examples: scarce, in proportion to demand
-      | need | held | rate | others | free   | amount | surplus |
-      | 10   | 0    | 9000 | 3000   | 80000  | 60000  | 0       |
-      | 10   | 0    | 3000 | 9000   | 80000  | 40000  | 0       |
-      | 10   | 50000| 3000 | 9000   | 10000  | 10     | 40000   |
-      | 10   | 0    | 200  | 200    | 1200   | 800    | 0       |
-      | 10   | 0    | 200  | 200    | 4      | 4      | 0       |
-      | 10   | 0    | 200  | 200    | 0      | 0      | 0       |
+      | need | held  | rate | others | theirs | free   | amount | surplus |
+      | 10   | 0     | 9000 | 3000   | 0      | 80000  | 54000  | 0       |
+      | 10   | 0     | 3000 | 9000   | 0      | 80000  | 18000  | 0       |
+      | 10   | 50000 | 3000 | 9000   | 30000  | 0      | 0      | 32000   |
+      | 10   | 1000  | 3000 | 9000   | 69000  | 10000  | 10000  | 0       |
+      | 10   | 0     | 200  | 200    | 0      | 1200   | 540    | 0       |
+      | 10   | 0     | 200  | 200    | 0      | 4      | 4      | 0       |
+      | 10   | 0     | 200  | 200    | 0      | 0      | 0      | 0       |
 
     Examples: ahead of need
-      | need | held | rate | others | free   | amount | surplus |
-      | 0    | 0    | 200  | 0      | 100000 | 6000   | 0       |
-      | 0    | 0    | 200  | 0      | 1200   | 0      | 0       |
+      | need | held  | rate | others | theirs | free   | amount | surplus |
+      | 0    | 0     | 200  | 0      | 0      | 100000 | 6000   | 0       |
+      | 0    | 0     | 200  | 0      | 0      | 1200   | 0      | 0       |
 
   Scenario: The ledger's verdict settles a bill once
     Given a budget of 10000 tokens
--- a/features/steps/grant_steps.py
+++ b/features/steps/grant_steps.py
@@ -151,10 +151,10 @@
 
 @when(
     "{need:d} tokens are needed with {held:d} held at rate {rate:d}, "
-    "others {others:d}, {free:d} free"
+    "others {others:d} with {others_held:d}, {free:d} free"
 )
-def when_sizing(context, need, held, rate, others, free):
-    demand = Demand(float(rate), float(others), 3)
+def when_sizing(context, need, held, rate, others, others_held, free):
+    demand = Demand(float(rate), float(others), others_held, 3)
     context.amount = SIZING.amount(need, held, demand, free)
     context.surplus = SIZING.surplus(held, demand, free)
 
--- a/src/bilberryshed/coordination/_grant_store.py
+++ b/src/bilberryshed/coordination/_grant_store.py
@@ -21,6 +21,7 @@
     StoreError,
 )
 
+NEWS_SHARE = 0.2  # change of a zone's demand or hand that is worth a write
 MAX_CHANGES = 50  # changes in one transaction
 
 
@@ -205,8 +206,9 @@
 
 def demand_for(take: Take, budget: BudgetRow) -> Demand:
     """Return the demand for a budget as the taker and the row know it."""
-    others = sum(rate for zone, rate in budget.rates.items() if zone != take.zone)
-    return Demand(take.rate, float(others), take.holders)
+    others = [said for zone, said in budget.zones.items() if zone != take.zone]
+    rate, held = sum(said[0] for said in others), sum(said[1] for said in others)
+    return Demand(take.rate, float(rate), held, take.holders)
 
 
 def _take(change: Take, values: Values, changed: Changed, sizing: GrantSizing) -> int:
@@ -216,16 +218,27 @@
         budget = replace(budget, paid=change.paid, paid_version=change.paid_version)
     demand = demand_for(change, budget)
     amount = sizing.amount(change.need, change.held, demand, budget.free)
+    says = [int(change.rate), change.held + amount]
+    zones = {**budget.zones, change.zone: says}
     if amount <= 0:
+        scarce = sizing.is_scarce(change.held, demand, budget.free)
+        if scarce and _is_news(budget.zones.get(change.zone), says):
+            _put(budget_ref, replace(budget, zones=zones).to_value(), values, changed)
         return 0
-    rates = {**budget.rates, change.zone: int(change.rate)}
-    budget = replace(budget, granted=budget.granted + amount, rates=rates)
+    budget = replace(budget, granted=budget.granted + amount, zones=zones)
     grant = GrantRow(change.budget, change.holder, amount)
     _put(budget_ref, budget.to_value(), values, changed)
     _put(RowRef(GRANTS, change.grant), grant.to_value(), values, changed)
     return amount
 
 
+def _is_news(said: list[int] | None, says: list[int]) -> bool:
+    """Whether what a zone says has changed enough to be worth a write."""
+    if said is None:
+        return True
+    return any(abs(a - b) > NEWS_SHARE * max(a, b) for a, b in zip(said, says, strict=True))
+
+
 def _close(change: Close, values: Values, changed: Changed) -> int:
     grant_ref, budget_ref = RowRef(GRANTS, change.grant), RowRef(BUDGETS, change.budget)
     if not values[grant_ref]:
--- a/src/bilberryshed/coordination/_sizing.py
+++ b/src/bilberryshed/coordination/_sizing.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-HELD_FOR_POOLED = 4.0  # tokens that all holders have in hand for each one left in the store
-SURPLUS = 1.5  # times the target, above which a holder returns grants
+HELD_SHARE = 0.9  # of the whole balance, which all holders together should have in hand
+SURPLUS = 1.2  # times the target, above which a holder returns grants
 
 
 @dataclass(slots=True, frozen=True)
@@ -12,11 +12,13 @@
 
     :param rate: forecast of this holder
     :param others: forecasts of the other holders together, as they last said
+    :param others_held: free tokens in their hands, as they last said
     :param holders: number of availability zones that may hold the budget
     """
 
     rate: float
     others: float
+    others_held: int
     holders: int
 
     @property
@@ -32,9 +34,9 @@
     """Policy of grant sizes.
 
     While a budget is plentiful a holder has the horizon's demand in hand, which rides out outages
-    of the store. As the balance falls, what holders have shrinks geometrically with what is left
-    in the store, in proportion to demand, so that all run dry together and the last tokens are not
-    stranded at one of them.
+    of the store. As the balance falls, nearly all of it is in the holders' hands, in proportion to
+    demand, so that all run dry together whoever is cut off; the small rest in the store evens out
+    what forecasts got wrong.
 
     :param horizon: seconds of forecast demand to have in hand
     :param least: tokens below which a grant is not worth a write while the budget is plentiful
@@ -43,13 +45,19 @@
     horizon: float
     least: int
 
-    def target(self, demand: Demand, free: int) -> int:
+    def target(self, held: int, demand: Demand, free: int) -> int:
         """Return the tokens to have in hand.
 
+        :param held: free tokens in hand
         :param free: tokens left in the store
         """
         wanted = max(self.least, int(demand.rate * self.horizon))
-        return min(wanted, int(HELD_FOR_POOLED * demand.share * free))
+        balance = held + demand.others_held + free
+        return min(wanted, int(HELD_SHARE * demand.share * balance))
+
+    def is_scarce(self, held: int, demand: Demand, free: int) -> bool:
+        """Whether the balance, not the horizon, bounds what a holder should have in hand."""
+        return self.target(held, demand, free) < int(demand.rate * self.horizon)
 
     def amount(self, need: int, held: int, demand: Demand, free: int) -> int:
         """Return the tokens to take.
@@ -60,10 +68,7 @@
         :param held: free tokens in hand
         :param free: tokens left in the store
         """
-        wanted = max(self.least, int(demand.rate * self.horizon)) - held
-        ratio = HELD_FOR_POOLED * demand.share
-        balanced = int((ratio * free - held) / (1 + ratio))
-        amount = min(free, max(need, min(wanted, balanced)))
+        amount = min(free, max(need, self.target(held, demand, free) - held))
         return 0 if need == 0 and amount < self.least else amount
 
     def surplus(self, held: int, demand: Demand, free: int) -> int:
@@ -72,5 +77,5 @@
         :param held: free tokens in hand
         :param free: tokens left in the store
         """
-        limit = SURPLUS * self.target(demand, free) + self.least
-        return held - self.target(demand, free) if held > limit else 0
+        target = self.target(held, demand, free)
+        return held - target if held > SURPLUS * target + self.least else 0
--- a/src/bilberryshed/runtime/_funding_desk.py
+++ b/src/bilberryshed/runtime/_funding_desk.py
@@ -39,6 +39,7 @@
 TOP_UP_INTERVAL = 0.5  # seconds
 TAKE_PAUSE = 2.0  # seconds between takes ahead of need for one budget
 READ_PAUSE = 10.0  # seconds after which the row of a budget in use is read again
+ZONE_HORIZON = 10.0  # seconds of demand that a router has in hand of what its zone's holder holds
 RETRY_PAUSE = 0.25  # seconds between tries while running requests may release tokens
 RETRY_AFTER = 5  # seconds after which a refused caller may find tokens again
 
@@ -84,11 +85,20 @@
         self.book.note_demand(self.context.timers.now(), key, tokens)
         if tokens > budget.paid:
             return Failure(_refusal(Verdict.EXHAUSTED, key, tokens))
+        parts = self.book.reserve(key, tokens)
+        if parts is not None:
+            return Success(Reservation(key, parts))
+        return await self._find(budget, tokens, deadline)
+
+    async def _find(
+        self, budget: Budget, tokens: int, deadline: float
+    ) -> Result[Reservation, Refusal]:
+        key = budget.row_key
         while True:
+            unfunded = await self._more(budget, tokens)
             parts = self.book.reserve(key, tokens)
             if parts is not None:
                 return Success(Reservation(key, parts))
-            unfunded = await self._more(budget, tokens)
             if unfunded is None:
                 continue
             now = self.context.timers.now()
@@ -103,7 +113,7 @@
         future: asyncio.Future[Unfunded | None] = asyncio.get_running_loop().create_future()
         self.waiters.setdefault(key, []).append(future)
         lacking = max(1, tokens - self.book.free(key))
-        wanted = int(self.book.demand(now, key) * self.context.settings.grant_horizon)
+        wanted = int(self.book.demand(now, key) * ZONE_HORIZON)
         holder = self.context.members.holder(key)
         self._act(self.funding.need(now, budget.customer, budget.name, lacking, wanted, holder))
         return await future
@@ -245,7 +255,7 @@
             if grant is not None:
                 self._close(grant)
                 return
-            enough = held >= TOP_UP_SHARE * self.worker.sizing.target(demand, row.free)
+            enough = held >= TOP_UP_SHARE * self.worker.sizing.target(held, demand, row.free)
             if enough and now < self.next_top_up.get(key, 0.0):
                 return
         if now >= self.next_take.get(key, 0.0):
--- a/src/bilberryshed/state/_rows.py
+++ b/src/bilberryshed/state/_rows.py
@@ -22,14 +22,15 @@
     :param paid_version: sheet version that set ``paid``
     :param granted: taken by grants since the budget exists, less what they returned
     :param settled: billed on grants that are closed
-    :param rates: demand of each availability zone as its holder last forecast it, tokens a second
+    :param zones: what the holder of each availability zone last said: its forecast demand in
+        tokens a second and the free tokens in its hand
     """
 
     paid: int = 0
     paid_version: int = 0
     granted: int = 0
     settled: int = 0
-    rates: dict[str, int] = field(default_factory=dict)
+    zones: dict[str, list[int]] = field(default_factory=dict)
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "BudgetRow":
@@ -39,7 +40,7 @@
             int(value.get("paid_version", 0)),
             int(value.get("granted", 0)),
             int(value.get("settled", 0)),
-            dict(value.get("rates", {})),
+            dict(value.get("zones", {})),
         )
 
     def to_value(self) -> dict[str, Any]:
