Orders to engines under a fenced lease; agents refuse old numbers themselves

Cause: the sheet's models were only checked, never loaded, and MODELS.md named a gate that did not exist. Change: lease with a rising number, order gate at the agent, placement plan, orders; the setting checks_fencing, which nothing read, is gone.

--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -20,7 +20,6 @@
     "backend": "address of the backend server",
     "kind": "engine or service",
     "service": "plain service that the backend server offers, empty for an engine",
-    "checks_fencing": "whether the backend server refuses old fencing numbers",
     "slots": "attempts that run at once; twice as many are admitted",
     "load_interval": "time between load reports, s",
     "journal_retry": "time before an unconfirmed record is sent again, s",
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -36,8 +36,17 @@
     Take,
     demand_for,
 )
+from bilberryshed.coordination._lease import Lease, LeaseRow
 from bilberryshed.coordination._ledger import GetSegment, PutSegment, Segment, ShardWriter
 from bilberryshed.coordination._membership import ListChange, Member, Members
+from bilberryshed.coordination._orders import (
+    Admission,
+    EngineView,
+    OrderGate,
+    OrderKind,
+    PlannedOrder,
+    plan_orders,
+)
 from bilberryshed.coordination._prefixes import prompt_prefixes
 from bilberryshed.coordination._quarantine import Quarantine, Standing, Suspicion
 from bilberryshed.coordination._reclaim import (
@@ -62,6 +71,14 @@
 )
 
 __all__ = [
+    "Admission",
+    "EngineView",
+    "Lease",
+    "LeaseRow",
+    "OrderGate",
+    "OrderKind",
+    "PlannedOrder",
+    "plan_orders",
     "Quarantine",
     "Standing",
     "Suspicion",
--- a/src/bilberryshed/protocol/_messages.py
+++ b/src/bilberryshed/protocol/_messages.py
@@ -122,6 +122,35 @@
     boots: tuple[str, ...]
 
 
+@message(25)
+@dataclass(slots=True, frozen=True)
+class Order:
+    """Order to the backend server.
+
+    :param number: fencing number of the lease under which it is given
+    :param kind: ``load`` or ``unload``
+    :param model: model and version
+    """
+
+    number: int
+    kind: str
+    model: str
+
+
+@message(26)
+@dataclass(slots=True, frozen=True)
+class OrderResult:
+    """What became of an order.
+
+    :param done: whether the backend server has carried it out
+    :param reason: why not, in words
+    """
+
+    model: str
+    done: bool
+    reason: str
+
+
 # Agent to router ----------------------------------------------------------------------------
 
 
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -5,10 +5,11 @@
 from typing import Any
 
 import xxhash
+from returns.result import Success
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
-from bilberryshed.coordination import Closing, Runs
+from bilberryshed.coordination import Admission, Closing, LeaseRow, OrderGate, Runs
 from bilberryshed.protocol import (
     AttemptQuery,
     Cancel,
@@ -20,6 +21,8 @@
     JournalEntry,
     LoadReport,
     NotRun,
+    Order,
+    OrderResult,
     Recorded,
     RecordsKept,
     Revoke,
@@ -40,8 +43,9 @@
 )
 from bilberryshed.runtime._process import hello, new_boot_id
 from bilberryshed.runtime._status import LiveHandler, ReadyHandler, StatusHandler
-from bilberryshed.state import AgentSettings
+from bilberryshed.state import PLACEMENT_LEASE, AgentSettings
 from bilberryshed.transport import (
+    HttpTableService,
     Link,
     LinkHandlers,
     LinkServer,
@@ -93,6 +97,8 @@
         self.journaled_at: dict[str, float] = {}
         self.load = BackendLoad((), 0, 0, settings.slots, 0)
         self.healthy = False
+        self.gate = OrderGate()
+        self.tables = HttpTableService(settings.platform, settings.platform_timeout)
         self.tasks: set[asyncio.Task[None]] = set()
         handlers = LinkHandlers(self._on_up, self._on_message, self._on_down)
         tls = server_context(settings.certificate, settings.certificate_key)
@@ -103,6 +109,7 @@
             AttemptQuery: self._on_query,
             RecordsKept: self._on_kept,
             Revoke: self._on_revoke,
+            Order: lambda link, order: self._spawn(self._carry_out(link, order)),
             Heartbeat: self._on_heartbeat,
         }
 
@@ -176,6 +183,24 @@
         self.runs.revoke(revoke.boots)
         link.send(RevokeAck(self.runs.settled_boots(self.boot_of_attempt)))
 
+    async def _carry_out(self, link: Link, order: Order) -> None:
+        """Carry out an order unless its fencing number is old."""
+        if self.gate.known is None:
+            await self._learn_number()
+        admission = self.gate.admit(order.number)
+        done, reason = False, f"fencing number {order.number}: {admission}"
+        if admission is Admission.ACCEPTED:
+            done = await self.backend.order(order.number, order.kind, order.model)
+            reason = "" if done else "the backend server refused"
+            await self._poll_load()
+        logger().info("order", kind=order.kind, model=order.model, number=order.number, done=done)
+        link.send(OrderResult(order.model, done, reason))
+
+    async def _learn_number(self) -> None:
+        rows = await self.tables.read((PLACEMENT_LEASE,))
+        if isinstance(rows, Success):
+            self.gate.learn(LeaseRow.from_value(rows.unwrap()[0].value).number)
+
     # Attempts -------------------------------------------------------------------------------
 
     async def _run(self, link: Link, dispatch: Dispatch) -> None:
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -17,6 +17,7 @@
 from bilberryshed.state import Address
 from bilberryshed.transport import describe_error, http_client
 
+ORDER_TIMEOUT = 100.0  # seconds for a model to be loaded
 CONTROL_TIMEOUT = 1.0  # seconds for calls that are not attempts
 
 
@@ -95,6 +96,13 @@
         """Ask the backend server to end an attempt early; by default it cannot."""
         return
 
+    async def order(self, number: int, kind: str, model: str) -> bool:
+        """Carry out an order; by default the backend server takes none.
+
+        :returns: whether it was carried out
+        """
+        return False
+
     async def load(self) -> BackendLoad | None:
         """Return the reported load, ``None`` if the backend server does not answer."""
         body = await self._control("GET", "/load", None)
@@ -108,12 +116,14 @@
             int(body.get("boot", 0)),
         )
 
-    async def _control(self, method: str, path: str, body: Any) -> Any:
+    async def _control(
+        self, method: str, path: str, body: Any, timeout: float = CONTROL_TIMEOUT
+    ) -> Any:
         request = HTTPRequest(
             self.base + path,
             method=method,
             body=None if body is None else json.dumps(body),
-            request_timeout=CONTROL_TIMEOUT,
+            request_timeout=timeout,
         )
         try:
             response = await self.client.fetch(request)
@@ -167,6 +177,11 @@
         """End an attempt early; its stream then ends with the usage so far."""
         await self._control("POST", "/cancel", {"request_id": attempt})
 
+    async def order(self, number: int, kind: str, model: str) -> bool:
+        """Carry out an order."""
+        body = {"order": kind, "model": model, "fencing": number}
+        return await self._control("POST", "/orders", body, ORDER_TIMEOUT) is not None
+
 
 class _CompletionStream:
     """Reads a stream of completion events."""
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -20,6 +20,7 @@
     JournalEntry,
     LoadReport,
     NotRun,
+    OrderResult,
     Recorded,
     RecordsOffer,
     RecordsVerdict,
@@ -40,6 +41,7 @@
 from bilberryshed.runtime._context import RouterContext
 from bilberryshed.runtime._funding_desk import FundingDesk
 from bilberryshed.runtime._ledger_desk import LedgerDesk
+from bilberryshed.runtime._placement_desk import PlacementDesk
 from bilberryshed.runtime._process import hello
 from bilberryshed.runtime._quarantine_desk import QuarantineDesk
 from bilberryshed.runtime._reclaim_desk import ReclaimDesk
@@ -91,6 +93,7 @@
         self.client_tls = client_context(settings.link_ca)
         self.server = LinkServer(self.hello, self.handlers, self.server_tls)
         self.clients: dict[str, LinkClient] = {}
+        self.placement = PlacementDesk(self.context)
         self.message_handlers = self._message_handlers()
 
     @property
@@ -116,6 +119,7 @@
         self.slo.start()
         self.reclaim.start()
         self.quarantine.start()
+        self.placement.start()
         timers = self.context.timers
         timers.subscribe(HEARTBEAT_INTERVAL, self._heartbeat)
         timers.subscribe(self.settings.vm_list_interval, self._refresh)
@@ -140,6 +144,7 @@
             Recorded: lambda link, m: self.runner.on_recorded(link.peer.name, m),
             JournalEntry: lambda link, m: self.runner.on_journal(link.peer.name, m),
             Revoke: self.reclaim.on_revoke,
+            OrderResult: lambda link, m: self.placement.on_result(link.peer.name, m),
             RevokeAck: self.reclaim.on_ack,
             FundsRequest: lambda link, m: self.funding.on_request(link.peer.name, m),
             FundsAnswer: lambda link, m: self.funding.on_answer(link.peer.name, m),
--- a/src/bilberryshed/state/_rows.py
+++ b/src/bilberryshed/state/_rows.py
@@ -10,8 +10,8 @@
 CLAIMS = "claims"
 SHEETS = "sheets"
 SUSPICIONS = "suspicions"
-LEDGER_HINTS = "ledger_hints"
 SHEET_HEAD = RowRef(SHEETS, "head")
+PLACEMENT_LEASE = RowRef("leases", "placement")
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -90,13 +90,6 @@
     return text
 
 
-def parse_yes_no(text: str) -> bool:
-    """Parse ``yes`` or ``no``."""
-    if text not in ("yes", "no"):
-        raise ValueError(f"{text!r} is neither yes nor no")
-    return text == "yes"
-
-
 def _key(section: str, parse: Callable[[str], Any], default: str | None = None) -> Any:
     metadata = {"section": section, "parse": parse, "default": default}
     return field(metadata=metadata)
@@ -147,7 +140,6 @@
     backend: Address = _key("backend", Address.parse)
     kind: str = _key("backend", parse_backend_kind)
     service: str = _key("backend", str, "")
-    checks_fencing: bool = _key("backend", parse_yes_no, "no")
     slots: int = _key("backend", parse_count, "16")
     load_interval: float = _key("backend", parse_seconds, "0.25")
     platform: Address = _key("platform", Address.parse)
--- a/src/bilberryshed_standins/_engine.py
+++ b/src/bilberryshed_standins/_engine.py
@@ -15,6 +15,7 @@
 from bilberryshed_standins._serving import FaultsHandler, StandinHandler
 
 CRASH_MARK = "CRASH-THE-ENGINE"  # a prompt with this text crashes the engine that runs it
+LOAD_TIME = 0.5  # seconds to load a model
 EVENT_GAP = 10  # every tenth cache event is never published
 
 
@@ -246,6 +247,7 @@
         self.owner.orders.append(body)
         model = str(body.get("model", ""))
         if body["order"] == "load" and model not in self.owner.models:
+            await asyncio.sleep(LOAD_TIME)
             self.owner.models.append(model)
         if body["order"] == "unload" and model in self.owner.models:
             self.owner.models.remove(model)
