--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -49,6 +49,7 @@
     Link,
     LinkHandlers,
     LinkServer,
+    MessageTable,
     Metrics,
     TimerService,
     logger,
@@ -100,18 +101,20 @@
         self.gate = OrderGate()
         self.tables = HttpTableService(settings.platform, settings.platform_timeout)
         self.tasks: set[asyncio.Task[None]] = set()
-        handlers = LinkHandlers(self._on_up, self._on_message, self._on_down)
+        messages = MessageTable(
+            {
+                Dispatch: self._on_dispatch,
+                Cancel: self._on_cancel,
+                AttemptQuery: self._on_query,
+                RecordsKept: self._on_kept,
+                Revoke: self._on_revoke,
+                Order: lambda link, order: self._spawn(self._carry_out(link, order)),
+                Heartbeat: self._on_heartbeat,
+            }
+        )
+        handlers = LinkHandlers(self._on_up, messages.handle, self._on_down)
         tls = server_context(settings.certificate, settings.certificate_key)
         self.links = LinkServer(hello(settings, "agent", self.boot), handlers, tls)
-        self.message_handlers: dict[type, Any] = {
-            Dispatch: self._on_dispatch,
-            Cancel: self._on_cancel,
-            AttemptQuery: self._on_query,
-            RecordsKept: self._on_kept,
-            Revoke: self._on_revoke,
-            Order: lambda link, order: self._spawn(self._carry_out(link, order)),
-            Heartbeat: self._on_heartbeat,
-        }
 
     async def serve(self, stop: asyncio.Event) -> bool:
         """Serve until told to stop, then drain.
@@ -137,13 +140,6 @@
         """Attempts of a lost router run on; their usage goes through another router."""
         self.metrics.count("link_down")
 
-    def _on_message(self, link: Link, message: Any) -> None:
-        handler = self.message_handlers.get(type(message))
-        if handler is None:
-            logger().warning("unexpected_message", message=type(message).__name__)
-            return
-        handler(link, message)
-
     def _on_heartbeat(self, link: Link, beat: Heartbeat) -> None:
         """An agent needs nothing of a router's heartbeat but that it came."""
 
--- /dev/null
+++ b/src/bilberryshed/runtime/_billing.py
@@ -0,0 +1,166 @@
+"""Bills of finished attempts, and reservations of lost ones."""
+
+from dataclasses import dataclass, field
+
+from bilberryshed.protocol import (
+    AttemptQuery,
+    Failed,
+    JournalEntry,
+    NotRun,
+    Recorded,
+    RecordsKept,
+    UsageRecord,
+)
+from bilberryshed.runtime._claim_desk import ClaimDesk
+from bilberryshed.runtime._context import RouterContext
+from bilberryshed.runtime._execution import Call
+from bilberryshed.runtime._funding_desk import Reservation
+from bilberryshed.runtime._ledger_desk import LedgerDesk
+
+ACK_INTERVAL = 0.25  # seconds between acknowledgements to one agent
+QUERY_INTERVAL = 2.0  # seconds between questions about lost attempts
+
+
+@dataclass(slots=True)
+class Doubt:
+    """A reservation of which lost attempts may have used something.
+
+    :param lost: agent by id of an attempt whose end is not known
+    :param billed: whether a record was offered to the ledger, whose verdict settles it
+    """
+
+    call: Call
+    reservation: Reservation
+    lost: dict[str, str] = field(default_factory=dict)
+    billed: bool = False
+
+
+class Billing:
+    """Every reservation of one router from the end of its attempts to the ledger's verdict."""
+
+    def __init__(self, context: RouterContext, ledger: LedgerDesk, claims: ClaimDesk) -> None:
+        self.context = context
+        self.ledger = ledger
+        self.claims = claims
+        self.doubts: dict[str, Doubt] = {}
+        self.acks: dict[str, list[str]] = {}
+
+    def start(self) -> None:
+        """Subscribe to timers."""
+        self.context.timers.subscribe(ACK_INTERVAL, self._send_acks)
+        self.context.timers.subscribe(QUERY_INTERVAL, self._query_lost)
+
+    @property
+    def backlog(self) -> int:
+        """Parked reservations and acknowledgements that are not sent."""
+        return len(self.doubts) + sum(len(attempts) for attempts in self.acks.values())
+
+    def release_claim(self, call: Call, attempt: str) -> None:
+        self.context.spawn(self.claims.release(call.customer.name, call.key, attempt))
+
+    def bill(self, doubt: Doubt, agent: str, record: UsageRecord) -> None:
+        """Settle a reservation by the record that the ledger keeps.
+
+        With one attempt the unused rest is free at once. With lost attempts, the ledger may keep
+        another attempt's record, so that the whole reservation is held until its verdict.
+        """
+        if doubt.billed:
+            return
+        doubt.billed = True
+        self.doubts.pop(doubt.call.bill_id, None)
+        if doubt.lost:
+            self.ledger.offer(record, lambda kept: self._settle_doubt(doubt, agent, kept))
+            return
+        budget, charges = doubt.reservation.budget, record.charges
+        self.context.book.spend(budget, doubt.reservation.parts, charges)
+
+        def on_kept(kept: UsageRecord) -> None:
+            self.context.book.settle(budget, charges, kept)
+            self._acknowledge(agent, record.attempt)
+
+        self.ledger.offer(record, on_kept)
+
+    def _settle_doubt(self, doubt: Doubt, agent: str, kept: UsageRecord) -> None:
+        reservation = doubt.reservation
+        self.context.book.release(reservation.budget, reservation.parts)
+        self.context.book.settle(reservation.budget, (), kept)
+        self._acknowledge(agent, kept.attempt)
+        for attempt, name in doubt.lost.items():
+            self._acknowledge(name, attempt)
+
+    def _acknowledge(self, agent: str, attempt: str) -> None:
+        """Let an agent forget a record; it ignores attempts that it does not know."""
+        self.acks.setdefault(agent, []).append(attempt)
+
+    def _send_acks(self, now: float) -> None:
+        acks, self.acks = self.acks, {}
+        for agent, attempts in acks.items():
+            link = self.context.agent_links.get(agent)
+            if link is not None:
+                link.send(RecordsKept(tuple(attempts)))
+
+    def conclude_unanswered(self, doubt: Doubt) -> None:
+        """Release a reservation, or park it if a lost attempt may still be billed to it."""
+        if doubt.lost:
+            self.doubts[doubt.call.bill_id] = doubt
+        else:
+            self.context.book.release(doubt.reservation.budget, doubt.reservation.parts)
+
+    # Messages of agents ---------------------------------------------------------------------
+
+    def _query_lost(self, now: float) -> None:
+        """Ask agents about parked attempts."""
+        lost: dict[str, list[str]] = {}
+        for doubt in self.doubts.values():
+            for attempt, agent in doubt.lost.items():
+                lost.setdefault(agent, []).append(attempt)
+        for agent, attempts in lost.items():
+            link = self.context.agent_links.get(agent)
+            if link is not None:
+                link.send(AttemptQuery(tuple(attempts)))
+
+    def on_attempt_result(self, result: NotRun | Failed) -> None:
+        """Handle an agent's answer about an attempt that is no longer followed."""
+        for bill, doubt in list(self.doubts.items()):
+            if result.attempt in doubt.lost:
+                del doubt.lost[result.attempt]
+                del self.doubts[bill]
+                if isinstance(result, NotRun) and not doubt.call.service.idempotent:
+                    self.release_claim(doubt.call, result.attempt)
+                self.conclude_unanswered(doubt)
+
+    def on_recorded(self, agent: str, recorded: Recorded) -> None:
+        """Fetch the ledger's record of a parked reservation by offering an empty one."""
+        for doubt in list(self.doubts.values()):
+            if recorded.attempt in doubt.lost:
+                empty = _empty_record(doubt.call, recorded.attempt, self.context.timers.wall())
+                self.bill(doubt, agent, empty)
+
+    def on_journal(self, agent: str, entry: JournalEntry) -> None:
+        """Deliver a record that only the agent witnessed."""
+        doubt = self.doubts.get(entry.record.bill_id)
+        self.context.spawn(self._deliver(agent, entry, doubt))
+
+    async def _deliver(self, agent: str, entry: JournalEntry, doubt: Doubt | None) -> None:
+        if not entry.idempotent:
+            await self.claims.record_answer(entry)
+        if doubt is not None:
+            self.bill(doubt, agent, entry.record)
+            return
+        attempt = entry.record.attempt
+        self.ledger.offer(entry.record, lambda kept: self._acknowledge(agent, attempt))
+
+
+def _empty_record(call: Call, attempt: str, wall: float) -> UsageRecord:
+    return UsageRecord(
+        customer=call.customer.name,
+        budget=call.budget.name,
+        key=call.key,
+        request=call.request,
+        attempt=attempt,
+        service=call.service.name,
+        model=call.model,
+        tokens=0,
+        charges=(),
+        finished_at=wall,
+    )
--- a/src/bilberryshed/runtime/_claim_desk.py
+++ b/src/bilberryshed/runtime/_claim_desk.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from dataclasses import replace
 
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
 from bilberryshed.coordination import (
     Claim,
@@ -20,10 +21,12 @@
 )
 from bilberryshed.protocol import JournalEntry, UsageRecord
 from bilberryshed.runtime._context import RouterContext
+from bilberryshed.runtime._results import plain
 from bilberryshed.state import Put, Row, RowRef, StoreError
 
 ERROR_PAUSE = 0.1  # seconds between tries
 
+ClaimChange = Callable[[Claim], Claim]
 ClaimResult = Mine | Existing | Unclaimed | Doubtful
 
 
@@ -39,19 +42,13 @@
         action = insert.start()
         while isinstance(action, ReadClaim | WriteClaim):
             if isinstance(action, WriteClaim):
-                written = await self.context.tables.write((action.put,))
-                if isinstance(written, Failure):
-                    await asyncio.sleep(ERROR_PAUSE)
-                    action = insert.on_written(written.failure())
-                else:
-                    action = insert.on_written(written.unwrap())
+                written = plain(await self.context.tables.write((action.put,)))
+                await _pause_on_error(written)
+                action = insert.on_written(written)
             else:
-                row = await self._read(action.ref)
-                if isinstance(row, Failure):
-                    await asyncio.sleep(ERROR_PAUSE)
-                    action = insert.on_row(row.failure())
-                else:
-                    action = insert.on_row(row.unwrap())
+                row = plain(await self._read(action.ref))
+                await _pause_on_error(row)
+                action = insert.on_row(row)
         return action
 
     async def record_answer(self, entry: JournalEntry) -> None:
@@ -77,7 +74,7 @@
             customer, key, attempt, lambda claim: replace(claim, state=ClaimState.RELEASED)
         )
 
-    async def _change(self, customer: str, key: str, attempt: str, change) -> None:  # type: ignore
+    async def _change(self, customer: str, key: str, attempt: str, change: ClaimChange) -> None:
         """Change a claim unless it is absent, another attempt's, or no longer open."""
         ref = claim_ref(customer, key)
         while True:
@@ -100,6 +97,11 @@
         return rows.map(lambda found: found[0])
 
 
+async def _pause_on_error(answer: Row | bool | StoreError) -> None:
+    if isinstance(answer, StoreError):
+        await asyncio.sleep(ERROR_PAUSE)
+
+
 def recorded_answer(claim: Claim) -> bytes:
     """Return the body recorded on a claim."""
     return base64.b64decode(claim.answer)
--- a/src/bilberryshed/runtime/_grant_worker.py
+++ b/src/bilberryshed/runtime/_grant_worker.py
@@ -3,9 +3,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import TypeVar
-
-from returns.result import Failure, Result
 
 from bilberryshed.coordination import (
     MAX_CHANGES,
@@ -18,6 +15,7 @@
     Take,
 )
 from bilberryshed.runtime._context import RouterContext
+from bilberryshed.runtime._results import plain
 from bilberryshed.state import BudgetRow, Row, StoreError
 from bilberryshed.transport import logger
 
@@ -25,7 +23,6 @@
 
 Change = Take | Close | Adopt
 Callback = Callable[[int, bool], None]
-T = TypeVar("T")
 
 
 class GrantWorker:
@@ -65,11 +62,11 @@
         action = batch.start()
         while not isinstance(action, Done):
             if isinstance(action, ReadRows):
-                rows = _plain(await self.context.tables.read(action.refs))
+                rows = plain(await self.context.tables.read(action.refs))
                 await self._pause_on_error(batch, rows)
                 action = batch.on_rows(rows)
             else:
-                written = _plain(await self.context.tables.write(action.puts))
+                written = plain(await self.context.tables.write(action.puts))
                 await self._pause_on_error(batch, written)
                 action = batch.on_written(written)
         self.context.metrics.count("grant_batches")
@@ -82,7 +79,3 @@
             self.context.metrics.count("store_errors")
             logger().warning("store_error", detail=answer.detail, in_doubt=batch.doubtful)
             await asyncio.sleep(ERROR_PAUSE)
-
-
-def _plain(result: Result[T, StoreError]) -> T | StoreError:
-    return result.failure() if isinstance(result, Failure) else result.unwrap()
--- a/src/bilberryshed/runtime/_ledger_desk.py
+++ b/src/bilberryshed/runtime/_ledger_desk.py
@@ -8,7 +8,8 @@
 from bilberryshed.coordination import PutSegment, ShardWriter, shard_of
 from bilberryshed.protocol import RecordsOffer, RecordsVerdict, UsageRecord
 from bilberryshed.runtime._context import RouterContext
-from bilberryshed.state import segment_object
+from bilberryshed.runtime._results import plain
+from bilberryshed.state import StoreError, segment_object
 from bilberryshed.transport import logger
 
 OFFER_TIMEOUT = 3.0  # seconds before records are written without the shard's writer
@@ -159,14 +160,12 @@
         while action is not None:
             name = segment_object(writer.shard, action.number)
             if isinstance(action, PutSegment):
-                put = await self.context.objects.put_if_absent(name, action.data)
-                records = writer.on_put(put.failure() if isinstance(put, Failure) else put.unwrap())
-                failed = isinstance(put, Failure)
+                put = plain(await self.context.objects.put_if_absent(name, action.data))
+                records, failed = writer.on_put(put), isinstance(put, StoreError)
                 self.context.metrics.count("ledger_puts")
             else:
-                got = await self.context.objects.get(name)
-                records = writer.on_got(got.failure() if isinstance(got, Failure) else got.unwrap())
-                failed = isinstance(got, Failure)
+                got = plain(await self.context.objects.get(name))
+                records, failed = writer.on_got(got), isinstance(got, StoreError)
             self._on_kept(records)
             if failed:
                 self.context.metrics.count("store_errors")
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -37,6 +37,7 @@
     ServiceHandler,
     UnknownPathHandler,
 )
+from bilberryshed.runtime._billing import Billing
 from bilberryshed.runtime._claim_desk import ClaimDesk
 from bilberryshed.runtime._context import RouterContext
 from bilberryshed.runtime._funding_desk import FundingDesk
@@ -55,6 +56,7 @@
     LinkClient,
     LinkHandlers,
     LinkServer,
+    MessageTable,
     client_context,
     http_platform,
     logger,
@@ -82,19 +84,20 @@
         self.claims = ClaimDesk(self.context)
         self.slo = SloDesk(self.context)
         self.quarantine = QuarantineDesk(self.context)
+        self.billing = Billing(self.context, self.ledger, self.claims)
         self.runner = Runner(
-            self.context, self.funding, self.ledger, self.claims, self.slo, self.quarantine
+            self.context, self.funding, self.billing, self.claims, self.slo, self.quarantine
         )
         self.sheets = SheetKeeper(self.context)
         self.reclaim = ReclaimDesk(self.context, self.funding, self.ledger)
         self.hello = hello(settings, "router", self.context.boot)
-        self.handlers = LinkHandlers(self._on_up, self._on_message, self._on_down)
         self.server_tls = server_context(settings.certificate, settings.certificate_key)
         self.client_tls = client_context(settings.link_ca)
-        self.server = LinkServer(self.hello, self.handlers, self.server_tls)
         self.clients: dict[str, LinkClient] = {}
         self.placement = PlacementDesk(self.context)
-        self.message_handlers = self._message_handlers()
+        messages = MessageTable(self._message_handlers())
+        self.handlers = LinkHandlers(self._on_up, messages.handle, self._on_down)
+        self.server = LinkServer(self.hello, self.handlers, self.server_tls)
 
     @property
     def is_draining(self) -> bool:
@@ -115,7 +118,7 @@
         self.sheets.start()
         self.funding.start()
         self.ledger.start()
-        self.runner.start()
+        self.billing.start()
         self.slo.start()
         self.reclaim.start()
         self.quarantine.start()
@@ -141,8 +144,8 @@
             Ended: lambda link, frame: attempts.on_frame(frame),
             NotRun: self._on_no_answer,
             Failed: self._on_no_answer,
-            Recorded: lambda link, m: self.runner.on_recorded(link.peer.name, m),
-            JournalEntry: lambda link, m: self.runner.on_journal(link.peer.name, m),
+            Recorded: lambda link, m: self.billing.on_recorded(link.peer.name, m),
+            JournalEntry: lambda link, m: self.billing.on_journal(link.peer.name, m),
             Revoke: self.reclaim.on_revoke,
             OrderResult: lambda link, m: self.placement.on_result(link.peer.name, m),
             RevokeAck: self.reclaim.on_ack,
@@ -186,13 +189,6 @@
             self.runner.attempts.on_link_down(name)
         logger().info("link_down", peer=name, boot=link.peer.boot)
 
-    def _on_message(self, link: Link, message: Any) -> None:
-        handler = self.message_handlers.get(type(message))
-        if handler is None:
-            logger().warning("unexpected_message", message=type(message).__name__)
-            return
-        handler(link, message)
-
     def _on_heartbeat(self, link: Link, beat: Heartbeat) -> None:
         self.context.members.on_draining(link.peer.name, beat.draining)
         self.context.rollout.note(beat.sheet_version)
@@ -213,7 +209,7 @@
         if message.attempt in self.runner.attempts.frames:
             self.runner.attempts.on_frame(message)
         else:
-            self.runner.on_attempt_result(message)
+            self.billing.on_attempt_result(message)
 
     def _heartbeat(self, now: float) -> None:
         beat = Heartbeat(self.context.draining, self.context.rollout.version)
@@ -267,16 +263,14 @@
                 "drain_limit",
                 running=len(self.runner.running),
                 unbilled=self.ledger.backlog,
-                parked=len(self.runner.doubts),
+                parked=len(self.billing.doubts),
                 grants=len(self.context.book.grants()),
             )
         await self._close(http)
         return left == 0
 
     def _work_left(self) -> int:
-        doubts = len(self.runner.doubts)
-        acks = sum(len(attempts) for attempts in self.runner.acks.values())
-        return len(self.runner.running) + self.ledger.backlog + doubts + acks
+        return len(self.runner.running) + self.ledger.backlog + self.billing.backlog
 
     async def _close(self, http: HTTPServer) -> None:
         http.stop()
@@ -335,7 +329,7 @@
             "unbilled": self.ledger.backlog,
             "parked": [
                 {"bill": bill, "tokens": sum(part.tokens for part in doubt.reservation.parts)}
-                for bill, doubt in self.runner.doubts.items()
+                for bill, doubt in self.billing.doubts.items()
             ],
             "revoked": {boot: len(acks) for boot, acks in self.reclaim.reclaim.acks.items()},
             "held": {budget: book.held(budget) for budget in book.budgets},
--- a/src/bilberryshed/runtime/_runner.py
+++ b/src/bilberryshed/runtime/_runner.py
@@ -4,55 +4,33 @@
 import random
 import uuid
 from collections import OrderedDict
-from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
 
 from bilberryshed.coordination import Claim, ClaimState, Existing, Mine, Standing, prompt_prefixes
 from bilberryshed.protocol import (
-    AttemptQuery,
     Ended,
     Failed,
-    JournalEntry,
     NotRun,
     Outcome,
-    Recorded,
-    RecordsKept,
     Refusal,
     RefusalCode,
-    UsageRecord,
 )
 from bilberryshed.runtime._attempts import AttemptResult, Attempts, Damaged
+from bilberryshed.runtime._billing import Billing, Doubt
 from bilberryshed.runtime._claim_desk import ClaimDesk, journal_entry, recorded_answer
 from bilberryshed.runtime._context import RouterContext
 from bilberryshed.runtime._execution import Call, Execution, Usage
-from bilberryshed.runtime._funding_desk import FundingDesk, Reservation
-from bilberryshed.runtime._ledger_desk import LedgerDesk
+from bilberryshed.runtime._funding_desk import FundingDesk
 from bilberryshed.runtime._quarantine_desk import QuarantineDesk
 from bilberryshed.runtime._slo_desk import SloDesk
 from bilberryshed.transport import logger
 
 MAX_KEPT_ANSWERS = 2_000  # finished executions kept for retries
 CAPACITY_POLL = 0.02  # seconds between looks for a free agent
-ACK_INTERVAL = 0.25  # seconds between acknowledgements to one agent
-QUERY_INTERVAL = 2.0  # seconds between questions about lost attempts
 RETRY_SOON = 2  # seconds
 
 
-@dataclass(slots=True)
-class Doubt:
-    """A reservation of which lost attempts may have used something.
-
-    :param lost: agent by id of an attempt whose end is not known
-    :param billed: whether a record was offered to the ledger, whose verdict settles it
-    """
-
-    call: Call
-    reservation: Reservation
-    lost: dict[str, str] = field(default_factory=dict)
-    billed: bool = False
-
-
 class Runner:
     """All requests of one router."""
 
@@ -60,30 +38,23 @@
         self,
         context: RouterContext,
         funding: FundingDesk,
-        ledger: LedgerDesk,
+        billing: Billing,
         claims: ClaimDesk,
         slo: SloDesk,
         quarantine: QuarantineDesk,
     ) -> None:
         self.context = context
         self.funding = funding
-        self.ledger = ledger
+        self.billing = billing
         self.claims = claims
         self.slo = slo
         self.quarantine = quarantine
         self.attempts = Attempts(context)
         self.running: dict[str, Execution] = {}
         self.finished: OrderedDict[str, Execution] = OrderedDict()
-        self.doubts: dict[str, Doubt] = {}
         self.queued = 0
-        self.acks: dict[str, list[str]] = {}
         self.random = random.Random()
 
-    def start(self) -> None:
-        """Subscribe to timers."""
-        self.context.timers.subscribe(ACK_INTERVAL, self._send_acks)
-        self.context.timers.subscribe(QUERY_INTERVAL, self._query_lost)
-
     def open(self, call: Call) -> Result[Execution, Refusal]:
         """Start a request, or join the one that has its bill id."""
         known = self.running.get(call.bill_id) or self.finished.get(call.bill_id)
@@ -127,7 +98,7 @@
         call = execution.call
         if self.quarantine.standing(call.content) is Standing.CONVICTED:
             return _quarantined(Outcome.NOT_RUN)
-        doubt = self.doubts.pop(call.bill_id, None)
+        doubt = self.billing.doubts.pop(call.bill_id, None)
         if doubt is None:
             reserved = await self.funding.reserve(
                 call.budget, call.bound, self.context.settings.funding_wait
@@ -149,7 +120,7 @@
         patience = self.context.timers.now() + self.context.settings.queue_wait
         while tries > 0:
             if self.quarantine.standing(execution.call.content) is Standing.CONVICTED:
-                self._conclude_unanswered(doubt)
+                self.billing.conclude_unanswered(doubt)
                 return _quarantined(Outcome.UNKNOWN if started else Outcome.NOT_RUN)
             agent = await self._choose(execution.call, excluded)
             if agent is None:
@@ -167,7 +138,7 @@
             started = True
             tries -= 1
             excluded.add(agent)
-        self._conclude_unanswered(doubt)
+        self.billing.conclude_unanswered(doubt)
         return _give_up(execution.call, result, started)
 
     async def _attempt(
@@ -232,7 +203,7 @@
             tokens=ended.record.tokens,
             sheet=self.context.rollout.version,
         )
-        self._bill(doubt, agent, ended.record)
+        self.billing.bill(doubt, agent, ended.record)
 
     # Non-idempotent requests ----------------------------------------------------------------
 
@@ -240,17 +211,17 @@
         call, attempt = execution.call, uuid.uuid4().hex
         agent = await self._choose(call, set())
         if agent is None:
-            self._conclude_unanswered(doubt)
+            self.billing.conclude_unanswered(doubt)
             return _no_capacity(call)
         claimed = await self.claims.insert(
             call.customer.name, call.key, Claim(attempt, call.fingerprint)
         )
         if not isinstance(claimed, Mine):
             self.context.routing.released(agent)
-            self._conclude_unanswered(doubt)
+            self.billing.conclude_unanswered(doubt)
             if isinstance(claimed, Existing):
                 return _replay(execution, claimed.claim)
-            self._release_claim(call, attempt)
+            self.billing.release_claim(call, attempt)
             reason = f"the call could not be recorded first: {claimed.error.detail}"
             return Refusal(RefusalCode.STORE_UNAVAILABLE, reason, retry_after=RETRY_SOON)
         return await self._run_claimed(execution, doubt, agent, attempt)
@@ -271,112 +242,15 @@
                 self.context.spawn(self.claims.record_answer(entry))
                 return None
             if not isinstance(result, NotRun):
-                self._conclude_unanswered(doubt)
+                self.billing.conclude_unanswered(doubt)
                 reason = "the call was started and its outcome is not known yet"
                 return Refusal(RefusalCode.OUTCOME_UNKNOWN, reason, Outcome.UNKNOWN, RETRY_SOON)
             excluded.add(agent)
             agent = await self._choose(call, excluded)
-        self._release_claim(call, attempt)
-        self._conclude_unanswered(doubt)
+        self.billing.release_claim(call, attempt)
+        self.billing.conclude_unanswered(doubt)
         return _no_capacity(call)
 
-    def _release_claim(self, call: Call, attempt: str) -> None:
-        self.context.spawn(self.claims.release(call.customer.name, call.key, attempt))
-
-    # Bills ----------------------------------------------------------------------------------
-
-    def _bill(self, doubt: Doubt, agent: str, record: UsageRecord) -> None:
-        """Settle a reservation by the record that the ledger keeps.
-
-        With one attempt the unused rest is free at once. With lost attempts, the ledger may keep
-        another attempt's record, so that the whole reservation is held until its verdict.
-        """
-        if doubt.billed:
-            return
-        doubt.billed = True
-        self.doubts.pop(doubt.call.bill_id, None)
-        if doubt.lost:
-            self.ledger.offer(record, lambda kept: self._settle_doubt(doubt, agent, kept))
-            return
-        budget, charges = doubt.reservation.budget, record.charges
-        self.context.book.spend(budget, doubt.reservation.parts, charges)
-
-        def on_kept(kept: UsageRecord) -> None:
-            self.context.book.settle(budget, charges, kept)
-            self._acknowledge(agent, record.attempt)
-
-        self.ledger.offer(record, on_kept)
-
-    def _settle_doubt(self, doubt: Doubt, agent: str, kept: UsageRecord) -> None:
-        reservation = doubt.reservation
-        self.context.book.release(reservation.budget, reservation.parts)
-        self.context.book.settle(reservation.budget, (), kept)
-        self._acknowledge(agent, kept.attempt)
-        for attempt, name in doubt.lost.items():
-            self._acknowledge(name, attempt)
-
-    def _acknowledge(self, agent: str, attempt: str) -> None:
-        """Let an agent forget a record; it ignores attempts that it does not know."""
-        self.acks.setdefault(agent, []).append(attempt)
-
-    def _send_acks(self, now: float) -> None:
-        acks, self.acks = self.acks, {}
-        for agent, attempts in acks.items():
-            link = self.context.agent_links.get(agent)
-            if link is not None:
-                link.send(RecordsKept(tuple(attempts)))
-
-    def _conclude_unanswered(self, doubt: Doubt) -> None:
-        """Release a reservation, or park it if a lost attempt may still be billed to it."""
-        if doubt.lost:
-            self.doubts[doubt.call.bill_id] = doubt
-        else:
-            self.context.book.release(doubt.reservation.budget, doubt.reservation.parts)
-
-    # Messages of agents ---------------------------------------------------------------------
-
-    def _query_lost(self, now: float) -> None:
-        """Ask agents about parked attempts."""
-        lost: dict[str, list[str]] = {}
-        for doubt in self.doubts.values():
-            for attempt, agent in doubt.lost.items():
-                lost.setdefault(agent, []).append(attempt)
-        for agent, attempts in lost.items():
-            link = self.context.agent_links.get(agent)
-            if link is not None:
-                link.send(AttemptQuery(tuple(attempts)))
-
-    def on_attempt_result(self, result: NotRun | Failed) -> None:
-        """Handle an agent's answer about an attempt that is no longer followed."""
-        for bill, doubt in list(self.doubts.items()):
-            if result.attempt in doubt.lost:
-                del doubt.lost[result.attempt]
-                del self.doubts[bill]
-                if isinstance(result, NotRun) and not doubt.call.service.idempotent:
-                    self._release_claim(doubt.call, result.attempt)
-                self._conclude_unanswered(doubt)
-
-    def on_recorded(self, agent: str, recorded: Recorded) -> None:
-        """Fetch the ledger's record of a parked reservation by offering an empty one."""
-        for doubt in list(self.doubts.values()):
-            if recorded.attempt in doubt.lost:
-                empty = _empty_record(doubt.call, recorded.attempt, self.context.timers.wall())
-                self._bill(doubt, agent, empty)
-
-    def on_journal(self, agent: str, entry: JournalEntry) -> None:
-        """Deliver a record that only the agent witnessed."""
-        doubt = self.doubts.get(entry.record.bill_id)
-        self.context.spawn(self._deliver(agent, entry, doubt))
-
-    async def _deliver(self, agent: str, entry: JournalEntry, doubt: Doubt | None) -> None:
-        if not entry.idempotent:
-            await self.claims.record_answer(entry)
-        if doubt is not None:
-            self._bill(doubt, agent, entry.record)
-            return
-        attempt = entry.record.attempt
-        self.ledger.offer(entry.record, lambda kept: self._acknowledge(agent, attempt))
-
 
 def _quarantined(outcome: Outcome) -> Refusal:
     reason = "backend servers crashed twice while they ran this content; it is not run again"
@@ -411,18 +285,3 @@
         return None
     reason = "an earlier call with this key was started and its outcome is not known yet"
     return Refusal(RefusalCode.IN_PROGRESS, reason, Outcome.UNKNOWN, RETRY_SOON)
-
-
-def _empty_record(call: Call, attempt: str, wall: float) -> UsageRecord:
-    return UsageRecord(
-        customer=call.customer.name,
-        budget=call.budget.name,
-        key=call.key,
-        request=call.request,
-        attempt=attempt,
-        service=call.service.name,
-        model=call.model,
-        tokens=0,
-        charges=(),
-        finished_at=wall,
-    )
--- a/src/bilberryshed/runtime/_sheet_office.py
+++ b/src/bilberryshed/runtime/_sheet_office.py
@@ -14,6 +14,7 @@
     Undecided,
     WriteRows,
 )
+from bilberryshed.runtime._results import plain
 from bilberryshed.state import (
     SHEET_HEAD,
     SHEETS,
@@ -101,13 +102,7 @@
         action = machine.start()
         while isinstance(action, ReadRows | WriteRows):
             if isinstance(action, ReadRows):
-                rows = await self.tables.read(action.refs)
-                action = machine.on_rows(
-                    rows.failure() if isinstance(rows, Failure) else rows.unwrap()
-                )
+                action = machine.on_rows(plain(await self.tables.read(action.refs)))
             else:
-                written = await self.tables.write(action.puts)
-                action = machine.on_written(
-                    written.failure() if isinstance(written, Failure) else written.unwrap()
-                )
+                action = machine.on_written(plain(await self.tables.write(action.puts)))
         return action
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -1,7 +1,13 @@
 """Timers, logs, metrics, HTTP and links."""
 
 from bilberryshed.transport._http import HttpError, describe_error, http_client
-from bilberryshed.transport._links import Link, LinkClient, LinkHandlers, LinkServer
+from bilberryshed.transport._links import (
+    Link,
+    LinkClient,
+    LinkHandlers,
+    LinkServer,
+    MessageTable,
+)
 from bilberryshed.transport._logs import configure_logs, logger
 from bilberryshed.transport._metrics import Metrics
 from bilberryshed.transport._platform import (
@@ -22,6 +28,7 @@
     "LinkClient",
     "LinkHandlers",
     "LinkServer",
+    "MessageTable",
     "Metrics",
     "Subscription",
     "TimerService",
--- a/src/bilberryshed/transport/_links.py
+++ b/src/bilberryshed/transport/_links.py
@@ -106,6 +106,23 @@
             self.closed = True
 
 
+class MessageTable:
+    """Handlers of messages by class; what has no handler is logged and dropped."""
+
+    __slots__ = ("handlers",)
+
+    def __init__(self, handlers: dict[type, Callable[["Link", Any], Any]]) -> None:
+        self.handlers = handlers
+
+    def handle(self, link: "Link", message: Any) -> None:
+        """Hand a message to the handler of its class."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            logger().warning("unexpected_message", message=type(message).__name__)
+            return
+        handler(link, message)
+
+
 class LinkServer:
     """Accepts links on one address."""
 
--- a/src/bilberryshed_load/_fleet.py
+++ b/src/bilberryshed_load/_fleet.py
@@ -4,12 +4,16 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.request
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
-from bilberryshed_load._plans import HOST, FleetPlan, ProcessPlan
+from bilberryshed_load._plans import HOST, Deployment, FleetPlan, ProcessPlan, plan_fleet
+from bilberryshed_load._tools import submit_sheet
 
 START_LIMIT = 20.0  # seconds
 POLL = 0.05  # seconds
@@ -173,3 +177,20 @@
 
     def _of(self, program: str) -> list[ProcessPlan]:
         return [p for p in self.plan.processes if p.program == program]
+
+
+@contextmanager
+def running_fleet(deployment: Deployment, etc: Path) -> Iterator[Fleet]:
+    """Run a fleet with its sample sheet in force for the length of a block.
+
+    :param etc: directory of the sample sheets
+    """
+    with tempfile.TemporaryDirectory(prefix="bilberryshed-") as directory:
+        fleet = Fleet(plan_fleet(deployment, Path(directory)))
+        try:
+            fleet.start()
+            submit_sheet(fleet.plan.platform, etc / deployment.sheet, 0)
+            fleet.wait_ready()
+            yield fleet
+        finally:
+            fleet.close()
--- a/src/bilberryshed_load/_overhead.py
+++ b/src/bilberryshed_load/_overhead.py
@@ -4,7 +4,6 @@
 import json
 import random
 import re
-import tempfile
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,10 +13,9 @@
 
 from bilberryshed.transport import http_client
 from bilberryshed_load._callers import Question, ask
-from bilberryshed_load._fleet import Fleet
-from bilberryshed_load._plans import DEPLOYMENTS, HOST, plan_fleet
+from bilberryshed_load._fleet import Fleet, running_fleet
+from bilberryshed_load._plans import DEPLOYMENTS, HOST
 from bilberryshed_load._tally import histogram, milliseconds
-from bilberryshed_load._tools import submit_sheet
 
 MODEL = "brae-small@5"
 MAX_TOKENS = 32
@@ -94,16 +92,8 @@
     :param requests: requests of each kind
     :param rate: requests a second of both kinds together
     """
-    deployment = DEPLOYMENTS["cairnbrae"]
-    with tempfile.TemporaryDirectory(prefix="bilberryshed-") as directory:
-        fleet = Fleet(plan_fleet(deployment, Path(directory)))
-        try:
-            fleet.start()
-            submit_sheet(fleet.plan.platform, etc / deployment.sheet, 0)
-            fleet.wait_ready()
-            direct, routed = asyncio.run(_alternate(fleet, requests, rate, seed))
-        finally:
-            fleet.close()
+    with running_fleet(DEPLOYMENTS["cairnbrae"], etc) as fleet:
+        direct, routed = asyncio.run(_alternate(fleet, requests, rate, seed))
     print(f"{'':10} {'first token, ms (p50 p95 p99)':26} | between tokens, ms (p50 p95 p99)")
     print(direct.line("direct"))
     print(routed.line("routed"))
@@ -144,17 +134,9 @@
 
     :param callers: callers that each wait for their answer before asking again
     """
-    deployment = DEPLOYMENTS["cairnbrae"]
-    with tempfile.TemporaryDirectory(prefix="bilberryshed-") as directory:
-        fleet = Fleet(plan_fleet(deployment, Path(directory)))
-        try:
-            fleet.start()
-            submit_sheet(fleet.plan.platform, etc / deployment.sheet, 0)
-            fleet.wait_ready()
-            for max_tokens in (1, 8, 32):
-                _measure_core(fleet, seconds, callers, max_tokens)
-        finally:
-            fleet.close()
+    with running_fleet(DEPLOYMENTS["cairnbrae"], etc) as fleet:
+        for max_tokens in (1, 8, 32):
+            _measure_core(fleet, seconds, callers, max_tokens)
 
 
 def _measure_core(fleet: Fleet, seconds: float, callers: int, max_tokens: int) -> None:
--- /dev/null
+++ b/src/bilberryshed_load/_policy_escrow.py
@@ -0,0 +1,243 @@
+"""The fleet's admission in model time: real funding desks against fakes of store and links."""
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from bilberryshed.coordination import Close, SheetInForce
+from bilberryshed.protocol import (
+    FundsAnswer,
+    FundsRequest,
+    Hello,
+    Transfer,
+    TransferAck,
+    UsageRecord,
+    split_tokens,
+)
+from bilberryshed.runtime import FundingDesk, RouterContext
+from bilberryshed.state import (
+    BUDGETS,
+    Address,
+    Budget,
+    BudgetRow,
+    ObjectStore,
+    Platform,
+    Put,
+    RouterSettings,
+    Row,
+    RowRef,
+    Sheet,
+    StoreError,
+    TableService,
+    Vm,
+    VmList,
+    load_settings,
+)
+from bilberryshed_load._policy_trace import (
+    PATIENCE,
+    ROUTERS_PER_ZONE,
+    ZONES,
+    AdmissionPolicy,
+    Ask,
+    Scenario,
+    admission,
+    is_within,
+)
+from bilberryshed_standins import MemoryTables
+
+STORE_DELAY = 0.004  # seconds for one way to the store
+ZONE_DELAY = 0.0015  # seconds for one way between zones
+VERDICT_DELAY = 0.3  # seconds from the end of a request to the ledger's verdict
+RECLAIM_DELAY = 20.0  # seconds from a kill until the grants are reclaimed
+CUSTOMER = "council"
+
+
+class _ModelTables(TableService):
+    """A table service with delay, outages and a cut zone."""
+
+    def __init__(self, policy: "Escrow", zone: int) -> None:
+        self.scenario = policy.scenario
+        self.tables = policy.tables
+        self.policy = policy
+        self.zone = zone
+
+    async def read(self, refs: tuple[RowRef, ...]) -> Result[tuple[Row, ...], StoreError]:
+        await asyncio.sleep(STORE_DELAY)
+        if self._is_out():
+            return Failure(StoreError(False, "store is out"))
+        rows = self.tables.read([(ref.table, ref.key) for ref in refs])
+        await asyncio.sleep(STORE_DELAY)
+        return Success(tuple(Row(RowRef(t, k), version, value) for t, k, version, value in rows))
+
+    async def write(self, puts: tuple[Put, ...]) -> Result[bool, StoreError]:
+        await asyncio.sleep(STORE_DELAY)
+        if self._is_out():
+            return Failure(StoreError(False, "store is out"))
+        rows = [(put.ref.table, put.ref.key, put.version, put.value) for put in puts]
+        written = self.tables.write(rows)
+        self.policy.store_writes += 1
+        await asyncio.sleep(STORE_DELAY)
+        return Success(written)
+
+    async def scan(
+        self, table: str, prefix: str, after: str, limit: int
+    ) -> Result[tuple[Row, ...], StoreError]:
+        return Failure(StoreError(False, "not used here"))
+
+    def _is_out(self) -> bool:
+        cut = self.zone == len(ZONES) - 1 and is_within(self.scenario.zone_cut)
+        return cut or is_within(self.scenario.store_out)
+
+
+class _NoObjects(ObjectStore):
+    """An object store that is never there."""
+
+    async def put_if_absent(self, name: str, data: bytes) -> Result[bool, StoreError]:
+        return Failure(StoreError(False, "not used here"))
+
+    async def get(self, name: str) -> Result[bytes | None, StoreError]:
+        return Failure(StoreError(False, "not used here"))
+
+    async def names(
+        self, prefix: str, after: str, limit: int
+    ) -> Result[tuple[str, ...], StoreError]:
+        return Failure(StoreError(False, "not used here"))
+
+
+class _NoList(VmList):
+    """A VM list that is never there."""
+
+    async def vms(self) -> Result[tuple[Vm, ...], StoreError]:
+        return Failure(StoreError(False, "not used here"))
+
+
+class _ModelLink:
+    """A link to another router, with delay, cut by the partition and by deaths."""
+
+    def __init__(self, fleet: "Escrow", source: str, target: str) -> None:
+        self.fleet = fleet
+        self.source = source
+        self.target = target
+
+    def send(self, message: Any) -> bool:
+        """Deliver later, unless the way is cut."""
+        asyncio.get_running_loop().call_later(ZONE_DELAY, self._arrive, message)
+        return True
+
+    def _arrive(self, message: Any) -> None:
+        if self.fleet.is_open(self.source, self.target):
+            self.fleet.deliver(self.source, self.target, message)
+
+
+@admission("escrow")
+class Escrow(AdmissionPolicy):
+    """The fleet's own decisions: one :class:`FundingDesk` for each router."""
+
+    def __init__(self, scenario: Scenario, paid: dict[str, int]) -> None:
+        super().__init__(scenario, paid)
+        self.tables = MemoryTables()
+        self.desks: dict[str, FundingDesk] = {}
+        self.dead: set[str] = set()
+        self.finished = 0
+
+    def start(self) -> None:
+        """Start all routers."""
+        for budget, paid in self.paid.items():
+            row = BudgetRow(paid, 1, 0, 0).to_value()
+            self.tables.write([(BUDGETS, f"{CUSTOMER}/{budget}", 0, row)])
+        names = [(f"r{z}{n}", z) for z in range(len(ZONES)) for n in range(ROUTERS_PER_ZONE)]
+        for name, zone in names:
+            self.desks[name] = self._desk(name, zone)
+        for name, desk in self.desks.items():
+            for other, zone in names:
+                if other != name:
+                    hello = Hello(other, f"{other}.1", "router", ZONES[zone], "")
+                    desk.context.members.on_link_up(hello)
+                    link: Any = _ModelLink(self, name, other)
+                    desk.context.peer_links[other] = link
+            desk.start()
+        if self.scenario.killed_at:
+            asyncio.get_running_loop().call_later(self.scenario.killed_at, self._kill, "r00")
+
+    def _desk(self, name: str, zone: int) -> FundingDesk:
+        platform = Platform(_ModelTables(self, zone), _NoObjects(), _NoList())
+        context = RouterContext(_settings(name, ZONES[zone]), platform)
+        context.boot = context.book.boot = f"{name}.1"
+        budgets = {
+            f"{CUSTOMER}/{budget}": Budget(CUSTOMER, budget, paid)
+            for budget, paid in self.paid.items()
+        }
+        context.rollout.apply(SheetInForce(1, "", b"", Sheet(budgets=budgets)))
+        return FundingDesk(context)
+
+    def is_open(self, source: str, target: str) -> bool:
+        """Whether messages pass between two routers now."""
+        if source in self.dead or target in self.dead:
+            return False
+        cut_zone = str(len(ZONES) - 1)
+        crosses = (source[1] == cut_zone) != (target[1] == cut_zone)
+        return not (crosses and is_within(self.scenario.zone_cut))
+
+    def deliver(self, source: str, target: str, message: Any) -> None:
+        """Hand a message to a router's desk."""
+        desk = self.desks[target]
+        if isinstance(message, FundsRequest):
+            desk.on_request(source, message)
+        elif isinstance(message, FundsAnswer):
+            desk.on_answer(source, message)
+        elif isinstance(message, Transfer):
+            desk.on_transfer(source, message)
+        elif isinstance(message, TransferAck):
+            desk.on_ack(message)
+
+    async def reserve(self, ask: Ask) -> Any:
+        """Reserve at the router that the balancer picked."""
+        name = f"r{ask.zone}{ask.router}"
+        if name in self.dead:
+            name = f"r{ask.zone}{1 - ask.router}"
+        desk = self.desks[name]
+        budget = Budget(CUSTOMER, ask.budget, self.paid[ask.budget])
+        reserved = await desk.reserve(budget, ask.bound, PATIENCE)
+        return (name, reserved.unwrap()) if isinstance(reserved, Success) else None
+
+    def finish(self, ask: Ask, token: Any) -> None:
+        """Spend what was used and settle it a little later."""
+        name, reservation = token
+        book = self.desks[name].book
+        charges = split_tokens(reservation.parts, ask.used)
+        book.spend(reservation.budget, reservation.parts, charges)
+        self.finished += 1
+        fields = (CUSTOMER, ask.budget, f"k{self.finished}", "r", "a", "s", "m@1", ask.used)
+        kept = UsageRecord(*fields, charges, 0.0)
+        loop = asyncio.get_running_loop()
+        loop.call_later(VERDICT_DELAY, book.settle, reservation.budget, charges, kept)
+
+    def _kill(self, name: str) -> None:
+        """Stop a router; the others lose their links to it."""
+        self.dead.add(name)
+        dead = self.desks[name]
+        dead.context.timers.close()
+        for other, desk in self.desks.items():
+            if other != name:
+                desk.context.members.on_link_down(name)
+                desk.context.peer_links.pop(name, None)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RECLAIM_DELAY, self._reclaim, dead)
+
+    def _reclaim(self, dead: FundingDesk) -> None:
+        """Close what the dead router held; requests that still run count as fully used."""
+        survivor = next(desk for name, desk in self.desks.items() if name not in self.dead)
+        for grant in dead.book.grants():
+            if grant.adopted:
+                settled = grant.settled + grant.spent + grant.reserved
+                close = Close(grant.id, grant.budget, grant.amount, settled)
+                survivor.worker.submit(close, lambda moved, reached: None)
+
+
+def _settings(name: str, zone: str) -> RouterSettings:
+    base = load_settings(RouterSettings, Path("etc/router.ini")).unwrap()
+    values = {item: getattr(base, item) for item in base.__slots__}
+    values.update(name=name, zone=zone, platform=Address("127.0.0.1", 9))
+    return RouterSettings(**values)
--- a/src/bilberryshed_load/_slopes.py
+++ b/src/bilberryshed_load/_slopes.py
@@ -25,9 +25,8 @@
 from bilberryshed.state import Address, parse_sheet
 from bilberryshed.transport import Link, LinkHandlers, LinkServer
 from bilberryshed_load._callers import Question, ask
-from bilberryshed_load._fleet import Fleet
+from bilberryshed_load._fleet import Fleet, running_fleet
 from bilberryshed_load._plans import DEPLOYMENTS, HOST, FleetPlan, free_port, plan_fleet
-from bilberryshed_load._tools import submit_sheet
 
 BUDGET_SIZES = (1_000, 10_000, 100_000)
 RECORD_SIZES = (1_000, 10_000, 100_000)
@@ -316,20 +315,12 @@
 
 def _at_rate(etc: Path, rate: int) -> tuple[float, float, float, float]:
     """Return shares of cores and store calls a second at a rate of requests."""
-    deployment = DEPLOYMENTS["cairnbrae"]
-    with tempfile.TemporaryDirectory(prefix="bilberryshed-") as directory:
-        fleet = Fleet(plan_fleet(deployment, Path(directory)))
-        try:
-            fleet.start()
-            submit_sheet(fleet.plan.platform, etc / deployment.sheet, 0)
-            fleet.wait_ready()
-            before = _usage(fleet)
-            began = time.monotonic()
-            asyncio.run(_steady(fleet.plan.router_urls, rate))
-            elapsed = time.monotonic() - began
-            after = _usage(fleet)
-        finally:
-            fleet.close()
+    with running_fleet(DEPLOYMENTS["cairnbrae"], etc) as fleet:
+        before = _usage(fleet)
+        began = time.monotonic()
+        asyncio.run(_steady(fleet.plan.router_urls, rate))
+        elapsed = time.monotonic() - began
+        after = _usage(fleet)
     used = [(b - a) / elapsed for a, b in zip(before, after, strict=True)]
     return used[0], used[1], used[2], used[3]
 
