Old bills are kept as hashes; callers who leave; the models are checked with the tests

Cause: a shard's writer kept every record of its life, the first thing to break; and nothing tested what a caller who leaves pays.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 demo: setup
 	$(BIN)/bilberryshed-load demo
 
-test: lint features
+test: lint model features
 
 lint: setup
 	$(BIN)/black --check --quiet src features scripts
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -66,3 +66,14 @@
     When a sheet that raises moray-council's budget is submitted on the accepted version
     Then every router has it in force within 4 seconds
     And an audit has no findings
+
+  Scenario: A caller without a key who leaves pays for what was generated
+    When moray-council leaves in the middle of a long answer without a key
+    Then after a moment its last bill is for less than the whole answer
+
+  Scenario: A caller with a key who leaves gets the whole answer later and pays once
+    When moray-council leaves in the middle of a long answer with key l1
+    And it asks again with key l1
+    Then the answer is the whole, own one
+    And after a moment key l1 has one bill
+    And the bill of key l1 is for the whole answer
--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -33,6 +33,13 @@
     And a new writer B is offered bills k1
     Then B reports the record of A
 
+  Scenario: An old bill that is offered again is read from its segment
+    Given writer A of a shard
+    When bills k1, k2, k3, k4 are kept one after the other by a writer that keeps 1 whole
+    And bill k1 is offered again by another witness
+    Then B reports the record of A
+    And the ledger holds each of k1, k2, k3, k4 once
+
   Scenario: Racing writers with lost and late puts keep every bill once
     When 120 random histories of 2 ledger writers are played
     Then every bill was kept once and every verdict was true
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -86,6 +86,20 @@
     context.kept["B"] = run(writer, context.store)
 
 
+@when("bills {keys} are kept one after the other by a writer that keeps {whole:d} whole")
+def when_kept(context, keys, whole):
+    context.writers["A"] = ShardWriter(0, "A", whole)
+    for key in keys.split(", "):
+        context.writers["A"].offer(bill(key, "A"))
+        run(context.writers["A"], context.store)
+
+
+@when("bill {key} is offered again by another witness")
+def when_offered_again(context, key):
+    assert context.writers["A"].offer(bill(key, "other")) is None
+    context.kept = {"B": run(context.writers["A"], context.store)}
+
+
 @when("{count:d} random histories of 2 ledger writers are played")
 def when_histories(context, count):
     options = settings(
@@ -137,7 +151,7 @@
     def __init__(self):
         super().__init__()
         self.store = FaultyObjects()
-        self.writers = [ShardWriter(0, "w0"), ShardWriter(0, "w1")]
+        self.writers = [ShardWriter(0, "w0", whole=2), ShardWriter(0, "w1", whole=2)]
         self.starts = 2
         self.verdicts = []
 
@@ -158,7 +172,7 @@
 
     @rule(which=st.integers(0, 1))
     def restart(self, which):
-        self.writers[which] = ShardWriter(0, f"w{self.starts}")
+        self.writers[which] = ShardWriter(0, f"w{self.starts}", whole=2)
         self.starts += 1
 
     @invariant()
--- a/src/bilberryshed/runtime/_ledger_desk.py
+++ b/src/bilberryshed/runtime/_ledger_desk.py
@@ -87,12 +87,13 @@
         for shard in range(self.context.settings.ledger_shards):
             writer = ShardWriter(shard, self.context.boot)
             while not writer.caught_up:
-                name = segment_object(shard, writer.next)
+                action = writer.next_action()
+                assert action is not None
+                name = segment_object(shard, action.number)
                 got = await self.context.objects.get(name)
                 if isinstance(got, Failure):
                     return None
-                writer.on_got(got.unwrap())
-            records += writer.kept.values()
+                records += writer.on_got(got.unwrap())
         return tuple(records)
 
     # Messages of other routers --------------------------------------------------------------
--- a/src/bilberryshed_load/_slopes.py
+++ b/src/bilberryshed_load/_slopes.py
@@ -75,7 +75,8 @@
         _memory("memory of a budget in the sheet", BUDGET_SIZES, _rollout),
         _time("time to parse a budget of the sheet", BUDGET_SIZES, _sheet_text, _parse),
         _size("bytes of a budget in the sheet", BUDGET_SIZES, lambda n: len(_sheet_text(n))),
-        _memory("memory of a bill id of a shard", RECORD_SIZES, _writer),
+        _memory("memory of a record kept whole", RECORD_SIZES, _writer),
+        _memory("memory of an old bill id", RECORD_SIZES, _old_bills),
         _time("time to keep a record", RECORD_SIZES, _records, _keep),
         _size("bytes of a record in a segment", RECORD_SIZES, lambda n: len(_segment(n))),
     ]
@@ -172,8 +173,8 @@
     return encode(Segment("router.0123456789ab.0.1", _records(size)))
 
 
-def _keep(records: tuple[UsageRecord, ...]) -> ShardWriter:
-    writer = ShardWriter(0, "router.0123456789ab")
+def _keep(records: tuple[UsageRecord, ...], whole: int = 0) -> ShardWriter:
+    writer = ShardWriter(0, "router.0123456789ab", whole)
     writer.caught_up = True
     for record in records:
         writer.offer(record)
@@ -183,7 +184,11 @@
 
 
 def _writer(size: int) -> ShardWriter:
-    return _keep(_records(size))
+    return _keep(_records(size), whole=size)
+
+
+def _old_bills(size: int) -> ShardWriter:
+    return _keep(_records(size), whole=0)
 
 
 # Against a real router ------------------------------------------------------------------------
