--- a/features/environment.py
+++ b/features/environment.py
@@ -18,6 +18,7 @@
     """Give each scenario an event loop of its own."""
     context.loop = asyncio.new_event_loop()
     asyncio.set_event_loop(context.loop)
+    context.add_cleanup(context.loop.close)
 
 
 def after_scenario(context, scenario):
@@ -25,7 +26,6 @@
     fleet = getattr(context, "fleet", None)
     if fleet is not None and not getattr(context, "fleet_is_shared", False):
         fleet.close()
-    context.loop.close()
 
 
 def after_feature(context, feature):
