A claim whose router died is released if its agent proves that it never started

Cause: a booking claimed by a router that died before dispatch stayed in_progress for ever, since nobody knew which agent to ask; and an agent asked about a finished attempt kept its record back until the next resend, 2 to 4 s. Change: the claim names the agent, a retry asks it (which closes the attempt) and releases the claim; the agent sends a record it is asked about at once; the specification has the question. The callers' balancer in the load tool sends a retry to the next router, as a balancer does: turns shared by all callers had sent one request six times to the dead router.

--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -31,7 +31,7 @@
 @given("attempt {attempt} has claimed key k1 and the claim is {state}")
 def given_claim(context, attempt, state):
     context.store = FaultyTables()
-    claim = replace(Claim(attempt, "f"), state=state)
+    claim = replace(Claim(attempt, "a-s1", "f"), state=state)
     assert context.store.write((Put(REF, 0, claim.to_value()),))
 
 
@@ -39,7 +39,7 @@
 def when_claim(context, attempt, faults):
     store = context.store = getattr(context, "store", None) or FaultyTables()
     store.script = deque(part.strip() for part in faults.split(","))
-    insert = ClaimInsert(REF, Claim(attempt, "f"))
+    insert = ClaimInsert(REF, Claim(attempt, "a-s1", "f"))
     action = insert.start()
     for _ in range(20):
         if isinstance(action, WriteClaim):
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -8,12 +8,14 @@
 import tempfile
 import time
 import urllib.request
+from hashlib import sha256
 from pathlib import Path
 
 from behave import given, then, when
 
+from bilberryshed.coordination import Claim, claim_ref
 from bilberryshed.runtime import RecordsOffice
-from bilberryshed.state import Address, parse_sheet
+from bilberryshed.state import Address, Put, parse_sheet
 from bilberryshed_load import (
     DEPLOYMENTS,
     CallerPool,
@@ -324,6 +326,9 @@
             fault(fleet, "DELETE", None)
     elif number != count // 2:
         return
+    elif "killed together" in event:
+        for name in (words[0], words[2]):
+            fleet.kill(name)
     elif "is killed" in event:
         fleet.kill(words[1])
     elif "is frozen" in event:
@@ -358,6 +363,75 @@
     urllib.request.urlopen(urllib.request.Request(url, json.dumps(body).encode())).close()
 
 
+@given("the booking of key {key} was claimed for agent {agent}, which never got it")
+def given_claimed(context, key, agent):
+    fingerprint = sha256(b'POST /calls\n{"visit": 1}').hexdigest()
+    claim = Claim("attempt-of-the-dead", agent, fingerprint)
+    put = Put(claim_ref("highland-council", key), 0, claim.to_value())
+    assert run(context, lambda: office(context).tables.write((put,))).unwrap()
+
+
+@when("highland-council books a visit with key {key} once")
+def when_book_once(context, key):
+    question = Question("highland-council", key, "booking", body=b'{"visit": 1}')
+    context.answer = run(context, lambda: ask(context.fleet.plan.router_urls[0], question))
+
+
+@then("the booking is {verdict}")
+def then_booking(context, verdict):
+    assert (context.answer.code or "answered") == verdict, context.answer
+
+
+@then("the booking of key {key} ran {times:d} times")
+def then_ran(context, key, times):
+    assert service_runs(context.fleet).get(key, 0) == times
+
+
+@given("callers have sent {count:d} requests at {rate:d} a second")
+def given_load(context, count, rate):
+    when_load(context, count, rate, "nothing else")
+    assert context.fleet.settle(SETTLE_LIMIT)
+
+
+@when("the store is out and router {name} is killed and started again")
+def when_restarted_without_store(context, name):
+    for target in ("/tables", "/objects", "/names"):
+        fault(context.fleet, "POST", {"kind": "down", "target": target})
+    context.fleet.kill(name)
+    context.fleet.start_one(context.fleet.plan.process(name))
+    context.fleet.wait_for(context.fleet.plan.process(name), "/live")
+    context.started_at = time.monotonic()
+
+
+@then("{name} has the sheet in force from its peers within {seconds:d} seconds")
+def then_from_peers(context, name, seconds):
+    while context.fleet.status(name)["sheet_version"] != 1:
+        assert time.monotonic() < context.started_at + seconds, "no sheet"
+        time.sleep(0.05)
+
+
+@then("{name} answers with tokens that its peers hold")
+def then_peers_tokens(context, name):
+    url = f"http://127.0.0.1:{context.fleet.plan.process(name).port}"
+    prompt = "Is the road to Kelso open?"
+    question = Question("highland-council", "peer", "drivers", prompt=prompt, max_tokens=16)
+    answer = run(context, lambda: ask(url, question))
+    assert answer.whole and answer.text == question.expected_text, answer
+    assert context.fleet.status(name)["counters"]["transfers_received"] >= 1
+
+
+@when("the store is back")
+def when_back(context):
+    fault(context.fleet, "DELETE", None)
+
+
+@then("the audit balances and nothing is overspent")
+def then_balances(context):
+    settled_records(context)
+    audit = run(context, lambda: office(context).audit()).unwrap()
+    assert audit.overspend == 0 and not audit.findings, audit.findings
+
+
 @then("every request was answered whole, to its own caller")
 def then_all_answered(context):
     tally = context.pool.tally
--- a/specs/ledger_claims.pml
+++ b/specs/ledger_claims.pml
@@ -123,14 +123,29 @@
     fi;
 
 give_back:
-    atomic { claim == a -> released = true; told_not_run[a] = true; goto finish };
+    atomic {
+        if
+        :: claim == a -> released = true
+        :: claim != a -> skip                        /* somebody else released it */
+        fi;
+        told_not_run[a] = true;
+        goto finish
+    };
 
 unclaimed:
     told_not_run[a] = true;
     goto finish;
 
 existing:
-    skip;
+    atomic {                                         /* ask the claim's agent, which closes it */
+        if
+        :: claim != a && claim != NONE && !released && !started[claim] ->
+            tombstone[claim] = true;
+            released = true;
+            goto insert
+        :: goto finish
+        fi
+    };
 
 finish:
     skip
--- a/src/bilberryshed/coordination/_claims.py
+++ b/src/bilberryshed/coordination/_claims.py
@@ -25,11 +25,13 @@
     """Value of a claim row.
 
     :param attempt: the one attempt that may run
+    :param agent: agent to which it was or is about to be dispatched
     :param fingerprint: digest of the call, so that a key is not reused for another one
     :param status: HTTP status of the recorded answer
     """
 
     attempt: str
+    agent: str
     fingerprint: str
     state: str = ClaimState.CLAIMED
     status: int = 0
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -166,8 +166,8 @@
                 link.send(NotRun(attempt, "no_capacity", "the attempt never ran at this agent"))
             elif closing is Closing.FAILED:
                 link.send(Failed(attempt, "the attempt ended without a record", False))
-            elif closing is Closing.RECORDED and attempt not in self.runs.journal:
-                link.send(Recorded(attempt))
+            elif closing is Closing.RECORDED:
+                link.send(self.runs.journal.get(attempt, Recorded(attempt)))
 
     def _on_kept(self, link: Link, kept: RecordsKept) -> None:
         self.runs.kept(kept.attempts)
--- a/src/bilberryshed/runtime/_billing.py
+++ b/src/bilberryshed/runtime/_billing.py
@@ -1,5 +1,6 @@
 """Bills of finished attempts, and reservations of lost ones."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from bilberryshed.protocol import (
@@ -18,6 +19,7 @@
 from bilberryshed.runtime._ledger_desk import LedgerDesk
 
 ACK_INTERVAL = 0.25  # seconds between acknowledgements to one agent
+INQUIRY_TIMEOUT = 0.5  # seconds that an agent has to say what became of an attempt
 QUERY_INTERVAL = 2.0  # seconds between questions about lost attempts
 
 
@@ -44,6 +46,7 @@
         self.claims = claims
         self.doubts: dict[str, Doubt] = {}
         self.acks: dict[str, list[str]] = {}
+        self.inquiries: dict[str, asyncio.Future[NotRun | Failed]] = {}
 
     def start(self) -> None:
         """Subscribe to timers."""
@@ -119,8 +122,30 @@
             if link is not None:
                 link.send(AttemptQuery(tuple(attempts)))
 
+    async def inquire(self, agent: str, attempt: str) -> NotRun | Failed | None:
+        """Ask an agent about another router's attempt, which will not start afterwards.
+
+        :returns: ``None`` if it runs, has a record, or the agent does not answer
+        """
+        link = self.context.agent_links.get(agent)
+        if link is None:
+            return None
+        future: asyncio.Future[NotRun | Failed] = asyncio.get_running_loop().create_future()
+        self.inquiries[attempt] = future
+        link.send(AttemptQuery((attempt,)))
+        try:
+            async with asyncio.timeout(INQUIRY_TIMEOUT):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self.inquiries.pop(attempt, None)
+
     def on_attempt_result(self, result: NotRun | Failed) -> None:
         """Handle an agent's answer about an attempt that is no longer followed."""
+        inquiry = self.inquiries.get(result.attempt)
+        if inquiry is not None and not inquiry.done():
+            inquiry.set_result(result)
         for bill, doubt in list(self.doubts.items()):
             if result.attempt in doubt.lost:
                 del doubt.lost[result.attempt]
--- a/src/bilberryshed/runtime/_claim_desk.py
+++ b/src/bilberryshed/runtime/_claim_desk.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from bilberryshed.coordination import (
     Claim,
@@ -68,6 +68,27 @@
             ),
         )
 
+    async def move(self, customer: str, key: str, attempt: str, agent: str) -> bool:
+        """Note that an attempt goes to another agent, before it does.
+
+        :returns: whether the attempt still has the claim and the store noted the agent
+        """
+        row = await self._read(claim_ref(customer, key))
+        if isinstance(row, Failure) or row.unwrap().version == 0:
+            return False
+        found = row.unwrap()
+        claim = Claim.from_value(found.value)
+        if claim.attempt != attempt or claim.state != ClaimState.CLAIMED:
+            return False
+        put = Put(found.ref, found.version, replace(claim, agent=agent).to_value())
+        written = await self.context.tables.write((put,))
+        return written.value_or(False)
+
+    async def read(self, customer: str, key: str) -> Claim | None:
+        """Read a claim, ``None`` if there is none or the store does not answer."""
+        row = (await self._read(claim_ref(customer, key))).value_or(None)
+        return Claim.from_value(row.value) if row is not None and row.version else None
+
     async def release(self, customer: str, key: str, attempt: str) -> None:
         """Release the claim of an attempt that never started; tries until the store has it."""
         await self._change(
--- a/src/bilberryshed/runtime/_runner.py
+++ b/src/bilberryshed/runtime/_runner.py
@@ -213,18 +213,33 @@
         if agent is None:
             self.billing.conclude_unanswered(doubt)
             return _no_capacity(call)
-        claimed = await self.claims.insert(
-            call.customer.name, call.key, Claim(attempt, call.fingerprint)
-        )
-        if not isinstance(claimed, Mine):
-            self.context.routing.released(agent)
-            self.billing.conclude_unanswered(doubt)
-            if isinstance(claimed, Existing):
-                return _replay(execution, claimed.claim)
-            self.billing.release_claim(call, attempt)
-            reason = f"the call could not be recorded first: {claimed.error.detail}"
-            return Refusal(RefusalCode.STORE_UNAVAILABLE, reason, retry_after=RETRY_SOON)
-        return await self._run_claimed(execution, doubt, agent, attempt)
+        claim = Claim(attempt, agent, call.fingerprint)
+        claimed = await self.claims.insert(call.customer.name, call.key, claim)
+        if isinstance(claimed, Existing) and await self._never_started(call, claimed.claim):
+            claimed = await self.claims.insert(call.customer.name, call.key, claim)
+        if isinstance(claimed, Mine):
+            return await self._run_claimed(execution, doubt, agent, attempt)
+        self.context.routing.released(agent)
+        self.billing.conclude_unanswered(doubt)
+        if isinstance(claimed, Existing):
+            return _replay(execution, claimed.claim)
+        self.billing.release_claim(call, attempt)
+        reason = f"the call could not be recorded first: {claimed.error.detail}"
+        return Refusal(RefusalCode.STORE_UNAVAILABLE, reason, retry_after=RETRY_SOON)
+
+    async def _never_started(self, call: Call, claim: Claim) -> bool:
+        """Release another attempt's claim if its agent proves that it never started."""
+        if claim.state != ClaimState.CLAIMED or claim.fingerprint != call.fingerprint:
+            return False
+        result = await self.billing.inquire(claim.agent, claim.attempt)
+        if not isinstance(result, NotRun):
+            return False
+        try:
+            async with asyncio.timeout(self.context.settings.platform_timeout):
+                await self.claims.release(call.customer.name, call.key, claim.attempt)
+        except TimeoutError:
+            return False
+        return True
 
     async def _run_claimed(
         self, execution: Execution, doubt: Doubt, agent: str | None, attempt: str
@@ -247,10 +262,18 @@
                 return Refusal(RefusalCode.OUTCOME_UNKNOWN, reason, Outcome.UNKNOWN, RETRY_SOON)
             excluded.add(agent)
             agent = await self._choose(call, excluded)
+            if agent is not None and not await self._move_claim(call, attempt, agent):
+                break
         self.billing.release_claim(call, attempt)
         self.billing.conclude_unanswered(doubt)
         return _no_capacity(call)
 
+    async def _move_claim(self, call: Call, attempt: str, agent: str) -> bool:
+        moved = await self.claims.move(call.customer.name, call.key, attempt, agent)
+        if not moved:
+            self.context.routing.released(agent)
+        return moved
+
 
 def _quarantined(outcome: Outcome) -> Refusal:
     reason = "backend servers crashed twice while they ran this content; it is not run again"
--- a/src/bilberryshed_load/_callers.py
+++ b/src/bilberryshed_load/_callers.py
@@ -176,7 +176,7 @@
 
 
 class CallerPool:
-    """Callers behind one balancer: each try goes to the next router.
+    """Callers behind one balancer: requests go to routers in turn, and a retry to the next one.
 
     :param routers: base URLs
     :param seed: seed of all random choices
@@ -193,9 +193,10 @@
         self.tally.asked += 1
         began = time.monotonic()
         answer = Answer()
+        self.turn += 1
+        first = self.turn
         for attempt in range(MAX_TRIES):
-            self.turn += 1
-            answer = await ask(self.routers[self.turn % len(self.routers)], question)
+            answer = await ask(self.routers[(first + attempt) % len(self.routers)], question)
             if answer.whole:
                 self._note(question, answer, time.monotonic() - began)
                 return answer
