An oversized body is refused in words with 413

Cause: a body over the limit got a broken connection or a bare status. Change: bodies up to four times the limit are read and refused as body_too_large; larger ones are cut off.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -57,6 +57,11 @@
 
   Scenario: An oversized body is refused
     When a request with a body of 3 MB is sent
+    Then it is refused with status 413, code body_too_large, saying "3000000 bytes"
+    And the refusal says not_run
+
+  Scenario: A body beyond all measure is cut off
+    When a request with a body of 9 MB is sent
     Then it is refused without an answer from a model
 
   Scenario: Nothing was spent on refused requests
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -255,11 +255,11 @@
     assert context.body["error"]["outcome"] == "not_run"
 
 
-@when("a request with a body of 3 MB is sent")
-def when_oversized(context):
+@when("a request with a body of {size:d} MB is sent")
+def when_oversized(context, size):
     try:
-        context.status, context.body = send(context, "POST", CHAT, b"x" * 3_000_000)
-    except OSError:
+        context.status, context.body = send(context, "POST", CHAT, b"x" * size * 1_000_000)
+    except (OSError, ValueError):
         context.status = 0
 
 
--- a/src/bilberryshed/runtime/_api.py
+++ b/src/bilberryshed/runtime/_api.py
@@ -22,6 +22,7 @@
 
     runner: Runner
     max_tokens_limit: int
+    max_body: int
 
     @property
     def is_draining(self) -> bool:
@@ -40,6 +41,13 @@
         self.owner = owner
         self.execution: Execution | None = None
 
+    def prepare(self) -> None:
+        """Refuse a body that is too large before anything looks at it."""
+        size = len(self.request.body)
+        if size > self.owner.max_body:
+            reason = f"the body has {size} bytes; the limit is {self.owner.max_body}"
+            self.refuse(Refusal(RefusalCode.BODY_TOO_LARGE, reason))
+
     def refuse(self, refusal: Refusal, request: str = "") -> None:
         """Send a refusal as the whole answer."""
         self.set_status(refusal.status)
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -66,6 +66,7 @@
 HEARTBEAT_INTERVAL = 0.5  # seconds
 DRAIN_POLL = 0.05  # seconds
 BACKLOG = 1024  # connections waiting to be accepted
+READ_FACTOR = 4  # of the largest body, up to which one is read so as to be refused in words
 MAX_HEADER = 16 * 1024  # bytes of a request's headers
 IDLE_LIMIT = 120  # seconds that an idle caller connection is kept
 BODY_TIMEOUT = 10  # seconds in which a caller must send its body
@@ -77,6 +78,7 @@
     def __init__(self, settings: RouterSettings) -> None:
         self.settings = settings
         self.max_tokens_limit = settings.max_tokens_limit
+        self.max_body = settings.max_body
         platform = http_platform(settings.platform, settings.platform_timeout)
         self.context = RouterContext(settings, platform)
         self.funding = FundingDesk(self.context)
@@ -301,7 +303,7 @@
         server = HTTPServer(
             application,
             ssl_options=self.server_tls,
-            max_body_size=self.settings.max_body,
+            max_body_size=self.settings.max_body * READ_FACTOR,
             max_header_size=MAX_HEADER,
             body_timeout=BODY_TIMEOUT,
             idle_connection_timeout=IDLE_LIMIT,
