--- a/features/claims.feature
+++ b/features/claims.feature
@@ -56,6 +56,8 @@
       | drain, dispatch, dispatch      | 0      |
       | revoke, dispatch               | 0      |
       | full, dispatch, free, dispatch | 0      |
+      | query, forget, dispatch        | 0      |
+      | dispatch, end, forget, dispatch| 1      |
 
   Scenario Outline: An agent says what became of an attempt: <events>
     When an agent handles: <events>
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -82,6 +82,8 @@
             context.starts += runs.admit("router-boot", dispatch(), True) is None
         elif event == "query":
             runs.inquire("a1")
+        elif event == "forget":
+            runs.forget_earlier()
         elif event == "drain":
             runs.draining = True
         elif event == "revoke":
--- a/src/bilberryshed/coordination/_agent_runs.py
+++ b/src/bilberryshed/coordination/_agent_runs.py
@@ -30,7 +30,8 @@
     """Attempts of one agent.
 
     An attempt id that was refused, or asked about before it came, is closed: a late dispatch of it
-    is refused. An attempt id starts at most once.
+    is refused. An attempt id starts at most once. Closed ids are remembered for between one and two
+    of the periods after which :meth:`forget_earlier` is called.
 
     :param capacity: attempts that may be running or queued at once
     :param lone: attempt that must run alone, empty for none
@@ -39,6 +40,7 @@
     capacity: int
     running: dict[str, Dispatch] = field(default_factory=dict)
     closed: dict[str, Closing] = field(default_factory=dict)
+    closed_earlier: dict[str, Closing] = field(default_factory=dict)
     revoked: set[str] = field(default_factory=set)
     journal: dict[str, JournalEntry] = field(default_factory=dict)
     draining: bool = False
@@ -52,7 +54,7 @@
         """
         refused = self._refusal(boot, dispatch, serves)
         if refused is not None:
-            self.closed.setdefault(dispatch.attempt, Closing.NEVER_RAN)
+            self._close_unstarted(dispatch.attempt)
             return refused
         self.running[dispatch.attempt] = dispatch
         if dispatch.alone:
@@ -65,10 +67,10 @@
 
     def is_known(self, attempt: str) -> bool:
         """Whether an attempt id has been admitted, now or before."""
-        return attempt in self.running or self.closed.get(attempt) in _STARTED
+        return attempt in self.running or self._closing(attempt) in _STARTED
 
     def _refusal(self, boot: str, dispatch: Dispatch, serves: bool) -> Refused | None:
-        if dispatch.attempt in self.closed:
+        if self._closing(dispatch.attempt) is not None:
             return Refused(RefusalCode.NO_CAPACITY, f"attempt {dispatch.attempt} is closed")
         if boot in self.revoked:
             return Refused(RefusalCode.DRAINING, f"boot {boot} is revoked")
@@ -102,7 +104,20 @@
         """
         if attempt in self.running:
             return None
-        return self.closed.setdefault(attempt, Closing.NEVER_RAN)
+        return self._close_unstarted(attempt)
+
+    def forget_earlier(self) -> None:
+        """Forget attempts closed before the last call; nothing of them is on its way any more."""
+        self.closed_earlier, self.closed = self.closed, {}
+
+    def _closing(self, attempt: str) -> Closing | None:
+        return self.closed.get(attempt) or self.closed_earlier.get(attempt)
+
+    def _close_unstarted(self, attempt: str) -> Closing:
+        known = self._closing(attempt)
+        if known is None:
+            self.closed[attempt] = Closing.NEVER_RAN
+        return known or Closing.NEVER_RAN
 
     def kept(self, attempts: tuple[str, ...]) -> None:
         """Forget journal entries that the ledger holds."""
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -58,6 +58,7 @@
 
 DRAIN_POLL = 0.05  # seconds
 LONE_POLL = 0.01  # seconds
+FORGET_INTERVAL = 3_600.0  # seconds; a link without answers is closed after a few
 QUEUE_FACTOR = 2  # attempts admitted for each slot of the backend server
 
 
@@ -126,6 +127,7 @@
         self._listen_status()
         self.timers.subscribe(self.settings.load_interval, lambda now: self._spawn_poll())
         self.timers.subscribe(self.settings.journal_retry, self._resend_journal)
+        self.timers.subscribe(FORGET_INTERVAL, lambda now: self.runs.forget_earlier())
         logger().info("started", boot=self.boot, backend=str(self.settings.backend))
         await stop.wait()
         return await self._drain()
