Waiting requests get agents in fair order: priority with aging, customers by weight, bounded

Cause: requests that found no agent polled for one in no order, so that a flooding customer took nearly all that came free. Change: FairQueue (pure) and AgentQueue; a bound for each customer.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -59,3 +59,21 @@
 
   Scenario: Settings know every registered policy
     Then the policies of settings and the registered ones are the same
+
+  Scenario Outline: Waiting requests get their turn: <arrivals>
+    When requests arrive: <arrivals>
+    Then after <seconds> seconds they are served in the order <order>
+
+    Examples: by weight within a class
+      | arrivals                           | seconds | order              |
+      | A, A, A, B                         | 0       | A1, B1, A2, A3     |
+      | A, A, A, A, B:2, B:2               | 0       | B1, A1, B2, A2, A3, A4 |
+
+    Examples: by priority, with aging
+      | arrivals            | seconds | order      |
+      | A p2, B p0, C p1    | 0       | B1, C1, A1 |
+      | A p2, B p0, C p1    | 3       | A1, B1, C1 |
+
+  Scenario: A flooding customer is bounded and the others still wait their turn
+    When 60 requests of A and 1 of B arrive at a queue that lets 50 of a customer wait
+    Then 10 of A were turned away and B is served second
--- a/features/steps/basic_steps.py
+++ b/features/steps/basic_steps.py
@@ -20,6 +20,7 @@
     AgentView,
     AnswerCheck,
     AnswerDamagedError,
+    FairQueue,
     Members,
     Routing,
     owner,
@@ -363,3 +364,48 @@
     written = page.read_text(encoding="utf-8")
     subprocess.run([sys.executable, "scripts/settings_reference.py"], check=True)
     assert page.read_text(encoding="utf-8") == written
+
+
+# Fair queue -----------------------------------------------------------------------------------
+
+
+def arrive(queue, arrivals):
+    """Push arrivals such as ``A``, ``B:2`` (weight) and ``C p1`` (priority); returns names."""
+    names, counts = {}, {}
+    for arrival in arrivals.split(", "):
+        customer, _, priority = arrival.partition(" p")
+        customer, _, weight = customer.partition(":")
+        counts[customer] = counts.get(customer, 0) + 1
+        ticket = queue.push(0.0, customer, int(weight or 1), int(priority or 0), "m@1")
+        names[ticket.number] = f"{customer}{counts[customer]}"
+    return names
+
+
+@when("requests arrive: {arrivals}")
+def when_arrive(context, arrivals):
+    context.queue = FairQueue(limit=50)
+    context.names = arrive(context.queue, arrivals)
+
+
+@then("after {seconds:d} seconds they are served in the order {order}")
+def then_served(context, seconds, order):
+    served = []
+    while context.queue.tickets:
+        ticket = context.queue.order(float(seconds))[0]
+        context.queue.remove(ticket, served=True)
+        served.append(context.names[ticket.number])
+    assert ", ".join(served) == order, served
+
+
+@when("60 requests of A and 1 of B arrive at a queue that lets 50 of a customer wait")
+def when_flood(context):
+    context.queue = FairQueue(limit=50)
+    pushed = [context.queue.push(0.0, "A", 1, 0, "m@1") for _ in range(60)]
+    context.queue.push(0.0, "B", 1, 0, "m@1")
+    context.turned_away = pushed.count(None)
+
+
+@then("{count:d} of A were turned away and B is served second")
+def then_flood(context, count):
+    assert context.turned_away == count
+    assert context.queue.order(0.0)[1].customer == "B"
--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -36,7 +36,7 @@
     "reclaim_interval": "time between looks for grants of routers that are gone, s",
     "policy": "affinity, two_choices, least_connections, round_robin or random",
     "attempts": "attempts for one request",
-    "queue_limit": "requests that wait for a backend server",
+    "queue_limit": "requests of one customer that may wait for a backend server",
     "queue_wait": "longest such wait, s",
     "drain_limit": "longest graceful stop, s",
     "max_body": "largest body, bytes",
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -18,6 +18,7 @@
     WriteClaim,
     claim_ref,
 )
+from bilberryshed.coordination._fair_queue import FairQueue, Ticket
 from bilberryshed.coordination._funding import (
     AskPeer,
     Funded,
@@ -93,6 +94,7 @@
     "Doubtful",
     "EngineView",
     "Existing",
+    "FairQueue",
     "Funded",
     "Funding",
     "GetSegment",
@@ -131,6 +133,7 @@
     "Take",
     "TakeFromStore",
     "TallyLine",
+    "Ticket",
     "Unclaimed",
     "Undecided",
     "Unfunded",
--- a/src/bilberryshed/coordination/_routing.py
+++ b/src/bilberryshed/coordination/_routing.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+FULL_LOAD = 2.0  # attempts for each slot at which a backend server gets no more
 EJECT_AFTER = 3  # consecutive failures
 EJECT_SECONDS = 5.0  # before a probe may return an ejected backend server
 MAX_EJECTED_SHARE = 0.5  # of the candidates for one target
@@ -157,7 +158,7 @@
         """
         able = [a for a in self.agents.values() if a.serves(target) and not a.draining]
         candidates = [a for a in self._in_rotation(now, able) if a.name not in excluded]
-        candidates = [a for a in candidates if a.load < 2.0]
+        candidates = [a for a in candidates if a.load < FULL_LOAD]
         if not candidates:
             return None
         self.turn += 1
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -31,6 +31,7 @@
     Transfer,
     TransferAck,
 )
+from bilberryshed.runtime._agent_queue import AgentQueue
 from bilberryshed.runtime._api import (
     CompletionHandler,
     ModelsHandler,
@@ -87,8 +88,15 @@
         self.slo = SloDesk(self.context)
         self.quarantine = QuarantineDesk(self.context)
         self.billing = Billing(self.context, self.ledger, self.claims)
+        self.agents = AgentQueue(self.context)
         self.runner = Runner(
-            self.context, self.funding, self.billing, self.claims, self.slo, self.quarantine
+            self.context,
+            self.funding,
+            self.billing,
+            self.claims,
+            self.slo,
+            self.quarantine,
+            self.agents,
         )
         self.sheets = SheetKeeper(self.context)
         self.reclaim = ReclaimDesk(self.context, self.funding, self.ledger)
@@ -121,6 +129,7 @@
         self.funding.start()
         self.ledger.start()
         self.billing.start()
+        self.agents.start()
         self.slo.start()
         self.reclaim.start()
         self.quarantine.start()
@@ -327,7 +336,7 @@
             "draining": self.context.draining,
             "sheet_version": self.context.rollout.version,
             "running": len(self.runner.running),
-            "queued": self.runner.queued,
+            "queued": len(self.agents.waiters),
             "unbilled": self.ledger.backlog,
             "parked": [
                 {"bill": bill, "tokens": sum(part.tokens for part in doubt.reservation.parts)}
--- a/src/bilberryshed/runtime/_runner.py
+++ b/src/bilberryshed/runtime/_runner.py
@@ -1,13 +1,12 @@
 """Answers requests: reservation, claim, attempts, bill."""
 
 import asyncio
-import random
 import uuid
 from collections import OrderedDict
 
 from returns.result import Failure, Result, Success
 
-from bilberryshed.coordination import Claim, ClaimState, Existing, Mine, Standing, prompt_prefixes
+from bilberryshed.coordination import Claim, ClaimState, Existing, Mine, Standing
 from bilberryshed.protocol import (
     Ended,
     Failed,
@@ -16,6 +15,7 @@
     Refusal,
     RefusalCode,
 )
+from bilberryshed.runtime._agent_queue import AgentQueue
 from bilberryshed.runtime._attempts import AttemptResult, Attempts, Damaged
 from bilberryshed.runtime._billing import Billing, Doubt
 from bilberryshed.runtime._claim_desk import ClaimDesk, journal_entry, recorded_answer
@@ -27,7 +27,7 @@
 from bilberryshed.transport import logger
 
 MAX_KEPT_ANSWERS = 2_000  # finished executions kept for retries
-CAPACITY_POLL = 0.02  # seconds between looks for a free agent
+NOT_RUN_PAUSE = 0.02  # seconds before another agent is asked after one had no room
 RETRY_SOON = 2  # seconds
 
 
@@ -42,6 +42,7 @@
         claims: ClaimDesk,
         slo: SloDesk,
         quarantine: QuarantineDesk,
+        agents: AgentQueue,
     ) -> None:
         self.context = context
         self.funding = funding
@@ -49,11 +50,10 @@
         self.claims = claims
         self.slo = slo
         self.quarantine = quarantine
+        self.agents = agents
         self.attempts = Attempts(context)
         self.running: dict[str, Execution] = {}
         self.finished: OrderedDict[str, Execution] = OrderedDict()
-        self.queued = 0
-        self.random = random.Random()
 
     def open(self, call: Call) -> Result[Execution, Refusal]:
         """Start a request, or join the one that has its bill id."""
@@ -122,7 +122,7 @@
             if self.quarantine.standing(execution.call.content) is Standing.CONVICTED:
                 self.billing.conclude_unanswered(doubt)
                 return _quarantined(Outcome.UNKNOWN if started else Outcome.NOT_RUN)
-            agent = await self._choose(execution.call, excluded)
+            agent = await self.agents.find(execution.call, excluded)
             if agent is None:
                 break
             result = await self._attempt(execution, agent, uuid.uuid4().hex, doubt)
@@ -133,7 +133,7 @@
             if isinstance(result, NotRun):
                 if self.context.timers.now() >= patience:
                     break
-                await asyncio.sleep(CAPACITY_POLL)
+                await asyncio.sleep(NOT_RUN_PAUSE)
                 continue
             started = True
             tries -= 1
@@ -169,29 +169,6 @@
             )
         return result
 
-    async def _choose(self, call: Call, excluded: set[str]) -> str | None:
-        """Wait for an agent that can take an attempt."""
-        prefixes = prompt_prefixes(call.target, call.prompt) if call.model else ()
-        settings, timers = self.context.settings, self.context.timers
-        if self.queued >= settings.queue_limit:
-            return None
-        deadline = timers.now() + settings.queue_wait
-        self.queued += 1
-        try:
-            while True:
-                draws = (self.random.random(), self.random.random())
-                for skipped in (frozenset(excluded), frozenset[str]()):
-                    agent = self.context.routing.choose(
-                        timers.now(), call.target, prefixes, skipped, draws
-                    )
-                    if agent is not None:
-                        return agent.name
-                if timers.now() >= deadline:
-                    return None
-                await asyncio.sleep(CAPACITY_POLL)
-        finally:
-            self.queued -= 1
-
     def _complete(self, execution: Execution, doubt: Doubt, agent: str, ended: Ended) -> None:
         execution.complete(Usage(ended.prompt_tokens, ended.completion_tokens, ended.finish))
         self.context.metrics.count("answered")
@@ -209,7 +186,7 @@
 
     async def _run_once(self, execution: Execution, doubt: Doubt) -> Refusal | None:
         call, attempt = execution.call, uuid.uuid4().hex
-        agent = await self._choose(call, set())
+        agent = await self.agents.find(call, set())
         if agent is None:
             self.billing.conclude_unanswered(doubt)
             return _no_capacity(call)
@@ -261,7 +238,7 @@
                 reason = "the call was started and its outcome is not known yet"
                 return Refusal(RefusalCode.OUTCOME_UNKNOWN, reason, Outcome.UNKNOWN, RETRY_SOON)
             excluded.add(agent)
-            agent = await self._choose(call, excluded)
+            agent = await self.agents.find(call, excluded)
             if agent is not None and not await self._move_claim(call, attempt, agent):
                 break
         self.billing.release_claim(call, attempt)
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -116,7 +116,7 @@
     reclaim_interval: float = _key("grants", parse_seconds, "5")
     policy: str = _key("routing", parse_policy, "affinity")
     attempts: int = _key("routing", parse_count, "3")
-    queue_limit: int = _key("routing", parse_count, "200")
+    queue_limit: int = _key("routing", parse_count, "50")
     queue_wait: float = _key("routing", parse_seconds, "3")
     drain_limit: float = _key("stop", parse_seconds, "60")
     max_body: int = _key("limits", parse_count, "1048576")
--- a/src/bilberryshed_load/program.py
+++ b/src/bilberryshed_load/program.py
@@ -7,6 +7,7 @@
 
 from bilberryshed import __version__
 from bilberryshed_load._demo import run_demo
+from bilberryshed_load._flood import measure_flood
 from bilberryshed_load._overhead import measure_overhead, measure_router_core
 from bilberryshed_load._plans import DEPLOYMENTS
 from bilberryshed_load._policy import run_policies
@@ -68,6 +69,19 @@
     measure_slopes(etc)
 
 
+def flood(
+    *, etc: Path = Path("etc"), seconds: float = 10.0, rate: float = 20.0, callers: int = 300
+) -> None:
+    """Measure what a flooding customer does to the others' first token.
+
+    :param etc: directory of the sample sheets
+    :param seconds: length of each of two runs
+    :param rate: requests a second of the other customers
+    :param callers: callers of the flooding customer that ask without pause
+    """
+    measure_flood(etc, seconds, rate, callers)
+
+
 def policy(*, seed: int = 1, budgets: int = 4) -> None:
     """Play budgets running dry, under faults, against the oracle and the baselines.
 
@@ -80,7 +94,14 @@
 def main() -> None:
     """Entry point of the program."""
     defopt.run(
-        {"demo": demo, "overhead": overhead, "core": core, "slopes": slopes, "policy": policy},
+        {
+            "demo": demo,
+            "overhead": overhead,
+            "core": core,
+            "slopes": slopes,
+            "policy": policy,
+            "flood": flood,
+        },
         version=__version__,
         argv=sys.argv[1:],
     )
