--- a/features/environment.py
+++ b/features/environment.py
@@ -11,7 +11,8 @@
 def before_all(context):
     """Keep request logs of in-process servers out of the test output."""
     context.config.setup_logging()
-    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
+    for name in ("tornado.access", "websockets"):
+        logging.getLogger(name).setLevel(logging.CRITICAL)
 
 
 def before_scenario(context, scenario):
--- /dev/null
+++ b/features/fleet_support.py
@@ -0,0 +1,63 @@
+"""Helpers of steps that drive whole fleets."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import urllib.request
+from pathlib import Path
+
+from bilberryshed.runtime import RecordsOffice
+from bilberryshed.state import Address
+from bilberryshed_load import DEPLOYMENTS, Fleet, plan_fleet
+
+SHEET = Path("etc/cairnbrae.csv")
+SETTLE_LIMIT = 15.0  # seconds
+
+
+def start_fleet(context, overrides=None):
+    """Start a Cairnbrae fleet with its sheet.
+
+    :param overrides: router settings by section and key
+    """
+    directory = tempfile.TemporaryDirectory(prefix="bilberryshed-")
+    fleet = Fleet(plan_fleet(DEPLOYMENTS["cairnbrae"], Path(directory.name), overrides=overrides))
+    fleet.directory = directory
+    fleet.start()
+    submit(fleet, SHEET, 0)
+    fleet.wait_ready()
+    return fleet
+
+
+def submit(fleet, path, base):
+    """Submit a sheet with the real program."""
+    program = Path(sys.executable).parent / "bilberryshed-sheet"
+    arguments = ["submit", str(path), "--platform", fleet.plan.platform, "--base", str(base)]
+    subprocess.run([program, *arguments], check=True, capture_output=True)
+
+
+def office(context):
+    """Return read access to what the fleet keeps."""
+    return RecordsOffice(Address.parse(context.fleet.plan.platform))
+
+
+def run(context, coroutine_function):
+    """Run a coroutine on the scenario's loop."""
+    return context.loop.run_until_complete(coroutine_function())
+
+
+def settled_records(context):
+    """Return the ledger's records after nothing is on its way any more."""
+    assert context.fleet.settle(SETTLE_LIMIT), "records stay undelivered"
+    return run(context, lambda: office(context).records()).unwrap()
+
+
+def service_runs(fleet):
+    """Return how often each call ran, over all booking services."""
+    runs = {}
+    for name, port in fleet.plan.backends.items():
+        if name.startswith("s"):
+            with urllib.request.urlopen(f"http://127.0.0.1:{port}/runs") as response:
+                for key, count in json.load(response).items():
+                    runs[key] = runs.get(key, 0) + count
+    return runs
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -3,72 +3,35 @@
 import asyncio
 import http.client
 import json
-import subprocess
-import sys
-import tempfile
 import time
 import urllib.request
 from hashlib import sha256
-from pathlib import Path
 
 from behave import given, then, when
+from fleet_support import (
+    SETTLE_LIMIT,
+    SHEET,
+    office,
+    run,
+    service_runs,
+    settled_records,
+    start_fleet,
+    submit,
+)
 
 from bilberryshed.coordination import Claim, claim_ref
-from bilberryshed.runtime import RecordsOffice
-from bilberryshed.state import Address, Put, parse_sheet
+from bilberryshed.state import Put, parse_sheet
 from bilberryshed_load import (
-    DEPLOYMENTS,
     CallerPool,
-    Fleet,
     Mix,
     Question,
     ask,
-    plan_fleet,
     questions,
 )
 
-SHEET = Path("etc/cairnbrae.csv")
-SETTLE_LIMIT = 15.0  # seconds
 IN_FORCE_LIMIT = 4.0  # seconds
 
 
-def start_fleet(context, overrides=None):
-    """Start a Cairnbrae fleet with its sheet.
-
-    :param overrides: router settings by section and key
-    """
-    directory = tempfile.TemporaryDirectory(prefix="bilberryshed-")
-    fleet = Fleet(plan_fleet(DEPLOYMENTS["cairnbrae"], Path(directory.name), overrides=overrides))
-    fleet.directory = directory
-    fleet.start()
-    submit(fleet, SHEET, 0)
-    fleet.wait_ready()
-    return fleet
-
-
-def submit(fleet, path, base):
-    """Submit a sheet with the real program."""
-    program = Path(sys.executable).parent / "bilberryshed-sheet"
-    arguments = ["submit", str(path), "--platform", fleet.plan.platform, "--base", str(base)]
-    subprocess.run([program, *arguments], check=True, capture_output=True)
-
-
-def office(context):
-    """Return read access to what the fleet keeps."""
-    return RecordsOffice(Address.parse(context.fleet.plan.platform))
-
-
-def run(context, coroutine_function):
-    """Run a coroutine on the scenario's loop."""
-    return context.loop.run_until_complete(coroutine_function())
-
-
-def settled_records(context):
-    """Return the ledger's records after nothing is on its way any more."""
-    assert context.fleet.settle(SETTLE_LIMIT), "records stay undelivered"
-    return run(context, lambda: office(context).records()).unwrap()
-
-
 @given("the shared Cairnbrae fleet with its sheet in force")
 def given_shared(context):
     if not getattr(context.feature, "fleet", None):
@@ -157,17 +120,6 @@
     assert service_runs(context.fleet).get(key) == 1
 
 
-def service_runs(fleet):
-    """Return how often each call ran, over all booking services."""
-    runs = {}
-    for name, port in fleet.plan.backends.items():
-        if name.startswith("s"):
-            with urllib.request.urlopen(f"http://127.0.0.1:{port}/runs") as response:
-                for key, count in json.load(response).items():
-                    runs[key] = runs.get(key, 0) + count
-    return runs
-
-
 @when("{customer} gets {path}")
 def when_get(context, customer, path):
     context.status, context.body = send(context, "GET", path, b"", customer)
--- a/features/steps/grant_steps.py
+++ b/features/steps/grant_steps.py
@@ -3,15 +3,13 @@
 from collections import deque
 
 from behave import given, then, when
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
-from support import FaultyTables, drive
+from support import FaultyTables, drive, play_histories
 
 from bilberryshed.coordination import (
     Adopt,
@@ -180,15 +178,7 @@
 
 @when("{count:d} random histories of 3 routers are played against the store")
 def when_histories(context, count):
-    options = settings(
-        max_examples=count,
-        stateful_step_count=40,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    run_state_machine_as_test(GrantHistories, settings=options)
+    play_histories(GrantHistories, count)
 
 
 @then("in none of them is more spent than was paid")
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -1,15 +1,13 @@
 """Steps for the ledger."""
 
 from behave import given, then, when
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
-from support import FaultyObjects
+from support import FaultyObjects, play_histories
 
 from bilberryshed.coordination import PutSegment, ShardWriter
 from bilberryshed.protocol import UsageRecord, decode
@@ -102,15 +100,7 @@
 
 @when("{count:d} random histories of 2 ledger writers are played")
 def when_histories(context, count):
-    options = settings(
-        max_examples=count,
-        stateful_step_count=40,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    run_state_machine_as_test(LedgerHistories, settings=options)
+    play_histories(LedgerHistories, count)
 
 
 @then("the ledger holds each of {keys} once")
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -3,7 +3,7 @@
 import time
 
 from behave import then, when
-from fleet_steps import SHEET, run, submit
+from fleet_support import SHEET, run, submit
 
 from bilberryshed.coordination import EngineView, Lease, LeaseRow, OrderGate, plan_orders
 from bilberryshed.state import PLACEMENT_LEASE, Row
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -4,7 +4,7 @@
 import urllib.request
 
 from behave import then, when
-from fleet_steps import run
+from fleet_support import run
 
 from bilberryshed.coordination import Quarantine, Standing, Suspicion
 from bilberryshed_load import Question, ask
--- a/features/steps/reclaim_steps.py
+++ b/features/steps/reclaim_steps.py
@@ -3,7 +3,7 @@
 import time
 
 from behave import given, then, when
-from fleet_steps import office, run, start_fleet
+from fleet_support import office, run, start_fleet
 
 from bilberryshed.coordination import Present, Reclaim
 from bilberryshed.protocol import Charge, UsageRecord
--- a/features/support.py
+++ b/features/support.py
@@ -3,6 +3,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
 from bilberryshed.coordination import Done, GrantBatch, ReadRows
 from bilberryshed.state import BUDGETS, GRANTS, BudgetRow, GrantRow, Row, RowRef, StoreError
 from bilberryshed_standins import MemoryObjects, MemoryTables
@@ -102,3 +105,16 @@
         """Let delayed puts take effect."""
         while self.delayed:
             self.objects.put_if_absent(*self.delayed.pop(0))
+
+
+def play_histories(machine, count):
+    """Play random histories of a state machine, the same ones each time."""
+    options = settings(
+        max_examples=count,
+        stateful_step_count=40,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(machine, settings=options)
