--- a/features/sheet.feature
+++ b/features/sheet.feature
@@ -91,3 +91,6 @@
       | 3, 2, 1    | 3    |
       | 2, 2, 1    | 2    |
       | 1, 3, 2, 3 | 3    |
+
+  Scenario: No bytes crash the parser
+    Then random bytes and damaged sample sheets give a sheet or findings
--- a/features/steps/sheet_steps.py
+++ b/features/steps/sheet_steps.py
@@ -5,6 +5,10 @@
 from pathlib import Path
 
 from behave import given, then, when
+from hypothesis import given as arbitrary
+from hypothesis import settings
+from hypothesis import strategies as st
+from returns.result import Failure
 from support import FaultyTables, drive
 
 from bilberryshed.coordination import (
@@ -168,3 +172,22 @@
 @then("version {version:d} is in force")
 def then_in_force(context, version):
     assert context.rollout.version == version
+
+
+@then("random bytes and damaged sample sheets give a sheet or findings")
+def then_no_crash(context):
+    sample = Path("etc/cairnbrae.csv").read_bytes()
+    options = settings(max_examples=300, derandomize=True, deadline=None, database=None)
+
+    @options
+    @arbitrary(st.binary(max_size=40), st.integers(0, len(sample)), st.integers(0, 200))
+    def check(noise, position, cut):
+        damaged = sample[:position] + noise + sample[position + cut :]
+        for content in (noise, damaged):
+            result = parse_sheet("s.csv", content)
+            if isinstance(result, Failure):
+                assert result.failure() and all(f.place for f in result.failure())
+            else:
+                assert isinstance(result.unwrap(), Sheet)
+
+    check()
