One piece of code where two stood; work done once

Cause: a read of the whole change. The prompt was hashed at each look at its standing and the body parsed twice; wire fields were sent that nobody read; spawning tasks, reading a table page by page, the duty check and the upkeep of grants stood twice. Change: content and stream are fields of Call, BackgroundTasks, scan_all(), Members.has_duty(), FundingDesk._tidy(); dead fields gone.

--- a/features/fleet_support.py
+++ b/features/fleet_support.py
@@ -9,10 +9,13 @@
 
 from bilberryshed.runtime import RecordsOffice
 from bilberryshed.state import Address
-from bilberryshed_load import DEPLOYMENTS, Fleet, plan_fleet
+from bilberryshed_load import DEPLOYMENTS, Fleet, Question, plan_fleet
 
 SHEET = Path("etc/cairnbrae.csv")
 SETTLE_LIMIT = 15.0  # seconds
+CRASHING = Question(
+    "highland-council", "", "drivers", prompt="Is CRASH-THE-ENGINE open?", max_tokens=8
+)
 
 
 def start_fleet(context, overrides=None):
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -64,7 +64,7 @@
 def dispatch():
     """Return a dispatch of attempt a1."""
     fields = ("a1", "r1", "council", "winter", "k1", "booking", "", False, (), 0)
-    return Dispatch(*fields, "POST", "/calls", b"", 0, 5.0, "content", False)
+    return Dispatch(*fields, "POST", "/calls", b"", 0, 5.0, False)
 
 
 @when("an agent handles: {events}")
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 from fleet_support import (
+    CRASHING,
     SETTLE_LIMIT,
     SHEET,
     office,
@@ -288,11 +289,8 @@
         loop = asyncio.get_running_loop()
         loop.call_later(2.0, fleet.pause, words[1], False)
     elif "a crashing request" in event:
-        question = Question(
-            "highland-council", "", "drivers", prompt="Is CRASH-THE-ENGINE open?", max_tokens=8
-        )
         url = fleet.plan.router_urls[0]
-        context.crashing = asyncio.ensure_future(ask(url, question))
+        context.crashing = asyncio.ensure_future(ask(url, CRASHING))
     elif "crashes" in event:
         post(fleet.plan.backends[words[1]], "/crash", {})
     elif "is stopped" in event:
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -4,14 +4,10 @@
 import urllib.request
 
 from behave import then, when
-from fleet_support import run
+from fleet_support import CRASHING, run
 
 from bilberryshed.coordination import Quarantine, Standing, Suspicion
-from bilberryshed_load import Question, ask
-
-CRASHING = Question(
-    "highland-council", "", "drivers", prompt="Is CRASH-THE-ENGINE open?", max_tokens=8
-)
+from bilberryshed_load import ask
 
 
 @when("a content sees: {events}")
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -57,7 +57,7 @@
     boot_of_grant,
     vm_of_boot,
 )
-from bilberryshed.coordination._rendezvous import owner, ranked, shard_of
+from bilberryshed.coordination._rendezvous import owner, shard_of
 from bilberryshed.coordination._rollout import Rollout, SheetInForce
 from bilberryshed.coordination._routing import AgentView, Choice, Routing, policies, policy
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
@@ -150,7 +150,6 @@
     "policies",
     "policy",
     "prompt_prefixes",
-    "ranked",
     "shard_of",
     "vm_of_boot",
 ]
--- a/src/bilberryshed/coordination/_funding.py
+++ b/src/bilberryshed/coordination/_funding.py
@@ -78,7 +78,6 @@
     missing: int = 0
     releasable: int = 0
     store_empty: bool = False
-    unreachable: bool = False
 
 
 class Funding:
@@ -153,7 +152,6 @@
             return self._funded(budget, round_, taken)
         round_.need -= taken
         round_.store_empty = reached
-        round_.unreachable = not reached
         return self._recall(now, budget, round_, peers)
 
     def on_tick(self, now: float, peers: tuple[str, ...]) -> list[Action]:
--- a/src/bilberryshed/coordination/_membership.py
+++ b/src/bilberryshed/coordination/_membership.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from bilberryshed.coordination._rendezvous import owner, ranked
+from bilberryshed.coordination._rendezvous import owner
 from bilberryshed.protocol import Hello
 from bilberryshed.state import Vm
 
@@ -115,9 +115,12 @@
         chosen = owner(f"ledger-shard-{shard}", self.duty_routers())
         return None if chosen == self.name else chosen
 
-    def poll_rank(self, duty: str) -> int:
-        """Return this router's rank for a duty within its zone; 0 performs it."""
-        return ranked(duty, self.duty_routers(self.zone)).index(self.name)
+    def has_duty(self, duty: str, zone: str | None = None) -> bool:
+        """Whether this router is the one that performs a duty.
+
+        :param zone: for a duty that one router of each availability zone performs
+        """
+        return owner(duty, self.duty_routers(zone)) == self.name
 
     def _linked(self, role: str) -> tuple[str, ...]:
         return tuple(n for n, m in self.by_name.items() if m.linked and m.vm.role == role)
--- a/src/bilberryshed/coordination/_rendezvous.py
+++ b/src/bilberryshed/coordination/_rendezvous.py
@@ -5,11 +5,6 @@
 import xxhash
 
 
-def ranked(key: str, names: Iterable[str]) -> list[str]:
-    """Return names by descending weight for a key; ties fall to the lower name."""
-    return sorted(names, key=lambda name: (-_weight(key, name), name))
-
-
 def owner(key: str, names: Iterable[str]) -> str | None:
     """Return the name that owns a key, or ``None`` if there are no names."""
     return max(names, key=lambda name: (_weight(key, name), name), default=None)
--- a/src/bilberryshed/protocol/_messages.py
+++ b/src/bilberryshed/protocol/_messages.py
@@ -67,7 +67,6 @@
     :param body: HTTP body for the backend server
     :param priority: lower runs earlier
     :param deadline: seconds that the attempt may take
-    :param content: fingerprint of what the backend server reads
     :param alone: whether nothing else may run on the backend server meanwhile
     """
 
@@ -86,7 +85,6 @@
     body: bytes
     priority: int
     deadline: float
-    content: str
     alone: bool
 
 
@@ -240,21 +238,17 @@
     :param services: plain services served
     :param models: models and versions loaded
     :param running: attempts running
-    :param queued: attempts that wait in the backend server
     :param slots: attempts that it runs at once
     :param draining: whether new work is refused
     :param healthy: whether the backend server answers
-    :param prefixes: hashes of prompt prefixes cached since the last report
     """
 
     services: tuple[str, ...]
     models: tuple[str, ...]
     running: int
-    queued: int
     slots: int
     draining: bool
     healthy: bool
-    prefixes: tuple[int, ...]
 
 
 @message(36)
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -41,7 +41,7 @@
     RunSink,
     backends,
 )
-from bilberryshed.runtime._process import hello, new_boot_id
+from bilberryshed.runtime._process import BackgroundTasks, hello, new_boot_id
 from bilberryshed.runtime._status import LiveHandler, ReadyHandler, StatusHandler
 from bilberryshed.state import PLACEMENT_LEASE, AgentSettings
 from bilberryshed.transport import (
@@ -65,7 +65,7 @@
 class _LinkSink(RunSink):
     """Sends the frames of one attempt to the router that dispatched it."""
 
-    __slots__ = ("attempt", "link", "chunks", "digest", "status", "content_type", "kept")
+    __slots__ = ("attempt", "link", "chunks", "digest", "kept")
 
     def __init__(self, attempt: str, link: Link, keep: bool) -> None:
         self.attempt = attempt
@@ -97,11 +97,11 @@
         self.runs = Runs(settings.slots * QUEUE_FACTOR)
         self.boot_of_attempt: dict[str, str] = {}
         self.journaled_at: dict[str, float] = {}
-        self.load = BackendLoad((), 0, 0, settings.slots, 0)
+        self.load = BackendLoad((), settings.slots, 0)
         self.healthy = False
         self.gate = OrderGate()
         self.tables = HttpTableService(settings.platform, settings.platform_timeout)
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.spawn = BackgroundTasks().spawn
         messages = MessageTable(
             {
                 Dispatch: self._on_dispatch,
@@ -109,7 +109,7 @@
                 AttemptQuery: self._on_query,
                 RecordsKept: self._on_kept,
                 Revoke: self._on_revoke,
-                Order: lambda link, order: self._spawn(self._carry_out(link, order)),
+                Order: lambda link, order: self.spawn(self._carry_out(link, order)),
                 Heartbeat: self._on_heartbeat,
             }
         )
@@ -125,7 +125,9 @@
         await self._poll_load()
         await self.links.start(self.settings.link_listen)
         self._listen_status()
-        self.timers.subscribe(self.settings.load_interval, lambda now: self._spawn_poll())
+        self.timers.subscribe(
+            self.settings.load_interval, lambda now: self.spawn(self._poll_load())
+        )
         self.timers.subscribe(self.settings.journal_retry, self._resend_journal)
         self.timers.subscribe(FORGET_INTERVAL, lambda now: self.runs.forget_earlier())
         logger().info("started", boot=self.boot, backend=str(self.settings.backend))
@@ -155,11 +157,11 @@
             self.metrics.count("refused")
             return
         self.boot_of_attempt[dispatch.attempt] = link.peer.boot
-        self._spawn(self._run(link, dispatch))
+        self.spawn(self._run(link, dispatch))
 
     def _on_cancel(self, link: Link, cancel: Cancel) -> None:
         if cancel.attempt in self.runs.running:
-            self._spawn(self.backend.cancel(cancel.attempt))
+            self.spawn(self.backend.cancel(cancel.attempt))
 
     def _on_query(self, link: Link, query: AttemptQuery) -> None:
         for attempt in query.attempts:
@@ -294,9 +296,6 @@
             self.load = load
         self._broadcast_report()
 
-    def _spawn_poll(self) -> None:
-        self._spawn(self._poll_load())
-
     def _broadcast_report(self) -> None:
         report = self._report()
         for link in self.links.links:
@@ -308,11 +307,9 @@
             services=services,
             models=self.load.models,
             running=len(self.runs.running),
-            queued=self.load.queued,
             slots=self.load.slots,
             draining=self.runs.draining,
             healthy=self.healthy,
-            prefixes=(),
         )
 
     async def _drain(self) -> bool:
@@ -365,16 +362,6 @@
             "cpu_seconds": time.process_time(),
         }
 
-    def _spawn(self, coroutine: Any) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self._reap)
-
-    def _reap(self, task: "asyncio.Task[None]") -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger().error("task_failed", error=repr(task.exception()))
-
 
 def _no_answer(dispatch: Dispatch, result: RunResult, crashed: bool) -> NotRun | Failed:
     if isinstance(result, NeverRan):
--- a/src/bilberryshed/runtime/_api.py
+++ b/src/bilberryshed/runtime/_api.py
@@ -127,7 +127,7 @@
         execution = self.open(reader.completion(raw))
         if execution is None:
             return
-        if json.loads(self.request.body).get("stream", False):
+        if execution.call.stream:
             await self._stream(execution)
         else:
             await self._whole(execution)
--- a/src/bilberryshed/runtime/_attempts.py
+++ b/src/bilberryshed/runtime/_attempts.py
@@ -153,7 +153,6 @@
         body=_body(execution, attempt) if call.model else call.body,
         priority=call.customer.priority,
         deadline=call.service.deadline,
-        content=call.content,
         alone=alone,
     )
 
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -61,8 +61,6 @@
     """
 
     models: tuple[str, ...]
-    running: int
-    queued: int
     slots: int
     boot: int
 
@@ -110,8 +108,6 @@
             return None
         return BackendLoad(
             tuple(body.get("models", ())),
-            int(body.get("running", 0)),
-            int(body.get("queued", 0)),
             int(body.get("slots", 1)),
             int(body.get("boot", 0)),
         )
--- a/src/bilberryshed/runtime/_calls.py
+++ b/src/bilberryshed/runtime/_calls.py
@@ -6,6 +6,7 @@
 from hashlib import sha256
 from typing import Any
 
+import xxhash
 from returns.result import Failure, Result, Success
 
 from bilberryshed.protocol import Refusal, RefusalCode
@@ -80,7 +81,7 @@
         if not found.service.idempotent and not raw.key:
             reason = f"calls of {raw.service!r} need an Idempotency-Key header"
             return _refuse(RefusalCode.KEY_REQUIRED, reason)
-        return Success(_call(raw, found, "", b"", {}, 0, found.service.price))
+        return Success(_call(raw, found, "", b"", {}, 0, found.service.price, False))
 
     def _rights(self, raw: RawRequest) -> Result[_Rights, Refusal]:
         authenticated = self.authenticate(raw.authorization)
@@ -176,7 +177,8 @@
     payload = {name: body[name] for name in PASSED_FIELDS if name in body}
     max_tokens = body["max_tokens"]
     bound = len(prompt) + MESSAGE_OVERHEAD * len(messages) + max_tokens
-    return _call(raw, rights, model, prompt, payload, max_tokens, bound)
+    stream = body.get("stream", False)
+    return _call(raw, rights, model, prompt, payload, max_tokens, bound, stream)
 
 
 def _call(
@@ -187,8 +189,11 @@
     payload: dict[str, Any],
     max_tokens: int,
     bound: int,
+    stream: bool,
 ) -> Call:
     request = uuid.uuid4().hex
+    target = model or rights.service.name
+    content = xxhash.xxh3_128_hexdigest(target.encode() + b"\n" + (prompt or raw.body))
     fingerprint = sha256(f"{raw.method} {raw.path}\n".encode() + raw.body).hexdigest()
     return Call(
         request=request,
@@ -199,6 +204,7 @@
         key=raw.key or request,
         keyed=bool(raw.key),
         fingerprint=fingerprint,
+        content=content,
         method=raw.method,
         path=raw.path,
         body=raw.body,
@@ -206,4 +212,5 @@
         payload=payload,
         max_tokens=max_tokens,
         bound=bound,
+        stream=stream,
     )
--- a/src/bilberryshed/runtime/_context.py
+++ b/src/bilberryshed/runtime/_context.py
@@ -1,17 +1,14 @@
 """What the parts of a router share."""
 
-import asyncio
-from collections.abc import Coroutine
 from typing import Any
 
 from bilberryshed.coordination import GrantBook, Members, Rollout, Routing
-from bilberryshed.runtime._process import new_boot_id
+from bilberryshed.runtime._process import BackgroundTasks, new_boot_id
 from bilberryshed.state import Platform, RouterSettings
 from bilberryshed.transport import (
     Link,
     Metrics,
     TimerService,
-    logger,
 )
 
 
@@ -33,21 +30,9 @@
         self.peer_links: dict[str, Link] = {}
         self.agent_links: dict[str, Link] = {}
         self.draining = False
-        self.tasks: set[asyncio.Future[Any]] = set()
-
-    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> "asyncio.Future[Any]":
-        """Run a coroutine on the loop; a failure is logged."""
-        task = asyncio.ensure_future(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self._reap)
-        return task
+        self.spawn = BackgroundTasks().spawn
 
     def send_peer(self, name: str, message: Any) -> bool:
         """Send to another router; returns whether a link took the message."""
         link = self.peer_links.get(name)
         return link is not None and link.send(message)
-
-    def _reap(self, task: "asyncio.Future[Any]") -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger().error("task_failed", error=repr(task.exception()))
--- a/src/bilberryshed/runtime/_execution.py
+++ b/src/bilberryshed/runtime/_execution.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import xxhash
-
 from bilberryshed.protocol import Refusal, bill_id
 from bilberryshed.state import Budget, Customer, Service
 
@@ -17,9 +15,11 @@
 
     :param keyed: whether the caller gave the idempotency key itself
     :param fingerprint: digest of method, path and body
+    :param content: fingerprint of what the backend server reads, whoever sends it
     :param prompt: text that the model reads, empty for a plain service
     :param payload: JSON fields passed to the model engine
     :param bound: tokens that it can use at most
+    :param stream: whether the caller wants the answer as it is generated
     """
 
     request: str
@@ -30,6 +30,7 @@
     key: str
     keyed: bool
     fingerprint: str
+    content: str
     method: str
     path: str
     body: bytes
@@ -37,17 +38,13 @@
     payload: dict[str, Any]
     max_tokens: int
     bound: int
+    stream: bool
 
     @property
     def bill_id(self) -> str:
         """Bill id of this request."""
         return bill_id(self.customer.name, self.key)
 
-    @property
-    def content(self) -> str:
-        """Fingerprint of what the backend server reads, whoever sends it."""
-        return xxhash.xxh3_128_hexdigest(self.target.encode() + b"\n" + (self.prompt or self.body))
-
     @property
     def target(self) -> str:
         """What an agent must serve to run this."""
--- a/src/bilberryshed/runtime/_funding_desk.py
+++ b/src/bilberryshed/runtime/_funding_desk.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from functools import partial
 
 from returns.result import Failure, Result, Success
 
@@ -261,23 +260,26 @@
         if now >= self.next_take.get(key, 0.0):
             self.next_take[key] = now + TAKE_PAUSE
             self.next_top_up[key] = now + READ_PAUSE
-            self.worker.submit(take, partial(self._on_topped_up, take))
-
-    def _on_topped_up(self, take: Take, taken: int, reached: bool) -> None:
-        self._credit(take, taken)
+            self.worker.submit(take, lambda taken, reached: self._credit(take, taken))
 
     def _resend(self, now: float) -> None:
         for to, transfer in tuple(self.book.outgoing.values()):
             self.context.send_peer(to, transfer)
 
     def _maintain(self, now: float) -> None:
-        """Adopt transferred parts and close grants that are used up."""
+        self._tidy(returning=False)
+
+    def _tidy(self, returning: bool) -> None:
+        """Adopt transferred parts and close grants.
+
+        :param returning: close every grant on which nothing is outstanding, not only used-up ones
+        """
         for grant in self.book.grants():
             if grant.pinned:
                 continue
             if not grant.adopted:
                 self._adopt(grant)
-            elif grant.idle and grant.free == 0:
+            elif grant.idle and (returning or grant.free == 0):
                 self._close(grant)
 
     def _adopt(self, grant: Grant) -> None:
@@ -308,13 +310,7 @@
 
         :returns: grants still held and transfers under way to linked routers
         """
-        for grant in self.book.grants():
-            if grant.pinned:
-                continue
-            if not grant.adopted:
-                self._adopt(grant)
-            elif grant.idle:
-                self._close(grant)
+        self._tidy(returning=True)
         linked = self.context.peer_links
         under_way = sum(to in linked for to, _ in self.book.outgoing.values())
         return len(self.book.grants()) + under_way
--- a/src/bilberryshed/runtime/_placement_desk.py
+++ b/src/bilberryshed/runtime/_placement_desk.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Success
 
-from bilberryshed.coordination import EngineView, Lease, OrderKind, PlannedOrder, owner, plan_orders
+from bilberryshed.coordination import EngineView, Lease, OrderKind, PlannedOrder, plan_orders
 from bilberryshed.protocol import Order, OrderResult
 from bilberryshed.runtime._context import RouterContext
 from bilberryshed.state import PLACEMENT_LEASE
@@ -37,8 +37,7 @@
         self.context.timers.subscribe(INTERVAL, self._on_tick)
 
     def _on_tick(self, now: float) -> None:
-        names = self.context.members.duty_routers()
-        on_duty = owner(DUTY, names) == self.context.settings.name
+        on_duty = self.context.members.has_duty(DUTY)
         if on_duty and not self.working and not self.context.draining:
             self.context.spawn(self._work(now))
 
--- a/src/bilberryshed/runtime/_reclaim_desk.py
+++ b/src/bilberryshed/runtime/_reclaim_desk.py
@@ -2,16 +2,16 @@
 
 from returns.result import Failure
 
-from bilberryshed.coordination import Close, Present, Reclaim, boot_of_grant, owner
+from bilberryshed.coordination import Close, Present, Reclaim, boot_of_grant
 from bilberryshed.protocol import Revoke, RevokeAck
 from bilberryshed.runtime._context import RouterContext
 from bilberryshed.runtime._funding_desk import FundingDesk
 from bilberryshed.runtime._ledger_desk import LedgerDesk
+from bilberryshed.runtime._results import scan_all
 from bilberryshed.state import GRANTS, GrantRow, Vm
 from bilberryshed.transport import Link, logger
 
 DUTY = "reclaim"
-PAGE = 1_000  # rows read at once
 
 
 class ReclaimDesk:
@@ -31,8 +31,7 @@
         self.context.timers.subscribe(self.context.settings.reclaim_interval, self._on_tick)
 
     def _on_tick(self, now: float) -> None:
-        names = self.context.members.duty_routers()
-        on_duty = owner(DUTY, names) == self.context.settings.name
+        on_duty = self.context.members.has_duty(DUTY)
         if on_duty and not self.working and self.listed is not None and not self.context.draining:
             self.context.spawn(self._work())
 
@@ -44,9 +43,10 @@
             self.working = False
 
     async def _reclaim(self) -> None:
-        grants = await self._grants()
-        if grants is None:
+        rows = await scan_all(self.context.tables, GRANTS)
+        if isinstance(rows, Failure):
             return
+        grants = {row.ref.key: GrantRow.from_value(row.value) for row in rows.unwrap()}
         present = self._present()
         for boot in self.reclaim.suspect(grants, present):
             logger().warning("boot_revoked", boot=boot)
@@ -83,19 +83,6 @@
                 returned=closing.amount - closing.settled,
             )
 
-    async def _grants(self) -> dict[str, GrantRow] | None:
-        grants: dict[str, GrantRow] = {}
-        after = ""
-        while True:
-            page = await self.context.tables.scan(GRANTS, "", after, PAGE)
-            if isinstance(page, Failure):
-                return None
-            rows = page.unwrap()
-            grants.update({row.ref.key: GrantRow.from_value(row.value) for row in rows})
-            if len(rows) < PAGE:
-                return grants
-            after = rows[-1].ref.key
-
     def _present(self) -> Present:
         members = self.context.members.by_name.values()
         boots = {member.vm.name: member.boot for member in members if member.linked}
--- a/src/bilberryshed/runtime/_records_office.py
+++ b/src/bilberryshed/runtime/_records_office.py
@@ -6,6 +6,7 @@
 
 from bilberryshed.coordination import Audit, Segment, TallyLine, audit
 from bilberryshed.protocol import FrameError, UsageRecord, decode
+from bilberryshed.runtime._results import scan_all
 from bilberryshed.runtime._sheet_office import SheetOffice
 from bilberryshed.runtime._slo_desk import SLO_PREFIX
 from bilberryshed.state import (
@@ -14,13 +15,12 @@
     Address,
     BudgetRow,
     GrantRow,
-    Row,
     StoreError,
     Vm,
 )
 from bilberryshed.transport import HttpObjectStore, HttpTableService, HttpVmList
 
-PAGE = 1_000  # rows or names read at once
+PAGE = 1_000  # names read at once
 LEDGER_PREFIX = "ledger/"
 
 
@@ -53,8 +53,8 @@
     async def audit(self) -> Result[Audit, StoreError]:
         """Audit the ledger against budgets, grants and the accepted sheet."""
         records = await self.records()
-        budgets = await self._rows(BUDGETS)
-        grants = await self._rows(GRANTS)
+        budgets = await scan_all(self.tables, BUDGETS)
+        grants = await scan_all(self.tables, GRANTS)
         accepted = await self.sheets.accepted()
         for result in (records, budgets, grants, accepted):
             if isinstance(result, Failure):
@@ -110,15 +110,3 @@
             if len(page.unwrap()) < PAGE:
                 return Success(tuple(names))
             after = names[-1]
-
-    async def _rows(self, table: str) -> Result[tuple[Row, ...], StoreError]:
-        rows: list[Row] = []
-        after = ""
-        while True:
-            page = await self.tables.scan(table, "", after, PAGE)
-            if isinstance(page, Failure):
-                return page
-            rows += page.unwrap()
-            if len(page.unwrap()) < PAGE:
-                return Success(tuple(rows))
-            after = rows[-1].ref.key
--- a/src/bilberryshed/runtime/_sheet_keeper.py
+++ b/src/bilberryshed/runtime/_sheet_keeper.py
@@ -29,7 +29,7 @@
 
     def _on_tick(self, now: float) -> None:
         self.turn += 1
-        on_duty = self.context.members.poll_rank(POLL_DUTY) == 0
+        on_duty = self.context.members.has_duty(POLL_DUTY, self.context.members.zone)
         if on_duty or self.context.rollout.behind or self.turn % BACKUP_TURNS == 0:
             self.context.spawn(self.poll())
 
--- a/src/bilberryshed_load/_policy_baselines.py
+++ b/src/bilberryshed_load/_policy_baselines.py
@@ -5,6 +5,7 @@
 
 from bilberryshed_load._policy_trace import (
     PATIENCE,
+    STORE_DELAY,
     ZONES,
     AdmissionPolicy,
     Ask,
@@ -14,7 +15,6 @@
     model_now,
 )
 
-STORE_DELAY = 0.004  # seconds for one way to the store
 POLL = 0.1  # seconds between looks at a balance that is too low
 
 
--- a/src/bilberryshed_load/_policy_escrow.py
+++ b/src/bilberryshed_load/_policy_escrow.py
@@ -38,6 +38,7 @@
 from bilberryshed_load._policy_trace import (
     PATIENCE,
     ROUTERS_PER_ZONE,
+    STORE_DELAY,
     ZONES,
     AdmissionPolicy,
     Ask,
@@ -47,7 +48,6 @@
 )
 from bilberryshed_standins import MemoryTables
 
-STORE_DELAY = 0.004  # seconds for one way to the store
 ZONE_DELAY = 0.0015  # seconds for one way between zones
 VERDICT_DELAY = 0.3  # seconds from the end of a request to the ledger's verdict
 RECLAIM_DELAY = 20.0  # seconds from a kill until the grants are reclaimed
--- a/src/bilberryshed_load/_policy_trace.py
+++ b/src/bilberryshed_load/_policy_trace.py
@@ -9,6 +9,7 @@
 
 ZONES = ("a", "b", "c")
 ROUTERS_PER_ZONE = 2
+STORE_DELAY = 0.004  # seconds for one way to the store
 PATIENCE = 2.0  # seconds that a request may wait for tokens
 
 
--- a/src/bilberryshed_load/_slopes.py
+++ b/src/bilberryshed_load/_slopes.py
@@ -246,41 +246,32 @@
 
 
 def _in_fleet(etc: Path) -> list[Slope]:
-    report = LoadReport((), (MODEL,), 3, 0, 16, False, True, ())
+    report = LoadReport((), (MODEL,), 3, 16, False, True)
     beat = Heartbeat(False, 1)
     agents = [_idle("agent", n, report, REPORT_INTERVAL) for n in LINK_SIZES]
     peers = [_idle("router", n, beat, BEAT_INTERVAL) for n in LINK_SIZES]
     sizes = tuple(map(float, LINK_SIZES))
-    rates = [_at_rate(etc, rate) for rate in RATES]
     return [
         Slope("router cpu for an agent linked", "cores", sizes, tuple(a[0] for a in agents)),
         Slope("router memory for an agent linked", "kB", sizes, tuple(a[1] for a in agents)),
         Slope("router cpu for a peer linked", "cores", sizes, tuple(p[0] for p in peers)),
         Slope("router memory for a peer linked", "kB", sizes, tuple(p[1] for p in peers)),
-        Slope(
-            "router cpu for a request of 16 tokens a second",
-            "cores",
-            tuple(map(float, RATES)),
-            tuple(r[0] for r in rates),
-        ),
-        Slope(
-            "agent cpu for a request of 16 tokens a second",
-            "cores",
-            tuple(map(float, RATES)),
-            tuple(r[1] for r in rates),
-        ),
-        Slope(
-            "store writes for a request a second",
-            "writes/s",
-            tuple(map(float, RATES)),
-            tuple(r[2] for r in rates),
-        ),
-        Slope(
-            "store reads for a request a second",
-            "reads/s",
-            tuple(map(float, RATES)),
-            tuple(r[3] for r in rates),
-        ),
+        *_by_rate(etc),
+    ]
+
+
+def _by_rate(etc: Path) -> list[Slope]:
+    measured = [_at_rate(etc, rate) for rate in RATES]
+    names = (
+        ("router cpu for a request of 16 tokens a second", "cores"),
+        ("agent cpu for a request of 16 tokens a second", "cores"),
+        ("store writes for a request a second", "writes/s"),
+        ("store reads for a request a second", "reads/s"),
+    )
+    rates = tuple(map(float, RATES))
+    return [
+        Slope(name, unit, rates, tuple(values[column] for values in measured))
+        for column, (name, unit) in enumerate(names)
     ]
 
 
