An attempt that waits to run alone does not start on a crashed backend server

Cause: an innocent suspect that waited for its turn alone began the moment the others broke, on the engine that had just crashed, broke too, and was convicted as the one that crashed it. Change: a crash is judged, and the health known, before the broken attempt ends; a waiting attempt on a dead backend server ends as not run, and none is admitted there.

--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -150,8 +150,8 @@
     def _on_dispatch(self, link: Link, dispatch: Dispatch) -> None:
         if self.runs.is_known(dispatch.attempt):
             return
-        serves = dispatch.model in self.load.models or dispatch.service == self.settings.service
-        refused = self.runs.admit(link.peer.boot, dispatch, serves)
+        has_it = dispatch.model in self.load.models or dispatch.service == self.settings.service
+        refused = self.runs.admit(link.peer.boot, dispatch, serves=has_it and self.healthy)
         if refused is not None:
             link.send(NotRun(dispatch.attempt, refused.code, refused.reason))
             self.metrics.count("refused")
@@ -206,17 +206,26 @@
     async def _run(self, link: Link, dispatch: Dispatch) -> None:
         while not self.runs.may_start(dispatch.attempt):
             await asyncio.sleep(LONE_POLL)
+        if not self.healthy:
+            self._end_unanswered(link, dispatch, NeverRan("the backend server is away"), False)
+            return
         sink = _LinkSink(dispatch.attempt, link, keep=not dispatch.idempotent)
         boot = self.load.boot
         result = await self.backend.run(dispatch, sink)
         if isinstance(result, Finished):
             self._finish(link, dispatch, sink, result)
             return
-        never_ran = isinstance(result, NeverRan)
-        closing = Closing.NEVER_RAN if never_ran else Closing.FAILED
+        # Judged before the attempt ends: one that waits to run alone must not start on a backend
+        # server that has just crashed, and be blamed for it.
+        crashed = isinstance(result, Broken) and await self._has_crashed(boot)
+        self._end_unanswered(link, dispatch, result, crashed)
+
+    def _end_unanswered(
+        self, link: Link, dispatch: Dispatch, result: NeverRan | Broken, crashed: bool
+    ) -> None:
+        closing = Closing.NEVER_RAN if isinstance(result, NeverRan) else Closing.FAILED
         self.runs.end(dispatch.attempt, closing)
         self.boot_of_attempt.pop(dispatch.attempt, None)
-        crashed = isinstance(result, Broken) and await self._has_crashed(boot)
         link.send(_no_answer(dispatch, result, crashed))
         self.metrics.count("attempt_failed")
         logger().warning(
@@ -225,8 +234,8 @@
 
     async def _has_crashed(self, boot: int) -> bool:
         """Whether the backend server is away, or has restarted since ``boot``."""
-        load = await self.backend.load()
-        return load is None or load.boot != boot
+        await self._poll_load()
+        return not self.healthy or self.load.boot != boot
 
     def _finish(self, link: Link, dispatch: Dispatch, sink: _LinkSink, result: Finished) -> None:
         record = self._record(dispatch, result)
