--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -6,6 +6,9 @@
 from bilberryshed.coordination._agent_runs import Closing, Refused, Runs
 from bilberryshed.coordination._answers import AnswerCheck, AnswerDamagedError
 from bilberryshed.coordination._audit import Audit, BudgetLine, audit
+from bilberryshed.coordination._backend_pool import OUTPUT_WEIGHT, BackendPool, BackendView
+from bilberryshed.coordination._backend_pool import Demand as BackendDemand
+from bilberryshed.coordination._backend_registry import BackendRegistry
 from bilberryshed.coordination._claims import (
     Claim,
     ClaimInsert,
@@ -18,6 +21,8 @@
     WriteClaim,
     claim_ref,
 )
+from bilberryshed.coordination._crash_record import CrashRecord
+from bilberryshed.coordination._event_stream import EventCutter
 from bilberryshed.coordination._fair_queue import FairQueue, Ticket
 from bilberryshed.coordination._funding import (
     AskPeer,
@@ -49,6 +54,7 @@
     plan_orders,
 )
 from bilberryshed.coordination._prefixes import prompt_prefixes
+from bilberryshed.coordination._prepaid import Account, PeerHolding, PoolRow, PrepaidBook
 from bilberryshed.coordination._quarantine import Quarantine, Standing, Suspicion
 from bilberryshed.coordination._reclaim import (
     GrantToClose,
@@ -58,7 +64,9 @@
     vm_of_boot,
 )
 from bilberryshed.coordination._rendezvous import owner, shard_of
+from bilberryshed.coordination._retry_allowance import RetryAllowance
 from bilberryshed.coordination._rollout import Rollout, SheetInForce
+from bilberryshed.coordination._route_index import RouteIndex
 from bilberryshed.coordination._routing import AgentView, Choice, Routing, policies, policy
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
 from bilberryshed.coordination._sizing import Demand, GrantSizing
@@ -73,7 +81,9 @@
 
 __all__ = [
     "MAX_CHANGES",
+    "OUTPUT_WEIGHT",
     "Accepted",
+    "Account",
     "Admission",
     "Adopt",
     "AgentView",
@@ -81,6 +91,10 @@
     "AnswerDamagedError",
     "AskPeer",
     "Audit",
+    "BackendDemand",
+    "BackendPool",
+    "BackendRegistry",
+    "BackendView",
     "BudgetLine",
     "Choice",
     "Claim",
@@ -89,10 +103,12 @@
     "Close",
     "Closing",
     "Conflict",
+    "CrashRecord",
     "Demand",
     "Done",
     "Doubtful",
     "EngineView",
+    "EventCutter",
     "Existing",
     "FairQueue",
     "Funded",
@@ -111,7 +127,10 @@
     "Mine",
     "OrderGate",
     "OrderKind",
+    "PeerHolding",
     "PlannedOrder",
+    "PoolRow",
+    "PrepaidBook",
     "Present",
     "PutSegment",
     "Quarantine",
@@ -120,7 +139,9 @@
     "Reclaim",
     "Refused",
     "Rejected",
+    "RetryAllowance",
     "Rollout",
+    "RouteIndex",
     "Routing",
     "Runs",
     "Segment",
--- /dev/null
+++ b/src/bilberryshed/coordination/_prepaid.py
@@ -0,0 +1,226 @@
+"""Running totals of prepaid tokens, shared by routers that may lose the store and each other.
+
+The store keeps one :class:`PoolRow` for each customer: what each lifetime of a router was granted
+and what closed lifetimes used. A router spends what it was granted, and hands free tokens to its
+peers directly. As every token is debited at one place before it is credited at another, and lost in
+transit at worst, no order of events lets the routers together use more than was paid.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+RATE_TIME_CONSTANT = 4.0  # seconds over which demand is averaged
+LEAST_GRANT = 2_000  # tokens below which a change of the store's row is not worth a write
+REFILL_SHARE = 0.7  # of the target, below which more is taken
+RETURN_SHARE = 1.5  # of the target, above which the rest is returned
+HELD_SHARE = 0.9  # of the balance that all routers together have in hand
+FIRST_SHARE = 0.3  # of the balance that routers without demand yet have in hand together
+
+
+@dataclass(slots=True, frozen=True)
+class PoolRow:
+    """What the store knows of one customer's tokens.
+
+    :param closed: tokens used by lifetimes that have ended
+    :param holders: tokens granted to each lifetime; may be negative after returns of tokens that
+        came from peers
+    """
+
+    closed: int = 0
+    holders: dict[str, int] = field(default_factory=dict)
+
+    @classmethod
+    def from_value(cls, value: dict[str, Any]) -> "PoolRow":
+        """Read the columns of a row; an absent row is a pool from which nothing was taken.
+
+        :raises ValueError: if a column is not what was written
+        """
+        holders = value.get("holders", {})
+        if not isinstance(holders, dict):
+            raise ValueError(f"holders is {holders!r}, not a table")
+        return cls(
+            int(value.get("closed", 0)),
+            {str(boot): int(tokens) for boot, tokens in holders.items()},
+        )
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the columns of a row."""
+        return {"closed": self.closed, "holders": self.holders}
+
+    def free(self, prepaid: int) -> int:
+        """Return the tokens that may still be granted, negative after the total was lowered."""
+        return prepaid - self.closed - sum(self.holders.values())
+
+    def with_holder(self, boot: str, tokens: int) -> "PoolRow":
+        """Return the row with another grant for one lifetime."""
+        return PoolRow(self.closed, {**self.holders, boot: tokens})
+
+    def without_holder(self, boot: str, used: int) -> "PoolRow":
+        """Return the row with one lifetime closed.
+
+        :param used: tokens that the lifetime used, net of transfers
+        """
+        holders = {name: tokens for name, tokens in self.holders.items() if name != boot}
+        return PoolRow(self.closed + used, holders)
+
+
+@dataclass(slots=True)
+class Account:
+    """One customer's tokens at one router.
+
+    :param granted: granted by the store
+    :param used: spent and reserved here, plus tokens sent to peers, less tokens received
+    :param reserved: part of ``used`` held for requests that have not ended
+    """
+
+    granted: int = 0
+    used: int = 0
+    reserved: int = 0
+    rate: float = 0.0
+    rate_at: float = 0.0
+
+    @property
+    def free(self) -> int:
+        """Tokens that may still be reserved or given away."""
+        return self.granted - self.used
+
+    def demand(self, now: float) -> float:
+        """Return the demand of the last seconds, in tokens a second."""
+        elapsed = max(0.0, now - self.rate_at)
+        return self.rate * 0.5 ** (elapsed / RATE_TIME_CONSTANT)
+
+
+@dataclass(slots=True, frozen=True)
+class PeerHolding:
+    """What a peer last said of one customer: free tokens, and demand in tokens a second."""
+
+    free: int
+    rate: float
+
+
+class PrepaidBook:
+    """All accounts of one router.
+
+    :param boot: this lifetime of the router
+    :param horizon: seconds of demand to have in hand
+    """
+
+    __slots__ = ("boot", "horizon", "accounts", "peers", "received")
+
+    def __init__(self, boot: str, horizon: float) -> None:
+        self.boot = boot
+        self.horizon = horizon
+        self.accounts: dict[str, Account] = {}
+        self.peers: dict[str, dict[str, PeerHolding]] = {}
+        self.received: set[str] = set()
+
+    def account(self, customer: str) -> Account:
+        """Return the account of a customer, empty at first."""
+        return self.accounts.setdefault(customer, Account())
+
+    def note_demand(self, now: float, customer: str, tokens: int) -> None:
+        """Count tokens asked for, whether or not they can be reserved."""
+        account = self.account(customer)
+        account.rate = account.demand(now) + tokens / RATE_TIME_CONSTANT * 0.69
+        account.rate_at = now
+
+    def reserve(self, customer: str, tokens: int) -> bool:
+        """Reserve tokens for a request, if that many are free."""
+        account = self.account(customer)
+        if account.free < tokens:
+            return False
+        account.used += tokens
+        account.reserved += tokens
+        return True
+
+    def settle(self, customer: str, reserved: int, spent: int) -> None:
+        """End a reservation.
+
+        :param spent: tokens that the request used, at most ``reserved``
+        :raises ValueError: if more was spent than reserved
+        """
+        if spent > reserved:
+            raise ValueError(f"{spent} tokens spent of {reserved} reserved for {customer!r}")
+        account = self.account(customer)
+        account.reserved -= reserved
+        account.used -= reserved - spent
+
+    def give(self, customer: str, tokens: int) -> int:
+        """Debit free tokens for a peer.
+
+        :returns: tokens debited, at most ``tokens``
+        """
+        account = self.account(customer)
+        amount = max(0, min(account.free, tokens))
+        account.used += amount
+        return amount
+
+    def receive(self, customer: str, transfer: str, tokens: int) -> bool:
+        """Credit a transfer once.
+
+        :returns: whether it was new
+        """
+        if transfer in self.received:
+            return False
+        self.received.add(transfer)
+        self.account(customer).used -= tokens
+        return True
+
+    def hear(self, peer: str, holdings: dict[str, PeerHolding]) -> None:
+        """Take in what a peer says that it has in hand."""
+        self.peers[peer] = holdings
+
+    def forget_peer(self, peer: str) -> None:
+        """Forget a peer whose link is down."""
+        self.peers.pop(peer, None)
+
+    def target(self, now: float, customer: str, pool_free: int, routers: int) -> int:
+        """Return the free tokens to have in hand.
+
+        While there is plenty, this is the demand of the horizon. As the balance falls, it is this
+        router's part of nearly all of it, in proportion to demand, so that all run dry together.
+
+        :param pool_free: tokens that the store can still grant
+        :param routers: routers that share the balance, this one included
+        """
+        account = self.account(customer)
+        rate = account.demand(now)
+        told = [held[customer] for held in self.peers.values() if customer in held]
+        others = sum(holding.rate for holding in told)
+        balance = account.free + pool_free + sum(holding.free for holding in told)
+        if rate + others <= 0:
+            return max(0, int(FIRST_SHARE * balance / max(1, routers)))
+        share = rate / (rate + others)
+        return max(0, min(int(rate * self.horizon), int(HELD_SHARE * share * balance)))
+
+    def plan(
+        self, now: float, customer: str, row: PoolRow, prepaid: int, need: int, routers: int
+    ) -> PoolRow:
+        """Return the row as this router wants it: more taken, a surplus returned, or unchanged.
+
+        :param row: the row as it was just read
+        :param prepaid: tokens paid for in all
+        :param need: tokens that waiting requests lack
+        :param routers: routers that share the balance, this one included
+        """
+        account = self.account(customer)
+        pool_free = row.free(prepaid)
+        granted = row.holders.get(self.boot, 0)
+        if pool_free < 0:
+            back = max(0, min(account.free, -pool_free))
+            return row.with_holder(self.boot, granted - back) if back else row
+        goal = self.target(now, customer, pool_free, routers)
+        take = 0
+        if account.free < REFILL_SHARE * goal or need:
+            take = min(pool_free, max(need, goal - account.free))
+            if take < LEAST_GRANT and not need:
+                take = 0
+        elif account.free > RETURN_SHARE * goal + LEAST_GRANT:
+            take = goal - account.free
+        return row.with_holder(self.boot, granted + take) if take else row
+
+    def close(self, customer: str, row: PoolRow) -> PoolRow:
+        """Return the row with this lifetime closed, once nothing is reserved any more."""
+        if self.boot not in row.holders:
+            return row
+        return row.without_holder(self.boot, self.account(customer).used)
--- /dev/null
+++ b/src/bilberryshed/coordination/_route_index.py
@@ -0,0 +1,48 @@
+"""Looks up the route, the customer and the service of a request."""
+
+from bilberryshed.state import Route, RoutedCustomer, RouteTable
+
+
+class RouteIndex:
+    """A route table arranged for look-up."""
+
+    __slots__ = ("table", "by_host", "by_key")
+
+    def __init__(self, table: RouteTable) -> None:
+        self.table = table
+        self.by_host: dict[str, list[Route]] = {}
+        for route in table.routes:
+            self.by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self.by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self.by_key: dict[str, RoutedCustomer] = {
+            key: customer for customer in table.customers.values() for key in customer.keys
+        }
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of the host whose prefix is the longest that begins the path.
+
+        :param host: value of the Host header, with or without a port
+        """
+        name = host.rpartition(":")[0] if ":" in host else host
+        for route in self.by_host.get(name.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def customer(self, key: str) -> RoutedCustomer | None:
+        """Return the customer that holds a key."""
+        return self.by_key.get(key)
+
+    def service(self, route: Route, draw: float) -> str:
+        """Return the service of a request.
+
+        :param draw: number from 0 to 1 that splits the traffic of a route
+        """
+        total = sum(share.weight for share in route.shares)
+        left = draw * total
+        for share in route.shares:
+            left -= share.weight
+            if left < 0 and share.weight > 0:
+                return share.service
+        return route.shares[-1].service
--- /dev/null
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -0,0 +1,165 @@
+"""One request of a caller and its answer, on tornado's HTTP server."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+    responses,
+)
+from tornado.iostream import StreamClosedError
+
+from bilberryshed.transport import HeaderList
+
+
+class ExchangeOwner(Protocol):
+    """What an exchange needs of its gateway."""
+
+    def body_limit(self) -> int:
+        """Return the largest body accepted, in bytes."""
+
+    def serve(self, exchange: "CallerExchange") -> Coroutine[Any, Any, None]:
+        """Answer a request that has been read."""
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> "asyncio.Future[None]":
+        """Run a coroutine on the loop."""
+
+
+class CallerExchange(HTTPMessageDelegate):
+    """A request and its answer.
+
+    :param started: whether any of the answer has been sent
+    :param gone: whether the caller closed the channel before the answer was whole
+    """
+
+    __slots__ = (
+        "owner",
+        "connection",
+        "method",
+        "target",
+        "headers",
+        "body",
+        "size",
+        "started",
+        "ended",
+        "gone",
+        "task",
+        "request_id",
+    )
+
+    def __init__(self, owner: ExchangeOwner, connection: HTTPConnection) -> None:
+        self.owner = owner
+        self.connection = connection
+        self.method = ""
+        self.target = ""
+        self.headers = HTTPHeaders()
+        self.body: list[bytes] = []
+        self.size = 0
+        self.request_id = ""
+        self.started = False
+        self.ended = False
+        self.gone = False
+        self.task: asyncio.Future[None] | None = None
+
+    # Called by the server -------------------------------------------------------------------
+
+    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
+        """Keep the head of the request."""
+        assert isinstance(start_line, RequestStartLine)
+        self.method, self.target, self.headers = start_line.method, start_line.path, headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep part of the body, as far as the limit allows."""
+        self.size += len(chunk)
+        if self.size <= self.owner.body_limit():
+            self.body.append(chunk)
+        else:
+            self.body.clear()
+
+    def finish(self) -> None:
+        """Answer, now that the request is whole."""
+        self.connection.set_close_callback(self.on_connection_close)  # type: ignore[attr-defined]
+        self.task = self.owner.spawn(self.owner.serve(self))
+
+    def on_connection_close(self) -> None:
+        """Stop work on the request: nobody waits for its answer."""
+        self.gone = True
+        if self.task is not None and not self.ended:
+            self.task.cancel()
+
+    # Called by the gateway ------------------------------------------------------------------
+
+    @property
+    def oversized(self) -> bool:
+        """Whether the body is larger than the limit."""
+        return self.size > self.owner.body_limit()
+
+    def header_list(self) -> HeaderList:
+        """Return the request's headers, names in lower case."""
+        return [(name.lower(), value) for name, value in self.headers.get_all()]
+
+    def begin(self, status: int, headers: HeaderList) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        self._head(status, headers, b"")
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body; waits while the caller does not read.
+
+        :raises StreamClosedError: if the caller has gone
+        """
+        await self.connection.write(data)
+
+    def end(self) -> None:
+        """End a body sent in pieces."""
+        self.ended = True
+        self.connection.finish()
+
+    def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Send a whole answer."""
+        self._head(status, [*headers, ("Content-Length", str(len(body)))], body)
+        self.end()
+
+    def break_off(self) -> None:
+        """Close the channel so that the answer does not look whole."""
+        self.ended = True
+        if isinstance(self.connection, HTTP1Connection):
+            self.connection.close()
+
+    def _head(self, status: int, headers: HeaderList, body: bytes) -> None:
+        self.started = True
+        fields = HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        reason = responses.get(status, "Unknown")
+        line = ResponseStartLine("HTTP/1.1", status, reason)
+        content = None if self.method == "HEAD" or not body else body
+        self.connection.write_headers(line, fields, content).add_done_callback(_seen)
+
+
+class CallerServer(HTTPServerConnectionDelegate):
+    """Makes an exchange for each request."""
+
+    __slots__ = ("owner",)
+
+    def __init__(self, owner: ExchangeOwner) -> None:
+        self.owner = owner
+
+    def start_request(self, server_conn: object, request_conn: HTTPConnection) -> CallerExchange:
+        """Return the exchange of a request that begins."""
+        return CallerExchange(self.owner, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Note that a channel has closed; its exchange was told by itself."""
+
+
+def _seen(future: "asyncio.Future[None]") -> None:
+    """Mark a write's failure as seen: a closed channel is reported to the exchange."""
+    if not future.cancelled() and isinstance(future.exception(), StreamClosedError):
+        return
--- /dev/null
+++ b/src/bilberryshed/gateway/_context.py
@@ -0,0 +1,99 @@
+"""What the parts of a gateway share."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Result
+
+from bilberryshed.coordination import (
+    BackendPool,
+    BackendView,
+    CrashRecord,
+    PrepaidBook,
+    RetryAllowance,
+    RouteIndex,
+)
+from bilberryshed.gateway._dialect import Dialect
+from bilberryshed.protocol import CrashNotice, Finding
+from bilberryshed.state import BackendServer, ChangeFeed, GatewaySettings, RouteTable, TableService
+from bilberryshed.transport import (
+    BackgroundTasks,
+    ChannelPool,
+    Link,
+    Metrics,
+    TimerService,
+    logger,
+    new_boot_id,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayPorts:
+    """What a deployment gives its gateways.
+
+    :param tables: tables of the gateways' own
+    :param feed: tables that operators and backend servers write
+    :param route_table: name of the table with the route table, and the key of its row
+    :param server_table: name of the table of backend servers
+    """
+
+    tables: TableService
+    feed: ChangeFeed
+    dialect: Dialect
+    decode_table: Callable[[bytes], Result[RouteTable, Finding]]
+    decode_server: Callable[[str, bytes], Result[BackendServer, Finding]]
+    route_table: str
+    route_key: str
+    server_table: str
+
+
+class GatewayContext:
+    """Settings, ports and decisions of one gateway."""
+
+    def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
+        self.settings = settings
+        self.ports = ports
+        self.dialect = ports.dialect
+        self.boot = new_boot_id(settings.name)
+        self.timers = TimerService()
+        self.metrics = Metrics(settings.statsd, "bilberryshed.gateway")
+        self.backends = BackendPool(settings.zone)
+        self.channels = ChannelPool()
+        self.retries = RetryAllowance(
+            settings.retry_ratio, settings.retry_window, settings.retry_slack
+        )
+        self.crashes = CrashRecord()
+        self.book = PrepaidBook(self.boot, settings.grant_horizon)
+        self.index: RouteIndex | None = None
+        self.table_data = b""
+        self.peer_links: dict[str, Link] = {}
+        self.known_routers: set[str] = set()
+        self.draining = False
+        self.tasks = BackgroundTasks()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> "asyncio.Future[Any]":
+        """Run a coroutine on the loop; a failure is logged."""
+        return self.tasks.spawn(coroutine)
+
+    def router_count(self) -> int:
+        """Return the gateways of the deployment, this one included, as far as known."""
+        return len(self.known_routers | {self.settings.name})
+
+    def broadcast(self, message: Any) -> None:
+        """Send to every linked gateway."""
+        for link in self.peer_links.values():
+            link.send(message)
+
+    def note_crash(self, fingerprint: str, view: BackendView, events: int) -> None:
+        """Note that a request was running when its channel broke.
+
+        :param events: events that it had made; one that made any did not crash at its start
+        """
+        if events:
+            return
+        crash = f"{view.server.id}/{view.server.born}"
+        if self.crashes.strike(self.timers.now(), fingerprint, crash):
+            self.broadcast(CrashNotice(fingerprint, crash))
+            logger().info("crash_strike", fingerprint=fingerprint, crash=crash)
--- /dev/null
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -0,0 +1,323 @@
+"""The gateway: callers' requests checked, funded, forwarded or refused; and a graceful stop."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+import xxhash
+from returns.result import Failure
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
+from bilberryshed.gateway._context import GatewayContext, GatewayPorts
+from bilberryshed.gateway._dialect import CallerRequest
+from bilberryshed.gateway._followers import BackendWatch, RouteTableWatch
+from bilberryshed.gateway._forwarder import Forwarder, Job, Outcome
+from bilberryshed.gateway._peers import Peers
+from bilberryshed.gateway._prepaid_funds import PrepaidFunds, Shortage
+from bilberryshed.protocol import (
+    CrashNotice,
+    FundsAnswer,
+    FundsRequest,
+    HoldingsNotice,
+    RouteTableNotice,
+    Transfer,
+    TransferAck,
+)
+from bilberryshed.state import CallerLimits, GatewaySettings, Route, RoutedCustomer
+from bilberryshed.transport import Link, logger
+
+BACKLOG = 1024  # channels waiting to be accepted
+READ_FACTOR = 2  # of the largest body, up to which one is read so as to be refused in words
+PRUNE_INTERVAL = 1.0  # seconds
+UNREADY_TIME = 2.6  # seconds after SIGTERM until no new channel comes
+DRAIN_MARGIN = 0.9  # seconds before SIGKILL by which the stop is complete
+DRAIN_POLL = 0.05  # seconds
+SOON = 0.5  # seconds after which a refused caller should come back
+FUNDS_SOON = 1.0  # seconds after which tokens that are out of reach may be back
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """An answer of the gateway's own.
+
+    :param status: HTTP status
+    :param retry_after: seconds after which the caller should come back, ``None`` for not at all
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+class ReadyHandler(RequestHandler):
+    """Readiness probe."""
+
+    def initialize(self, owner: "Gateway") -> None:
+        """Keep the gateway."""
+        self.owner = owner
+
+    def get(self) -> None:
+        """Answer 200 while new channels are welcome."""
+        ready = self.owner.is_ready()
+        self.set_status(200 if ready else 503)
+        self.finish(b"ready\n" if ready else b"not ready\n")
+
+
+class Gateway:
+    """One gateway."""
+
+    def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
+        self.settings = settings
+        self.context = GatewayContext(settings, ports)
+        self.funds = PrepaidFunds(self.context)
+        self.tables = RouteTableWatch(self.context, self._on_table)
+        self.servers = BackendWatch(self.context)
+        self.forwarder = Forwarder(self.context)
+        self.peers = Peers(self.context, self._message_handlers())
+        self.peers.greeting = [self.tables.notice]
+        self.running = 0
+        self.answers: Counter[int] = Counter()
+
+    # Life -----------------------------------------------------------------------------------
+
+    async def serve_until(self, stop: asyncio.Event) -> bool:
+        """Serve until told to stop, then finish what is running.
+
+        :returns: whether all work was finished
+        """
+        http = self._listen()
+        ready = self._listen_ready()
+        await self.peers.start()
+        self.funds.start()
+        for follower in (self.tables.follower(), self.servers.follower()):
+            self.spawn(follower.run())
+        self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
+        logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
+        await stop.wait()
+        finished = await self._drain(http)
+        ready.stop()
+        return finished
+
+    def is_ready(self) -> bool:
+        """Whether new channels are welcome."""
+        return not self.context.draining and self.context.index is not None
+
+    def spawn(self, coroutine: Any) -> "asyncio.Future[Any]":
+        """Run a coroutine on the loop."""
+        return self.context.spawn(coroutine)
+
+    async def _drain(self, http: HTTPServer) -> bool:
+        """Take new channels until no more come, finish what runs, settle the tokens."""
+        began = self.context.timers.now()
+        self.context.draining = True
+        http.conn_params.no_keep_alive = True
+        logger().info("draining", running=self.running)
+        limit = began + self.settings.drain_time - DRAIN_MARGIN
+        while self.context.timers.now() < min(limit, began + UNREADY_TIME):
+            await asyncio.sleep(DRAIN_POLL)
+        http.stop()
+        while self.running and self.context.timers.now() < limit:
+            await asyncio.sleep(DRAIN_POLL)
+        left = self.running
+        settled = not left and await self.funds.close()
+        logger().info("drained", unfinished=left, settled=settled)
+        await self.peers.close()
+        await http.close_all_connections()
+        self.context.timers.close()
+        return left == 0
+
+    def _prune(self, now: float) -> None:
+        self.context.channels.prune(now)
+        self.context.crashes.prune(now)
+
+    def _on_table(self) -> None:
+        self.spawn(self.funds.sync({}))
+
+    def _message_handlers(self) -> dict[type, Any]:
+        return {
+            HoldingsNotice: self.funds.on_holdings,
+            FundsRequest: self.funds.on_request,
+            FundsAnswer: self.funds.on_answer,
+            Transfer: self.funds.on_transfer,
+            TransferAck: self.funds.on_ack,
+            RouteTableNotice: self.tables.on_notice,
+            CrashNotice: self._on_crash_notice,
+        }
+
+    def _on_crash_notice(self, link: Link, notice: CrashNotice) -> None:
+        self.context.crashes.strike(self.context.timers.now(), notice.fingerprint, notice.crash)
+
+    # HTTP -----------------------------------------------------------------------------------
+
+    def _listen(self) -> HTTPServer:
+        limits = CallerLimits()
+        server = HTTPServer(
+            CallerServer(self),
+            max_body_size=limits.body_bytes * READ_FACTOR,
+            max_header_size=limits.header_bytes,
+            idle_connection_timeout=limits.idle_timeout,
+        )
+        server.listen(self.settings.listen.port, self.settings.listen.host, backlog=BACKLOG)
+        return server
+
+    def _listen_ready(self) -> HTTPServer:
+        application = Application([(r"/.*", ReadyHandler, {"owner": self})])
+        server = HTTPServer(application)
+        address = self.settings.ready_listen
+        server.listen(address.port, address.host)
+        return server
+
+    def body_limit(self) -> int:
+        """Return the largest body accepted, in bytes."""
+        index = self.context.index
+        return index.table.limits.body_bytes if index else CallerLimits().body_bytes
+
+    async def serve(self, exchange: CallerExchange) -> None:
+        """Answer a request that has been read."""
+        self.running += 1
+        try:
+            refusal = await self._answer(exchange)
+            if refusal is not None:
+                self._refuse(exchange, refusal)
+        except (asyncio.CancelledError, StreamClosedError):
+            logger().info(
+                "caller_gone",
+                request=exchange.request_id,
+                target=exchange.target,
+                started=exchange.started,
+            )
+            exchange.break_off()
+        except Exception:
+            logger().exception("request_failed", target=exchange.target)
+            self._refuse(exchange, Refusal(502, "internal error"))
+        finally:
+            self.running -= 1
+
+    def _refuse(self, exchange: CallerExchange, refusal: Refusal) -> None:
+        logger().info(
+            "refused",
+            request=exchange.request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after=refusal.retry_after,
+            started=exchange.started,
+        )
+        self.answers[refusal.status] += 1
+        if exchange.started:
+            exchange.break_off()
+            return
+        headers = self.context.dialect.refusal_headers(refusal.retry_after)
+        headers.append(("Content-Type", "text/plain; charset=utf-8"))
+        exchange.answer(refusal.status, headers, refusal.reason.encode() + b"\n")
+
+    # Admission ------------------------------------------------------------------------------
+
+    async def _answer(self, exchange: CallerExchange) -> Refusal | None:
+        began = self.context.timers.now()
+        if exchange.oversized:
+            return Refusal(413, f"the body has {exchange.size} bytes, more than allowed")
+        index = self.context.index
+        if index is None:
+            return Refusal(503, "no route table is in force yet", SOON)
+        read = self.context.dialect.read_request(
+            exchange.method, exchange.target, exchange.header_list(), b"".join(exchange.body)
+        )
+        if isinstance(read, Failure):
+            fault = read.failure()
+            return Refusal(fault.status, fault.reason)
+        request = read.unwrap()
+        exchange.request_id = request.id
+        route = index.route(request.host, request.path)
+        if route is None:
+            return Refusal(404, f"no route for {request.host!r} {request.path!r}")
+        customer = None
+        if index.table.keyed and not route.anonymous:
+            customer = index.customer(request.key)
+            if customer is None:
+                return Refusal(401, "the key is not known")
+        return await self._fund(exchange, request, route, customer, began)
+
+    async def _fund(
+        self,
+        exchange: CallerExchange,
+        request: CallerRequest,
+        route: Route,
+        customer: RoutedCustomer | None,
+        began: float,
+    ) -> Refusal | None:
+        """Reserve what the request may use, run it, and settle what it used."""
+        index = self.context.index
+        assert index is not None
+        service = index.table.services[index.service(route, random.random())]
+        job = Job(
+            request,
+            route,
+            service,
+            customer,
+            exchange,
+            _fingerprint(request),
+            began,
+            began + min(request.patience, route.timeout),
+        )
+        if self.context.crashes.is_convicted(began, job.fingerprint):
+            return Refusal(503, "requests like this one crash backend servers")
+        prompt = request.prompt
+        if prompt is None or customer is None or customer.prepaid is None:
+            return await self._run(job)
+        tokens = prompt.tokens + prompt.max_output
+        if tokens > customer.prepaid:
+            return Refusal(402, f"{tokens} tokens are more than {customer.name} has paid for")
+        reserved = await self.funds.reserve(customer.name, tokens)
+        if isinstance(reserved, Failure):
+            return self._unfunded(reserved.failure(), customer.name, tokens)
+        try:
+            return await self._run(job)
+        finally:
+            output = min(prompt.max_output, job.cutter.events * service.tokens_per_event)
+            spent = prompt.tokens + output if job.runs else 0
+            self.funds.settle(customer.name, tokens, spent)
+
+    def _unfunded(self, shortage: Shortage, customer: str, tokens: int) -> Refusal:
+        if shortage is Shortage.SPENT:
+            return Refusal(402, f"{customer} has less than {tokens} tokens left")
+        return Refusal(503, f"the tokens left of {customer} cannot be reached now", FUNDS_SOON)
+
+    async def _run(self, job: Job) -> Refusal | None:
+        outcome = await self.forwarder.run(job)
+        took = self.context.timers.now() - job.began
+        logger().info(
+            "request",
+            request=job.request.id,
+            route=job.route.name,
+            customer=job.customer.name if job.customer else None,
+            outcome=outcome,
+            server=job.server,
+            sent=job.sent,
+            runs=job.runs,
+            events=job.cutter.events,
+            ms=round(took * 1000),
+            cause=job.last_failure,
+        )
+        if outcome is Outcome.DONE:
+            self.answers[200] += 1
+            return None
+        if outcome is Outcome.NOT_RUN and not job.runs:
+            return Refusal(503, f"not run: {job.last_failure or 'no backend server'}", SOON)
+        if job.failed_answer is not None and not job.exchange.started:
+            answer, body = job.failed_answer
+            job.exchange.answer(answer.status, answer.headers, body)
+            return None
+        if outcome is Outcome.TIMEOUT:
+            return Refusal(504, "no answer in time")
+        return Refusal(502, job.last_failure)
+
+
+def _fingerprint(request: CallerRequest) -> str:
+    """Return what requests of the same content by the same caller share."""
+    text = f"{request.key}\n{request.method} {request.target}\n".encode()
+    return xxhash.xxh3_128_hexdigest(text + request.body)
--- /dev/null
+++ b/src/bilberryshed/platform/_ports.py
@@ -0,0 +1,30 @@
+"""All that a gateway needs of the platform."""
+
+from bilberryshed.gateway import GatewayPorts
+from bilberryshed.platform._backends import decode_server
+from bilberryshed.platform._config import decode_table
+from bilberryshed.platform._headers import PlatformDialect
+from bilberryshed.platform._store import PlatformStore
+from bilberryshed.state import Address
+
+OPERATOR_TABLE = "op"
+CONFIG_KEY = "config"
+SERVER_TABLE = "servers"
+
+
+def gateway_ports(store: Address, timeout: float) -> GatewayPorts:
+    """Return the ports to a platform.
+
+    :param timeout: seconds for one call to its store
+    """
+    client = PlatformStore(store, timeout)
+    return GatewayPorts(
+        tables=client,
+        feed=client,
+        dialect=PlatformDialect(),
+        decode_table=decode_table,
+        decode_server=decode_server,
+        route_table=OPERATOR_TABLE,
+        route_key=CONFIG_KEY,
+        server_table=SERVER_TABLE,
+    )
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -37,6 +37,12 @@
     TransferAck,
 )
 from bilberryshed.protocol._outcomes import Finding, Outcome, Refusal, RefusalCode
+from bilberryshed.protocol._peer_messages import (
+    CrashNotice,
+    Holding,
+    HoldingsNotice,
+    RouteTableNotice,
+)
 
 __all__ = [
     "AttemptQuery",
@@ -44,6 +50,7 @@
     "Charge",
     "Chunk",
     "ContentNotice",
+    "CrashNotice",
     "Dispatch",
     "Ended",
     "Failed",
@@ -53,6 +60,8 @@
     "FundsRequest",
     "Heartbeat",
     "Hello",
+    "Holding",
+    "HoldingsNotice",
     "JournalEntry",
     "LoadReport",
     "NotRun",
@@ -67,6 +76,7 @@
     "RefusalCode",
     "Revoke",
     "RevokeAck",
+    "RouteTableNotice",
     "SheetNotice",
     "Started",
     "Transfer",
--- /dev/null
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -0,0 +1,54 @@
+"""Messages between the gateways of a deployment."""
+
+from dataclasses import dataclass
+
+from bilberryshed.protocol._codec import message
+
+
+@message(50)
+@dataclass(slots=True, frozen=True)
+class Holding:
+    """What a gateway has in hand of one customer's prepaid tokens.
+
+    :param free: tokens that may still be reserved
+    :param rate: demand of the last seconds, in tokens a second
+    """
+
+    customer: str
+    free: int
+    rate: float
+
+
+@message(51)
+@dataclass(slots=True, frozen=True)
+class HoldingsNotice:
+    """Tells a peer what the sender has in hand."""
+
+    holdings: tuple[Holding, ...]
+    draining: bool
+
+
+@message(52)
+@dataclass(slots=True, frozen=True)
+class RouteTableNotice:
+    """Passes a route table on, as the store holds it.
+
+    :param version: version of the table
+    :param data: the store's bytes
+    """
+
+    version: int
+    data: bytes
+
+
+@message(53)
+@dataclass(slots=True, frozen=True)
+class CrashNotice:
+    """A request was running on a backend server when it crashed.
+
+    :param fingerprint: identifies requests of the same content
+    :param crash: names the crash
+    """
+
+    fingerprint: str
+    crash: str
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -41,10 +41,11 @@
     RunSink,
     backends,
 )
-from bilberryshed.runtime._process import BackgroundTasks, hello, new_boot_id
+from bilberryshed.runtime._process import hello
 from bilberryshed.runtime._status import LiveHandler, ReadyHandler, StatusHandler
 from bilberryshed.state import PLACEMENT_LEASE, AgentSettings
 from bilberryshed.transport import (
+    BackgroundTasks,
     HttpTableService,
     Link,
     LinkHandlers,
@@ -53,6 +54,7 @@
     Metrics,
     TimerService,
     logger,
+    new_boot_id,
     server_context,
 )
 
--- a/src/bilberryshed/runtime/_context.py
+++ b/src/bilberryshed/runtime/_context.py
@@ -3,12 +3,13 @@
 from typing import Any
 
 from bilberryshed.coordination import GrantBook, Members, Rollout, Routing
-from bilberryshed.runtime._process import BackgroundTasks, new_boot_id
 from bilberryshed.state import Platform, RouterSettings
 from bilberryshed.transport import (
+    BackgroundTasks,
     Link,
     Metrics,
     TimerService,
+    new_boot_id,
 )
 
 
--- a/src/bilberryshed/runtime/_process.py
+++ b/src/bilberryshed/runtime/_process.py
@@ -3,10 +3,9 @@
 import asyncio
 import signal
 import sys
-import uuid
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, Protocol, TypeVar
+from typing import Protocol, TypeVar
 
 from returns.result import Failure
 
@@ -18,26 +17,6 @@
 EXIT_DRAIN_LIMIT = 3
 
 
-class BackgroundTasks:
-    """Tasks that nobody waits for; a failure is logged."""
-
-    __slots__ = ("tasks",)
-
-    def __init__(self) -> None:
-        self.tasks: set[asyncio.Future[Any]] = set()
-
-    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
-        """Run a coroutine on the loop."""
-        task = asyncio.ensure_future(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self._reap)
-
-    def _reap(self, task: "asyncio.Future[Any]") -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger().error("task_failed", error=repr(task.exception()))
-
-
 class VmSettings(Protocol):
     """Settings that every long-running program has."""
 
@@ -57,11 +36,6 @@
 S = TypeVar("S", bound=VmSettings)
 
 
-def new_boot_id(name: str) -> str:
-    """Return an id of this start of a process, unique for all time."""
-    return f"{name}.{uuid.uuid4().hex[:12]}"
-
-
 def hello(settings: VmSettings, role: str, boot: str) -> Hello:
     """Return what this process says of itself on a link.
 
--- /dev/null
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -0,0 +1,45 @@
+"""Settings of ``bilberryshed-gateway``."""
+
+from dataclasses import dataclass
+
+from bilberryshed.state._settings import (
+    Address,
+    parse_count,
+    parse_name,
+    parse_optional_address,
+    parse_seconds,
+    setting,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class GatewaySettings:
+    """Settings of a gateway; durations in seconds, sizes in megabytes.
+
+    :param ready_listen: where the readiness probe is answered
+    :param link_listen: where other gateways connect
+    :param metrics_listen: where counters are served, if anywhere
+    :param memory: memory of the process
+    :param drain_time: time from SIGTERM to SIGKILL
+    :param retry_ratio: retries allowed for each request, over all gateways
+    :param retry_window: window in which retries are counted
+    :param retry_slack: retries that all gateways have beside the ratio
+    :param grant_horizon: demand for which prepaid tokens are held in hand
+    :param store_timeout: time limit of one call to the store
+    """
+
+    name: str = setting("vm", parse_name)
+    zone: str = setting("vm", parse_name)
+    listen: Address = setting("vm", Address.parse)
+    ready_listen: Address = setting("vm", Address.parse)
+    link_listen: Address = setting("vm", Address.parse)
+    metrics_listen: Address | None = setting("vm", parse_optional_address, "")
+    statsd: Address | None = setting("vm", parse_optional_address, "")
+    memory: int = setting("vm", parse_count, "300")
+    store: Address = setting("store", Address.parse)
+    store_timeout: float = setting("store", parse_seconds, "1")
+    drain_time: float = setting("stop", parse_seconds, "8")
+    retry_ratio: float = setting("retries", parse_seconds, "0.2")
+    retry_window: float = setting("retries", parse_seconds, "10")
+    retry_slack: float = setting("retries", parse_seconds, "50")
+    grant_horizon: float = setting("prepaid", parse_seconds, "12")
--- a/src/bilberryshed/state/_ports.py
+++ b/src/bilberryshed/state/_ports.py
@@ -53,6 +53,30 @@
     value: dict[str, Any] | None
 
 
+@dataclass(slots=True, frozen=True)
+class ForeignRow:
+    """A row that another writer keeps, as it stands in the store.
+
+    :param data: its bytes; ``None`` if it was deleted
+    """
+
+    key: str
+    data: bytes | None
+
+
+@dataclass(slots=True, frozen=True)
+class Changes:
+    """Rows of a table, all or those that changed.
+
+    :param version: where to go on from
+    :param whole: whether these are all rows of the table; a row that is not there is gone
+    """
+
+    rows: tuple[ForeignRow, ...]
+    version: int
+    whole: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Vm:
     """An entry of the platform's VM list.
@@ -87,6 +111,21 @@
         """Read up to ``limit`` rows whose key has ``prefix`` and is above ``after``, by key."""
 
 
+class ChangeFeed(ABC):
+    """Tables that others write and this process follows."""
+
+    @abstractmethod
+    async def snapshot(self, table: str) -> Result[Changes, StoreError]:
+        """Read all rows of a table."""
+
+    @abstractmethod
+    async def changes(self, table: str, after: int, wait: float) -> Result[Changes, StoreError]:
+        """Read what has changed after a version; all rows if that history is lost.
+
+        :param wait: seconds to wait for a change
+        """
+
+
 class ObjectStore(ABC):
     """Immutable objects; contract in ``features/ports.feature``."""
 
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -1,6 +1,6 @@
 """INI settings of the long-running programs, checked as a whole at start.
 
-A settings class lists its keys as :class:`Key` objects; :func:`load_settings` reads the file,
+A settings class lists its keys with :func:`setting`; :func:`load_settings` reads the file,
 checks every key and reports all findings together.
 """
 
@@ -90,7 +90,13 @@
     return text
 
 
-def _key(section: str, parse: Callable[[str], Any], default: str | None = None) -> Any:
+def setting(section: str, parse: Callable[[str], Any], default: str | None = None) -> Any:
+    """Declare a key of a settings class.
+
+    :param section: section of the INI file
+    :param parse: turns the text into a value; raises ValueError
+    :param default: text if the key is absent; ``None`` for a key that must be given
+    """
     metadata = {"section": section, "parse": parse, "default": default}
     return field(metadata=metadata)
 
@@ -99,57 +105,57 @@
 class RouterSettings:
     """Settings of ``bilberryshed-router``; durations in seconds, sizes in bytes."""
 
-    name: str = _key("vm", parse_name)
-    zone: str = _key("vm", parse_name)
-    listen: Address = _key("vm", Address.parse)
-    link_listen: Address = _key("vm", Address.parse)
-    platform: Address = _key("platform", Address.parse)
-    platform_timeout: float = _key("platform", parse_seconds, "2")
-    vm_list_interval: float = _key("platform", parse_seconds, "1")
-    sheet_interval: float = _key("sheet", parse_seconds, "0.5")
-    ledger_shards: int = _key("ledger", parse_count, "8")
-    ledger_interval: float = _key("ledger", parse_seconds, "0.25")
-    grant_horizon: float = _key("grants", parse_seconds, "900")
-    grant_least: int = _key("grants", parse_count, "2000")
-    funding_wait: float = _key("grants", parse_seconds, "2")
-    settle_interval: float = _key("grants", parse_seconds, "2")
-    reclaim_interval: float = _key("grants", parse_seconds, "5")
-    policy: str = _key("routing", parse_policy, "affinity")
-    attempts: int = _key("routing", parse_count, "3")
-    queue_limit: int = _key("routing", parse_count, "50")
-    queue_wait: float = _key("routing", parse_seconds, "3")
-    drain_limit: float = _key("stop", parse_seconds, "60")
-    max_body: int = _key("limits", parse_count, "1048576")
-    max_tokens_limit: int = _key("limits", parse_count, "32768")
-    slo_interval: float = _key("metrics", parse_seconds, "60")
-    statsd: Address | None = _key("metrics", parse_optional_address, "")
-    secret_file: Path | None = _key("security", parse_optional_path, "")
-    certificate: Path | None = _key("security", parse_optional_path, "")
-    certificate_key: Path | None = _key("security", parse_optional_path, "")
-    link_ca: Path | None = _key("security", parse_optional_path, "")
+    name: str = setting("vm", parse_name)
+    zone: str = setting("vm", parse_name)
+    listen: Address = setting("vm", Address.parse)
+    link_listen: Address = setting("vm", Address.parse)
+    platform: Address = setting("platform", Address.parse)
+    platform_timeout: float = setting("platform", parse_seconds, "2")
+    vm_list_interval: float = setting("platform", parse_seconds, "1")
+    sheet_interval: float = setting("sheet", parse_seconds, "0.5")
+    ledger_shards: int = setting("ledger", parse_count, "8")
+    ledger_interval: float = setting("ledger", parse_seconds, "0.25")
+    grant_horizon: float = setting("grants", parse_seconds, "900")
+    grant_least: int = setting("grants", parse_count, "2000")
+    funding_wait: float = setting("grants", parse_seconds, "2")
+    settle_interval: float = setting("grants", parse_seconds, "2")
+    reclaim_interval: float = setting("grants", parse_seconds, "5")
+    policy: str = setting("routing", parse_policy, "affinity")
+    attempts: int = setting("routing", parse_count, "3")
+    queue_limit: int = setting("routing", parse_count, "50")
+    queue_wait: float = setting("routing", parse_seconds, "3")
+    drain_limit: float = setting("stop", parse_seconds, "60")
+    max_body: int = setting("limits", parse_count, "1048576")
+    max_tokens_limit: int = setting("limits", parse_count, "32768")
+    slo_interval: float = setting("metrics", parse_seconds, "60")
+    statsd: Address | None = setting("metrics", parse_optional_address, "")
+    secret_file: Path | None = setting("security", parse_optional_path, "")
+    certificate: Path | None = setting("security", parse_optional_path, "")
+    certificate_key: Path | None = setting("security", parse_optional_path, "")
+    link_ca: Path | None = setting("security", parse_optional_path, "")
 
 
 @dataclass(slots=True, frozen=True)
 class AgentSettings:
     """Settings of ``bilberryshed-agent``; durations in seconds."""
 
-    name: str = _key("vm", parse_name)
-    zone: str = _key("vm", parse_name)
-    link_listen: Address = _key("vm", Address.parse)
-    status_listen: Address = _key("vm", Address.parse)
-    backend: Address = _key("backend", Address.parse)
-    kind: str = _key("backend", parse_backend_kind)
-    service: str = _key("backend", str, "")
-    slots: int = _key("backend", parse_count, "16")
-    load_interval: float = _key("backend", parse_seconds, "0.25")
-    platform: Address = _key("platform", Address.parse)
-    platform_timeout: float = _key("platform", parse_seconds, "2")
-    drain_limit: float = _key("stop", parse_seconds, "60")
-    journal_retry: float = _key("journal", parse_seconds, "2")
-    statsd: Address | None = _key("metrics", parse_optional_address, "")
-    secret_file: Path | None = _key("security", parse_optional_path, "")
-    certificate: Path | None = _key("security", parse_optional_path, "")
-    certificate_key: Path | None = _key("security", parse_optional_path, "")
+    name: str = setting("vm", parse_name)
+    zone: str = setting("vm", parse_name)
+    link_listen: Address = setting("vm", Address.parse)
+    status_listen: Address = setting("vm", Address.parse)
+    backend: Address = setting("backend", Address.parse)
+    kind: str = setting("backend", parse_backend_kind)
+    service: str = setting("backend", str, "")
+    slots: int = setting("backend", parse_count, "16")
+    load_interval: float = setting("backend", parse_seconds, "0.25")
+    platform: Address = setting("platform", Address.parse)
+    platform_timeout: float = setting("platform", parse_seconds, "2")
+    drain_limit: float = setting("stop", parse_seconds, "60")
+    journal_retry: float = setting("journal", parse_seconds, "2")
+    statsd: Address | None = setting("metrics", parse_optional_address, "")
+    secret_file: Path | None = setting("security", parse_optional_path, "")
+    certificate: Path | None = setting("security", parse_optional_path, "")
+    certificate_key: Path | None = setting("security", parse_optional_path, "")
 
 
 def load_settings(cls: type[S], path: Path) -> Result[S, tuple[Finding, ...]]:
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -1,5 +1,13 @@
 """Timers, logs, metrics, HTTP and links."""
 
+from bilberryshed.transport._channels import (
+    AnswerHead,
+    BrokenAnswerError,
+    Channel,
+    ChannelPool,
+    ChannelRefusedError,
+    HeaderList,
+)
 from bilberryshed.transport._http import HttpError, describe_error, http_client
 from bilberryshed.transport._links import (
     Link,
@@ -16,10 +24,18 @@
     HttpVmList,
     http_platform,
 )
+from bilberryshed.transport._tasks import BackgroundTasks, new_boot_id
 from bilberryshed.transport._timers import Subscription, TimerService
 from bilberryshed.transport._tls import client_context, server_context
 
 __all__ = [
+    "AnswerHead",
+    "BrokenAnswerError",
+    "BackgroundTasks",
+    "Channel",
+    "ChannelPool",
+    "ChannelRefusedError",
+    "HeaderList",
     "HttpError",
     "HttpObjectStore",
     "HttpTableService",
@@ -38,5 +54,6 @@
     "http_client",
     "http_platform",
     "logger",
+    "new_boot_id",
     "server_context",
 ]
--- /dev/null
+++ b/src/bilberryshed/transport/_tasks.py
@@ -0,0 +1,34 @@
+"""Background tasks, and the identity of a start of a process."""
+
+import asyncio
+import uuid
+from collections.abc import Coroutine
+from typing import Any
+
+from bilberryshed.transport._logs import logger
+
+
+class BackgroundTasks:
+    """Tasks that nobody waits for; a failure is logged."""
+
+    __slots__ = ("tasks",)
+
+    def __init__(self) -> None:
+        self.tasks: set[asyncio.Future[Any]] = set()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> "asyncio.Future[Any]":
+        """Run a coroutine on the loop."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._reap)
+        return task
+
+    def _reap(self, task: "asyncio.Future[Any]") -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger().error("task_failed", error=repr(task.exception()))
+
+
+def new_boot_id(name: str) -> str:
+    """Return an id of this start of a process, unique for all time."""
+    return f"{name}.{uuid.uuid4().hex[:12]}"
