--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -71,6 +71,7 @@
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
 from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
+from bilberryshed.coordination._spending_marks import MarkRecord, SpendingMarks, Witness
 from bilberryshed.coordination._submission import (
     Accepted,
     Conflict,
@@ -122,6 +123,7 @@
     "Lease",
     "LeaseRow",
     "ListChange",
+    "MarkRecord",
     "Member",
     "Members",
     "Mine",
@@ -148,6 +150,7 @@
     "ShardWriter",
     "SheetInForce",
     "SloTally",
+    "SpendingMarks",
     "Standing",
     "Submission",
     "Suspicion",
@@ -159,6 +162,7 @@
     "Undecided",
     "Unfunded",
     "Verdict",
+    "Witness",
     "WriteClaim",
     "WriteRows",
     "audit",
--- a/src/bilberryshed/coordination/_prepaid.py
+++ b/src/bilberryshed/coordination/_prepaid.py
@@ -69,21 +69,28 @@
     """One customer's tokens at one router.
 
     :param granted: granted by the store
+    :param mark: bound on ``used`` that a witness has recorded, see :class:`SpendingMarks`
     :param used: spent and reserved here, plus tokens sent to peers, less tokens received
     :param reserved: part of ``used`` held for requests that have not ended
     """
 
     granted: int = 0
+    mark: int = 0
     used: int = 0
     reserved: int = 0
     rate: float = 0.0
     rate_at: float = 0.0
 
     @property
-    def free(self) -> int:
-        """Tokens that may still be reserved or given away."""
+    def held(self) -> int:
+        """Tokens in hand, whether or not a witness knows that they may be used."""
         return self.granted - self.used
 
+    @property
+    def free(self) -> int:
+        """Tokens that may be reserved or given away now."""
+        return min(self.granted, self.mark) - self.used
+
     def demand(self, now: float) -> float:
         """Return the demand of the last seconds, in tokens a second."""
         elapsed = max(0.0, now - self.rate_at)
@@ -187,7 +194,7 @@
         rate = account.demand(now)
         told = [held[customer] for held in self.peers.values() if customer in held]
         others = sum(holding.rate for holding in told)
-        balance = account.free + pool_free + sum(holding.free for holding in told)
+        balance = account.held + pool_free + sum(holding.free for holding in told)
         if rate + others <= 0:
             return max(0, int(FIRST_SHARE * balance / max(1, routers)))
         share = rate / (rate + others)
@@ -207,16 +214,16 @@
         pool_free = row.free(prepaid)
         granted = row.holders.get(self.boot, 0)
         if pool_free < 0:
-            back = max(0, min(account.free, -pool_free))
+            back = max(0, min(account.held, -pool_free))
             return row.with_holder(self.boot, granted - back) if back else row
         goal = self.target(now, customer, pool_free, routers)
         take = 0
-        if account.free < REFILL_SHARE * goal or need:
-            take = min(pool_free, max(need, goal - account.free))
+        if account.held < REFILL_SHARE * goal or need:
+            take = min(pool_free, max(need, goal - account.held))
             if take < LEAST_GRANT and not need:
                 take = 0
-        elif account.free > RETURN_SHARE * goal + LEAST_GRANT:
-            take = goal - account.free
+        elif account.held > RETURN_SHARE * goal + LEAST_GRANT:
+            take = goal - account.held
         return row.with_holder(self.boot, granted + take) if take else row
 
     def close(self, customer: str, row: PoolRow) -> PoolRow:
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -14,10 +14,11 @@
     PrepaidBook,
     RetryAllowance,
     RouteIndex,
+    SpendingMarks,
 )
 from bilberryshed.gateway._dialect import Dialect
 from bilberryshed.protocol import CrashNotice, Finding
-from bilberryshed.state import BackendServer, ChangeFeed, GatewaySettings, RouteTable, TableService
+from bilberryshed.state import BackendServer, ChangeFeed, ClockedTables, GatewaySettings, RouteTable
 from bilberryshed.transport import (
     BackgroundTasks,
     ChannelPool,
@@ -39,7 +40,7 @@
     :param server_table: name of the table of backend servers
     """
 
-    tables: TableService
+    tables: ClockedTables
     feed: ChangeFeed
     dialect: Dialect
     decode_table: Callable[[bytes], Result[RouteTable, Finding]]
@@ -66,6 +67,7 @@
         )
         self.crashes = CrashRecord()
         self.book = PrepaidBook(self.boot, settings.grant_horizon)
+        self.marks = SpendingMarks(self.book)
         self.index: RouteIndex | None = None
         self.table_data = b""
         self.peer_links: dict[str, Link] = {}
@@ -81,6 +83,10 @@
         """Return the gateways of the deployment, this one included, as far as known."""
         return len(self.known_routers | {self.settings.name})
 
+    def peer_boots(self) -> tuple[str, ...]:
+        """Return the lifetimes of the linked gateways."""
+        return tuple(link.peer.boot for link in self.peer_links.values())
+
     def broadcast(self, message: Any) -> None:
         """Send to every linked gateway."""
         for link in self.peer_links.values():
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -17,13 +17,19 @@
 from bilberryshed.gateway._dialect import CallerRequest
 from bilberryshed.gateway._followers import BackendWatch, RouteTableWatch
 from bilberryshed.gateway._forwarder import Forwarder, Job, Outcome
+from bilberryshed.gateway._mark_recorder import MarkRecorder
 from bilberryshed.gateway._peers import Peers
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds, Shortage
+from bilberryshed.gateway._succession import Succession
 from bilberryshed.protocol import (
     CrashNotice,
     FundsAnswer,
     FundsRequest,
     HoldingsNotice,
+    MarkAck,
+    MarkAnswer,
+    MarkNotice,
+    MarkQuery,
     RouteTableNotice,
     Transfer,
     TransferAck,
@@ -74,7 +80,9 @@
     def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
         self.settings = settings
         self.context = GatewayContext(settings, ports)
-        self.funds = PrepaidFunds(self.context)
+        self.recorder = MarkRecorder(self.context)
+        self.funds = PrepaidFunds(self.context, self.recorder)
+        self.succession = Succession(self.context, self.funds, self.recorder)
         self.tables = RouteTableWatch(self.context, self._on_table)
         self.servers = BackendWatch(self.context)
         self.forwarder = Forwarder(self.context)
@@ -93,7 +101,9 @@
         http = self._listen()
         ready = self._listen_ready()
         await self.peers.start()
+        self.recorder.start()
         self.funds.start()
+        self.spawn(self.succession.run())
         for follower in (self.tables.follower(), self.servers.follower()):
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
@@ -125,6 +135,8 @@
             await asyncio.sleep(DRAIN_POLL)
         left = self.running
         settled = not left and await self.funds.close()
+        if settled:
+            await self.recorder.forget()
         logger().info("drained", unfinished=left, settled=settled)
         await self.peers.close()
         await http.close_all_connections()
@@ -145,6 +157,10 @@
             FundsAnswer: self.funds.on_answer,
             Transfer: self.funds.on_transfer,
             TransferAck: self.funds.on_ack,
+            MarkNotice: self.recorder.on_notice,
+            MarkAck: self.recorder.on_ack,
+            MarkQuery: self.succession.on_query,
+            MarkAnswer: self.succession.on_answer,
             RouteTableNotice: self.tables.on_notice,
             CrashNotice: self._on_crash_notice,
         }
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -8,6 +8,7 @@
 
 from bilberryshed.coordination import PeerHolding, PoolRow
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._mark_recorder import MarkRecorder
 from bilberryshed.protocol import (
     FundsAnswer,
     FundsRequest,
@@ -60,8 +61,9 @@
 class PrepaidFunds:
     """The gateway's side of :class:`PrepaidBook`."""
 
-    def __init__(self, context: GatewayContext) -> None:
+    def __init__(self, context: GatewayContext, recorder: MarkRecorder) -> None:
         self.context = context
+        self.recorder = recorder
         self.book = context.book
         self.seen: dict[str, PoolRow] = {}
         self.doubts: dict[str, int] = {}
@@ -123,13 +125,16 @@
 
         :returns: what is wrong if there are still too few
         """
-        lacking = tokens - self.book.account(customer).free
-        reached = await self._try_store({customer: lacking})
-        lacking = tokens - self.book.account(customer).free
-        if lacking <= 0:
+        account = self.book.account(customer)
+        reached = True
+        if account.held < tokens:
+            reached = await self._try_store({customer: tokens - account.held})
+        if account.held >= tokens and account.free < tokens:
+            await self.recorder.raise_marks({customer: tokens})
+        if account.free >= tokens:
             return Shortage.OUT_OF_REACH
-        question = await self._ask_peers(customer, lacking)
-        if not reached or question.pending:
+        question = await self._ask_peers(customer, tokens - account.free)
+        if not reached or question.pending or account.held >= tokens:
             return Shortage.OUT_OF_REACH
         return self._judge(customer)
 
@@ -190,6 +195,7 @@
         if isinstance(rows, Failure):
             logger().warning("store_read_failed", detail=rows.failure().detail)
             return False
+        self.recorder.on_store_answer()
         now, routers = self.context.timers.now(), self.context.router_count()
         puts: list[Put] = []
         planned: dict[str, PoolRow] = {}
@@ -281,7 +287,7 @@
     def _notify(self) -> None:
         now = self.context.timers.now()
         holdings = tuple(
-            Holding(name, account.free, account.demand(now))
+            Holding(name, account.held, account.demand(now))
             for name, account in self.book.accounts.items()
         )
         self.context.broadcast(HoldingsNotice(holdings, self.context.draining))
@@ -317,6 +323,8 @@
             transfer = Transfer(id_, peer.boot, request.customer, BUDGET_NAME, moved)
             self.outgoing[id_] = (peer.name, transfer)
             transfers = (transfer,)
+        if moved < request.tokens and self.book.account(request.customer).held:
+            self.context.spawn(self.recorder.raise_marks({request.customer: request.tokens}))
         reserved = self.book.account(request.customer).reserved
         link.send(FundsAnswer(request.ask, moved, reserved, transfers, False))
 
--- a/src/bilberryshed/platform/_store.py
+++ b/src/bilberryshed/platform/_store.py
@@ -12,12 +12,12 @@
     Address,
     ChangeFeed,
     Changes,
+    ClockedTables,
     ForeignRow,
     Put,
     Row,
     RowRef,
     StoreError,
-    TableService,
 )
 from bilberryshed.transport import describe_error, http_client
 
@@ -30,7 +30,7 @@
 Answer = tuple[int, Any]
 
 
-class PlatformStore(TableService, ChangeFeed):
+class PlatformStore(ClockedTables, ChangeFeed):
     """Rows of the platform's store.
 
     Rows of the product's own tables hold JSON objects; rows of others are handed out as bytes.
@@ -38,9 +38,10 @@
     :param timeout: seconds for one call, beside the time that it may wait for changes
     """
 
-    __slots__ = ("base", "timeout", "client")
+    __slots__ = ("base", "timeout", "client", "newest_clock")
 
     def __init__(self, address: Address, timeout: float) -> None:
+        self.newest_clock = 0.0
         self.base = f"http://{address}"
         self.timeout = timeout
         self.client = http_client()
@@ -60,6 +61,10 @@
     async def write(self, puts: tuple[Put, ...]) -> Result[bool, StoreError]:
         if not puts:
             return Success(True)
+        answer = await self._transact(puts)
+        return answer.map(lambda item: item[0] != CONFLICT)
+
+    async def _transact(self, puts: tuple[Put, ...]) -> Result[Answer, StoreError]:
         body = {
             "precondition": [{**_place(put.ref), "rowVersion": put.version} for put in puts],
             "write": [
@@ -69,8 +74,15 @@
             ],
             "remove": [_place(put.ref) for put in puts if put.value is None],
         }
-        answer = await self._call("POST", "/rows-tx", body, (CONFLICT,))
-        return answer.map(lambda item: item[0] != CONFLICT)
+        return await self._call("POST", "/rows-tx", body, (CONFLICT,))
+
+    async def put(self, put: Put) -> Result[int | None, StoreError]:
+        answer = await self._transact((put,))
+        return answer.map(lambda item: None if item[0] == CONFLICT else int(item[1]["rowVersion"]))
+
+    @property
+    def clock(self) -> float:
+        return self.newest_clock
 
     async def scan(
         self, table: str, prefix: str, after: str, limit: int
@@ -166,7 +178,9 @@
         if response.code >= 400 and response.code not in expected:
             return Failure(StoreError(response.code >= 500, f"HTTP {response.code} for {path}"))
         try:
-            return Success((response.code, json.loads(response.body)))
+            answer = json.loads(response.body)
+            self.newest_clock = max(self.newest_clock, answer.get("serverTimeMs", 0) / 1000)
+            return Success((response.code, answer))
         except ValueError as error:
             return Failure(StoreError(writes, f"answer is not JSON: {error}"))
 
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -41,6 +41,11 @@
     CrashNotice,
     Holding,
     HoldingsNotice,
+    Mark,
+    MarkAck,
+    MarkAnswer,
+    MarkNotice,
+    MarkQuery,
     RouteTableNotice,
 )
 
@@ -64,6 +69,11 @@
     "HoldingsNotice",
     "JournalEntry",
     "LoadReport",
+    "Mark",
+    "MarkAck",
+    "MarkAnswer",
+    "MarkNotice",
+    "MarkQuery",
     "NotRun",
     "Order",
     "OrderResult",
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -52,3 +52,49 @@
 
     fingerprint: str
     crash: str
+
+
+@message(54)
+@dataclass(slots=True, frozen=True)
+class Mark:
+    """Bound on the tokens of one customer that a gateway uses."""
+
+    customer: str
+    tokens: int
+
+
+@message(55)
+@dataclass(slots=True, frozen=True)
+class MarkNotice:
+    """Asks a peer to record marks of the sender.
+
+    :param number: number of this notice, for its acknowledgement
+    """
+
+    number: int
+    marks: tuple[Mark, ...]
+
+
+@message(56)
+@dataclass(slots=True, frozen=True)
+class MarkAck:
+    """The marks of a notice are recorded."""
+
+    number: int
+
+
+@message(57)
+@dataclass(slots=True, frozen=True)
+class MarkQuery:
+    """Asks what is recorded of a lifetime that has ended, and to record no more of it."""
+
+    boot: str
+
+
+@message(58)
+@dataclass(slots=True, frozen=True)
+class MarkAnswer:
+    """What is recorded of a lifetime that has ended."""
+
+    boot: str
+    marks: tuple[Mark, ...]
--- a/src/bilberryshed/state/__init__.py
+++ b/src/bilberryshed/state/__init__.py
@@ -4,6 +4,7 @@
 from bilberryshed.state._ports import (
     ChangeFeed,
     Changes,
+    ClockedTables,
     ForeignRow,
     ObjectStore,
     Platform,
@@ -78,6 +79,7 @@
     "Change",
     "ChangeFeed",
     "Changes",
+    "ClockedTables",
     "Customer",
     "ForeignRow",
     "GatewaySettings",
--- a/src/bilberryshed/state/_ports.py
+++ b/src/bilberryshed/state/_ports.py
@@ -111,6 +111,19 @@
         """Read up to ``limit`` rows whose key has ``prefix`` and is above ``after``, by key."""
 
 
+class ClockedTables(TableService):
+    """A table service that tells the versions it gives and the time of its own steady clock."""
+
+    @property
+    @abstractmethod
+    def clock(self) -> float:
+        """Seconds on the service's steady clock in its newest answer, 0 before the first."""
+
+    @abstractmethod
+    async def put(self, put: Put) -> Result[int | None, StoreError]:
+        """Write one row; returns its new version, or ``None`` if the version did not match."""
+
+
 class ChangeFeed(ABC):
     """Tables that others write and this process follows."""
 
