--- a/src/bilberryshed/coordination/_prepaid.py
+++ b/src/bilberryshed/coordination/_prepaid.py
@@ -14,7 +14,8 @@
 REFILL_SHARE = 0.7  # of the target, below which more is taken
 RETURN_SHARE = 1.5  # of the target, above which the rest is returned
 HELD_SHARE = 0.9  # of the balance that all routers together have in hand
-FIRST_SHARE = 0.3  # of the balance that routers without demand yet have in hand together
+DRAIN_HORIZON = 1.0  # seconds of demand that a stopping router has in hand
+EVEN_SHARE = 0.2  # of the balance that is split evenly, as demand of the last seconds may mislead
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,11 +113,12 @@
     :param horizon: seconds of demand to have in hand
     """
 
-    __slots__ = ("boot", "horizon", "accounts", "peers", "received")
+    __slots__ = ("boot", "horizon", "draining", "accounts", "peers", "received")
 
     def __init__(self, boot: str, horizon: float) -> None:
         self.boot = boot
         self.horizon = horizon
+        self.draining = False
         self.accounts: dict[str, Account] = {}
         self.peers: dict[str, dict[str, PeerHolding]] = {}
         self.received: set[str] = set()
@@ -192,13 +194,17 @@
         """
         account = self.account(customer)
         rate = account.demand(now)
+        if self.draining:
+            return int(rate * DRAIN_HORIZON)
         told = [held[customer] for held in self.peers.values() if customer in held]
-        others = sum(holding.rate for holding in told)
+        total_rate = rate + sum(holding.rate for holding in told)
         balance = account.held + pool_free + sum(holding.free for holding in told)
-        if rate + others <= 0:
-            return max(0, int(FIRST_SHARE * balance / max(1, routers)))
-        share = rate / (rate + others)
-        return max(0, min(int(rate * self.horizon), int(HELD_SHARE * share * balance)))
+        even = 1 / max(1, routers)
+        share = rate / total_rate if total_rate > 0 else even
+        share = EVEN_SHARE * even + (1 - EVEN_SHARE) * share
+        most = int(HELD_SHARE * share * balance)
+        wanted = max(int(rate * self.horizon), int(EVEN_SHARE * even * balance))
+        return max(0, min(wanted, most))
 
     def plan(
         self, now: float, customer: str, row: PoolRow, prepaid: int, need: int, routers: int
--- a/src/bilberryshed/coordination/_spending_marks.py
+++ b/src/bilberryshed/coordination/_spending_marks.py
@@ -14,9 +14,10 @@
 
 WITNESS_DELAY = 3.0  # seconds after composing a record for the store before peers are asked
 CLOCK_MARGIN = 0.1  # seconds by which the two clocks may drift apart in that time
-LEAD = 4.2  # seconds of demand that a mark is ahead of use
-LEAST_LEAD = 15_000  # tokens that a mark is ahead of use at least
+LEAD = 5.0  # seconds of demand that a mark is ahead of use
+LEAST_LEAD = 10_000  # tokens that a mark is ahead of use at least
 RENEW_SHARE = 0.6  # of the lead, below which a new mark is wanted
+RENEW_TIME = 0.35  # seconds after which a record is composed anew, so that it proves more
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,8 +83,13 @@
         lead = max(LEAST_LEAD, int(account.demand(now) * LEAD)) + need
         return max(account.mark, min(account.granted, account.used + lead))
 
-    def due(self, now: float) -> bool:
-        """Whether some mark has too little lead while there is more to unlock."""
+    def due(self, now: float, store_up: bool) -> bool:
+        """Whether a record is old, or some mark has too little lead with more to unlock.
+
+        :param store_up: whether the store answers
+        """
+        if store_up and now >= self.composed_at + RENEW_TIME:
+            return True
         for account in self.book.accounts.values():
             if account.granted <= account.mark:
                 continue
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -118,6 +118,8 @@
             routes=len(table.routes),
             customers=len(table.customers),
         )
+        for customer in table.customers.values():
+            logger().info("prepaid", customer=customer.name, total=customer.prepaid)
         self.context.broadcast(RouteTableNotice(table.version, data))
         self.on_table()
 
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -124,7 +124,8 @@
     async def _drain(self, http: HTTPServer) -> bool:
         """Take new channels until no more come, finish what runs, settle the tokens."""
         began = self.context.timers.now()
-        self.context.draining = True
+        self.context.draining = self.context.book.draining = True
+        self.spawn(self.funds.sync({}))
         http.conn_params.no_keep_alive = True
         logger().info("draining", running=self.running)
         limit = began + self.settings.drain_time - DRAIN_MARGIN
@@ -134,7 +135,7 @@
         while self.running and self.context.timers.now() < limit:
             await asyncio.sleep(DRAIN_POLL)
         left = self.running
-        settled = not left and await self.funds.close()
+        settled = await self.funds.close()
         if settled:
             await self.recorder.forget()
         logger().info("drained", unfinished=left, settled=settled)
@@ -290,6 +291,7 @@
             return Refusal(402, f"{tokens} tokens are more than {customer.name} has paid for")
         reserved = await self.funds.reserve(customer.name, tokens)
         if isinstance(reserved, Failure):
+            self._log_shortage(request.id, customer.name, tokens, reserved.failure())
             return self._unfunded(reserved.failure(), customer.name, tokens)
         try:
             return await self._run(job)
@@ -297,6 +299,22 @@
             output = min(prompt.max_output, job.cutter.events * service.tokens_per_event)
             spent = prompt.tokens + output if job.runs else 0
             self.funds.settle(customer.name, tokens, spent)
+            logger().info("tokens", request=request.id, customer=customer.name, spent=spent)
+
+    def _log_shortage(self, id_: str, customer: str, tokens: int, shortage: Shortage) -> None:
+        account, row = self.context.book.account(customer), self.funds.seen.get(customer)
+        logger().info(
+            "unfunded",
+            request=id_,
+            customer=customer,
+            need=tokens,
+            shortage=shortage,
+            held=account.held,
+            free=account.free,
+            holders=row.holders if row else None,
+            closed=row.closed if row else None,
+            peers=sorted(self.context.peer_links),
+        )
 
     def _unfunded(self, shortage: Shortage, customer: str, tokens: int) -> Refusal:
         if shortage is Shortage.SPENT:
--- a/src/bilberryshed/gateway/_mark_recorder.py
+++ b/src/bilberryshed/gateway/_mark_recorder.py
@@ -39,7 +39,7 @@
         self.store_up = True
 
     def _renew(self, now: float) -> None:
-        if not self.lock.locked() and self.marks.due(now):
+        if not self.lock.locked() and self.marks.due(now, self.store_up):
             self.context.spawn(self.raise_marks({}))
 
     async def raise_marks(self, needs: dict[str, int]) -> bool:
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bilberryshed.coordination import PeerHolding, PoolRow
+from bilberryshed.coordination import PeerHolding, PoolRow, owner
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._mark_recorder import MarkRecorder
 from bilberryshed.protocol import (
@@ -26,6 +26,8 @@
 NOTICE_INTERVAL = 0.25  # seconds between notices to peers
 RESEND_INTERVAL = 0.5  # seconds between sends of an unacknowledged transfer
 PEER_PATIENCE = 0.25  # seconds for peers to answer
+AGENT_PATIENCE = 0.5  # seconds for a peer that asks the store
+AGENT_HORIZON = 4.0  # seconds of demand that such a peer is asked for
 STORE_PATIENCE = 0.35  # seconds that a request waits for the store
 STORE_PAUSE = 0.5  # seconds after a failed call in which requests do not wait for the store
 DRY_PAUSE = 0.3  # seconds for which a finding that nothing is left is reused
@@ -71,6 +73,7 @@
         self.store_lock = asyncio.Lock()
         self.locks: dict[str, asyncio.Lock] = {}
         self.dry: dict[str, _Dry] = {}
+        self.agents: set[str] = set()
         self.questions: dict[str, _Question] = {}
         self.outgoing: dict[str, tuple[str, Transfer]] = {}
         self.next_id = 1
@@ -126,18 +129,31 @@
         :returns: what is wrong if there are still too few
         """
         account = self.book.account(customer)
-        reached = True
-        if account.held < tokens:
-            reached = await self._try_store({customer: tokens - account.held})
-        if account.held >= tokens and account.free < tokens:
-            await self.recorder.raise_marks({customer: tokens})
+        reached = await self._obtain(customer, tokens)
         if account.free >= tokens:
             return Shortage.OUT_OF_REACH
+        if not reached:
+            await self._ask_agent(customer, tokens - account.free)
+            if account.free >= tokens:
+                return Shortage.OUT_OF_REACH
         question = await self._ask_peers(customer, tokens - account.free)
         if not reached or question.pending or account.held >= tokens:
             return Shortage.OUT_OF_REACH
         return self._judge(customer)
 
+    async def _obtain(self, customer: str, tokens: int) -> bool:
+        """Take tokens from the store and have a mark recorded that lets them be used.
+
+        :returns: whether the store answered
+        """
+        account = self.book.account(customer)
+        reached = True
+        if account.held < tokens:
+            reached = await self._try_store({customer: tokens - account.held})
+        if account.held >= tokens and account.free < tokens:
+            await self.recorder.raise_marks({customer: tokens})
+        return reached
+
     def _judge(self, customer: str) -> Shortage:
         """Whether every lifetime that was granted tokens is here to say that it has none."""
         row = self.seen.get(customer, PoolRow())
@@ -290,43 +306,79 @@
             Holding(name, account.held, account.demand(now))
             for name, account in self.book.accounts.items()
         )
-        self.context.broadcast(HoldingsNotice(holdings, self.context.draining))
+        self.context.broadcast(
+            HoldingsNotice(holdings, self.context.draining, self.recorder.store_up)
+        )
 
     def on_holdings(self, link: Link, notice: HoldingsNotice) -> None:
         """Take in what a peer has in hand."""
         held = {h.customer: PeerHolding(h.free, h.rate) for h in notice.holdings}
         self.book.hear(link.peer.name, held)
+        if notice.store_up and not notice.draining:
+            self.agents.add(link.peer.name)
+        else:
+            self.agents.discard(link.peer.name)
+
+    async def _ask_agent(self, customer: str, tokens: int) -> None:
+        """Have one peer that reaches the store take tokens there for this gateway."""
+        names = sorted(self.agents & self.context.peer_links.keys())
+        agent = owner(customer, names)
+        if agent is None:
+            return
+        now = self.context.timers.now()
+        wanted = max(tokens, int(self.book.account(customer).demand(now) * AGENT_HORIZON))
+        await self._ask({agent}, customer, tokens, wanted, recall=False)
 
     async def _ask_peers(self, customer: str, tokens: int) -> _Question:
+        """Have all peers give what they have in hand, up to what is lacking."""
+        peers = set(self.context.peer_links)
+        return await self._ask(peers, customer, tokens, tokens, recall=True)
+
+    async def _ask(
+        self, peers: set[str], customer: str, tokens: int, wanted: int, recall: bool
+    ) -> _Question:
         ask = f"{self.context.boot}.a{self.next_id}"
         self.next_id += 1
-        question = _Question(customer, set(self.context.peer_links))
+        question = _Question(customer, set(peers))
         self.questions[ask] = question
-        self.context.broadcast(FundsRequest(ask, customer, BUDGET_NAME, tokens, tokens, True))
-        if question.pending:
-            try:
-                async with asyncio.timeout(PEER_PATIENCE):
+        request = FundsRequest(ask, customer, BUDGET_NAME, tokens, wanted, recall)
+        for name in peers:
+            self.context.peer_links[name].send(request)
+        try:
+            async with asyncio.timeout(PEER_PATIENCE if recall else AGENT_PATIENCE):
+                while question.pending:
                     await question.done.wait()
-            except TimeoutError:
-                logger().info("peers_silent", customer=customer, peers=sorted(question.pending))
+        except TimeoutError:
+            logger().info("peers_silent", customer=customer, peers=sorted(question.pending))
         del self.questions[ask]
         return question
 
     def on_request(self, link: Link, request: FundsRequest) -> None:
-        """Give a peer what it lacks, as far as it is in hand."""
+        """Give a peer what it lacks."""
+        if request.recall or self.book.account(request.customer).free >= request.wanted:
+            self._give(link, request)
+        else:
+            self.context.spawn(self._obtain_for(link, request))
+
+    async def _obtain_for(self, link: Link, request: FundsRequest) -> None:
+        """Take from the store what a peer lacks that does not reach it."""
+        await self._obtain(request.customer, request.wanted)
+        self._give(link, request)
+
+    def _give(self, link: Link, request: FundsRequest) -> None:
         peer = link.peer
         transfers: tuple[Transfer, ...] = ()
-        moved = 0 if self.closed else self.book.give(request.customer, request.tokens)
+        moved = 0 if self.closed else self.book.give(request.customer, request.wanted)
         if moved:
             id_ = f"{self.context.boot}.t{self.next_id}"
             self.next_id += 1
             transfer = Transfer(id_, peer.boot, request.customer, BUDGET_NAME, moved)
             self.outgoing[id_] = (peer.name, transfer)
             transfers = (transfer,)
-        if moved < request.tokens and self.book.account(request.customer).held:
+        account = self.book.account(request.customer)
+        if moved < request.tokens and account.held:
             self.context.spawn(self.recorder.raise_marks({request.customer: request.tokens}))
-        reserved = self.book.account(request.customer).reserved
-        link.send(FundsAnswer(request.ask, moved, reserved, transfers, False))
+        link.send(FundsAnswer(request.ask, moved, account.reserved, transfers, False))
 
     def on_answer(self, link: Link, answer: FundsAnswer) -> None:
         """Take in a peer's answer and what it gave."""
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -22,10 +22,14 @@
 @message(51)
 @dataclass(slots=True, frozen=True)
 class HoldingsNotice:
-    """Tells a peer what the sender has in hand."""
+    """Tells a peer what the sender has in hand.
+
+    :param store_up: whether the store answers the sender
+    """
 
     holdings: tuple[Holding, ...]
     draining: bool
+    store_up: bool
 
 
 @message(52)
--- a/src/bilberryshed/state/_gateway_settings.py
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -42,4 +42,4 @@
     retry_ratio: float = setting("retries", parse_seconds, "0.2")
     retry_window: float = setting("retries", parse_seconds, "10")
     retry_slack: float = setting("retries", parse_seconds, "50")
-    grant_horizon: float = setting("prepaid", parse_seconds, "12")
+    grant_horizon: float = setting("prepaid", parse_seconds, "25")
