Spending bounds grow with time in place of peers as witnesses

Change: the store's record carries a growth that begins 2.4 s after it; a successor computes the bound from the store's clock and asks nobody. Demand has no start-up bias any more. Four messages and the witness role are gone.

--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -71,7 +71,7 @@
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
 from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
-from bilberryshed.coordination._spending_marks import MarkRecord, SpendingMarks, Witness
+from bilberryshed.coordination._spending_schedule import Bound, BoundsRecord, SpendingSchedule
 from bilberryshed.coordination._submission import (
     Accepted,
     Conflict,
@@ -96,6 +96,8 @@
     "BackendPool",
     "BackendRegistry",
     "BackendView",
+    "Bound",
+    "BoundsRecord",
     "BudgetLine",
     "Choice",
     "Claim",
@@ -123,7 +125,6 @@
     "Lease",
     "LeaseRow",
     "ListChange",
-    "MarkRecord",
     "Member",
     "Members",
     "Mine",
@@ -150,7 +151,7 @@
     "ShardWriter",
     "SheetInForce",
     "SloTally",
-    "SpendingMarks",
+    "SpendingSchedule",
     "Standing",
     "Submission",
     "Suspicion",
@@ -162,7 +163,6 @@
     "Undecided",
     "Unfunded",
     "Verdict",
-    "Witness",
     "WriteClaim",
     "WriteRows",
     "audit",
--- a/src/bilberryshed/coordination/_prepaid.py
+++ b/src/bilberryshed/coordination/_prepaid.py
@@ -6,10 +6,12 @@
 transit at worst, no order of events lets the routers together use more than was paid.
 """
 
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
-RATE_TIME_CONSTANT = 4.0  # seconds over which demand is averaged
+RATE_HALF_LIFE = 4.0  # seconds after which demand counts half
+LEAST_HISTORY = 1.5  # seconds of demand that an average is taken over at least
 LEAST_GRANT = 2_000  # tokens below which a change of the store's row is not worth a write
 REFILL_SHARE = 0.7  # of the target, below which more is taken
 RETURN_SHARE = 1.5  # of the target, above which the rest is returned
@@ -56,13 +58,14 @@
         """Return the row with another grant for one lifetime."""
         return PoolRow(self.closed, {**self.holders, boot: tokens})
 
-    def without_holder(self, boot: str, used: int) -> "PoolRow":
+    def close_holder(self, boot: str, used: int) -> "PoolRow":
         """Return the row with one lifetime closed.
 
-        :param used: tokens that the lifetime used, net of transfers
+        :param used: bound on the tokens that the lifetime used, net of transfers
         """
         holders = {name: tokens for name, tokens in self.holders.items() if name != boot}
-        return PoolRow(self.closed + used, holders)
+        granted = self.holders.get(boot, 0)
+        return PoolRow(self.closed + min(used, granted), holders)
 
 
 @dataclass(slots=True)
@@ -70,7 +73,7 @@
     """One customer's tokens at one router.
 
     :param granted: granted by the store
-    :param mark: bound on ``used`` that a witness has recorded, see :class:`SpendingMarks`
+    :param mark: bound on ``used`` that the store has recorded, see :class:`SpendingSchedule`
     :param used: spent and reserved here, plus tokens sent to peers, less tokens received
     :param reserved: part of ``used`` held for requests that have not ended
     """
@@ -81,10 +84,11 @@
     reserved: int = 0
     rate: float = 0.0
     rate_at: float = 0.0
+    first_at: float | None = None
 
     @property
     def held(self) -> int:
-        """Tokens in hand, whether or not a witness knows that they may be used."""
+        """Tokens in hand, whether or not the recorded bound lets them be used now."""
         return self.granted - self.used
 
     @property
@@ -92,10 +96,25 @@
         """Tokens that may be reserved or given away now."""
         return min(self.granted, self.mark) - self.used
 
+    def note_demand(self, now: float, tokens: int) -> None:
+        """Count tokens asked for."""
+        if self.first_at is None:
+            self.first_at = now
+        self.rate = self._decayed(now) + tokens * math.log(2) / RATE_HALF_LIFE
+        self.rate_at = now
+
     def demand(self, now: float) -> float:
-        """Return the demand of the last seconds, in tokens a second."""
-        elapsed = max(0.0, now - self.rate_at)
-        return self.rate * 0.5 ** (elapsed / RATE_TIME_CONSTANT)
+        """Return the demand of the last seconds, in tokens a second.
+
+        The average of a short history is scaled up by the part of its window that is missing.
+        """
+        if self.first_at is None:
+            return 0.0
+        known = max(LEAST_HISTORY, now - self.first_at)
+        return self._decayed(now) / (1 - 0.5 ** (known / RATE_HALF_LIFE))
+
+    def _decayed(self, now: float) -> float:
+        return self.rate * 0.5 ** (max(0.0, now - self.rate_at) / RATE_HALF_LIFE)
 
 
 @dataclass(slots=True, frozen=True)
@@ -129,9 +148,7 @@
 
     def note_demand(self, now: float, customer: str, tokens: int) -> None:
         """Count tokens asked for, whether or not they can be reserved."""
-        account = self.account(customer)
-        account.rate = account.demand(now) + tokens / RATE_TIME_CONSTANT * 0.69
-        account.rate_at = now
+        self.account(customer).note_demand(now, tokens)
 
     def reserve(self, customer: str, tokens: int) -> bool:
         """Reserve tokens for a request, if that many are free."""
@@ -236,4 +253,4 @@
         """Return the row with this lifetime closed, once nothing is reserved any more."""
         if self.boot not in row.holders:
             return row
-        return row.without_holder(self.boot, self.account(customer).used)
+        return row.close_holder(self.boot, self.account(customer).used)
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -14,7 +14,7 @@
     PrepaidBook,
     RetryAllowance,
     RouteIndex,
-    SpendingMarks,
+    SpendingSchedule,
 )
 from bilberryshed.gateway._dialect import Dialect
 from bilberryshed.protocol import CrashNotice, Finding
@@ -67,7 +67,7 @@
         )
         self.crashes = CrashRecord()
         self.book = PrepaidBook(self.boot, settings.grant_horizon)
-        self.marks = SpendingMarks(self.book)
+        self.schedule = SpendingSchedule(self.book)
         self.index: RouteIndex | None = None
         self.table_data = b""
         self.peer_links: dict[str, Link] = {}
@@ -83,10 +83,6 @@
         """Return the gateways of the deployment, this one included, as far as known."""
         return len(self.known_routers | {self.settings.name})
 
-    def peer_boots(self) -> tuple[str, ...]:
-        """Return the lifetimes of the linked gateways."""
-        return tuple(link.peer.boot for link in self.peer_links.values())
-
     def broadcast(self, message: Any) -> None:
         """Send to every linked gateway."""
         for link in self.peer_links.values():
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -12,12 +12,12 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
+from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
 from bilberryshed.gateway._context import GatewayContext, GatewayPorts
 from bilberryshed.gateway._dialect import CallerRequest
 from bilberryshed.gateway._followers import BackendWatch, RouteTableWatch
 from bilberryshed.gateway._forwarder import Forwarder, Job, Outcome
-from bilberryshed.gateway._mark_recorder import MarkRecorder
 from bilberryshed.gateway._peers import Peers
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds, Shortage
 from bilberryshed.gateway._succession import Succession
@@ -26,10 +26,6 @@
     FundsAnswer,
     FundsRequest,
     HoldingsNotice,
-    MarkAck,
-    MarkAnswer,
-    MarkNotice,
-    MarkQuery,
     RouteTableNotice,
     Transfer,
     TransferAck,
@@ -80,9 +76,9 @@
     def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
         self.settings = settings
         self.context = GatewayContext(settings, ports)
-        self.recorder = MarkRecorder(self.context)
+        self.recorder = BoundsRecorder(self.context)
         self.funds = PrepaidFunds(self.context, self.recorder)
-        self.succession = Succession(self.context, self.funds, self.recorder)
+        self.succession = Succession(self.context, self.funds)
         self.tables = RouteTableWatch(self.context, self._on_table)
         self.servers = BackendWatch(self.context)
         self.forwarder = Forwarder(self.context)
@@ -158,10 +154,6 @@
             FundsAnswer: self.funds.on_answer,
             Transfer: self.funds.on_transfer,
             TransferAck: self.funds.on_ack,
-            MarkNotice: self.recorder.on_notice,
-            MarkAck: self.recorder.on_ack,
-            MarkQuery: self.succession.on_query,
-            MarkAnswer: self.succession.on_answer,
             RouteTableNotice: self.tables.on_notice,
             CrashNotice: self._on_crash_notice,
         }
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -7,8 +7,8 @@
 from returns.result import Failure, Result, Success
 
 from bilberryshed.coordination import PeerHolding, PoolRow, owner
+from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.gateway._mark_recorder import MarkRecorder
 from bilberryshed.protocol import (
     FundsAnswer,
     FundsRequest,
@@ -63,7 +63,7 @@
 class PrepaidFunds:
     """The gateway's side of :class:`PrepaidBook`."""
 
-    def __init__(self, context: GatewayContext, recorder: MarkRecorder) -> None:
+    def __init__(self, context: GatewayContext, recorder: BoundsRecorder) -> None:
         self.context = context
         self.recorder = recorder
         self.book = context.book
@@ -93,24 +93,31 @@
         """Reserve tokens, from wherever they can be had at once."""
         now = self.context.timers.now()
         self.book.note_demand(now, customer, tokens)
-        if self.book.reserve(customer, tokens):
+        if self._reserve(customer, tokens):
             return Success(tokens)
         shortage = self._known_dry(customer, tokens)
         if shortage is not None:
             return Failure(shortage)
         async with self.locks.setdefault(customer, asyncio.Lock()):
-            if self.book.reserve(customer, tokens):
+            if self._reserve(customer, tokens):
                 return Success(tokens)
             shortage = self._known_dry(customer, tokens)
             if shortage is not None:
                 return Failure(shortage)
             shortage = await self._find(customer, tokens)
-            if self.book.reserve(customer, tokens):
+            if self._reserve(customer, tokens):
                 return Success(tokens)
         until = self.context.timers.now() + DRY_PAUSE
         self.dry[customer] = _Dry(until, tokens, shortage)
         return Failure(shortage)
 
+    def _reserve(self, customer: str, tokens: int) -> bool:
+        self.context.schedule.unlock(self.context.timers.now(), customer)
+        return self.book.reserve(customer, tokens)
+
+    def _free(self, customer: str) -> int:
+        return self.context.schedule.unlock(self.context.timers.now(), customer).free
+
     def settle(self, customer: str, reserved: int, spent: int) -> None:
         """End a reservation with what was used of it."""
         self.book.settle(customer, reserved, spent)
@@ -130,11 +137,11 @@
         """
         account = self.book.account(customer)
         reached = await self._obtain(customer, tokens)
-        if account.free >= tokens:
+        if self._free(customer) >= tokens:
             return Shortage.OUT_OF_REACH
         if not reached:
             await self._ask_agent(customer, tokens - account.free)
-            if account.free >= tokens:
+            if self._free(customer) >= tokens:
                 return Shortage.OUT_OF_REACH
         question = await self._ask_peers(customer, tokens - account.free)
         if not reached or question.pending or account.held >= tokens:
@@ -150,8 +157,8 @@
         reached = True
         if account.held < tokens:
             reached = await self._try_store({customer: tokens - account.held})
-        if account.held >= tokens and account.free < tokens:
-            await self.recorder.raise_marks({customer: tokens})
+        if account.held >= tokens and self._free(customer) < tokens:
+            await self.recorder.raise_bounds({customer: tokens})
         return reached
 
     def _judge(self, customer: str) -> Shortage:
@@ -355,7 +362,7 @@
 
     def on_request(self, link: Link, request: FundsRequest) -> None:
         """Give a peer what it lacks."""
-        if request.recall or self.book.account(request.customer).free >= request.wanted:
+        if request.recall or self._free(request.customer) >= request.wanted:
             self._give(link, request)
         else:
             self.context.spawn(self._obtain_for(link, request))
@@ -368,6 +375,7 @@
     def _give(self, link: Link, request: FundsRequest) -> None:
         peer = link.peer
         transfers: tuple[Transfer, ...] = ()
+        self.context.schedule.unlock(self.context.timers.now(), request.customer)
         moved = 0 if self.closed else self.book.give(request.customer, request.wanted)
         if moved:
             id_ = f"{self.context.boot}.t{self.next_id}"
@@ -377,7 +385,7 @@
             transfers = (transfer,)
         account = self.book.account(request.customer)
         if moved < request.tokens and account.held:
-            self.context.spawn(self.recorder.raise_marks({request.customer: request.tokens}))
+            self.context.spawn(self.recorder.raise_bounds({request.customer: request.tokens}))
         link.send(FundsAnswer(request.ask, moved, account.reserved, transfers, False))
 
     def on_answer(self, link: Link, answer: FundsAnswer) -> None:
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -41,11 +41,6 @@
     CrashNotice,
     Holding,
     HoldingsNotice,
-    Mark,
-    MarkAck,
-    MarkAnswer,
-    MarkNotice,
-    MarkQuery,
     RouteTableNotice,
 )
 
@@ -69,11 +64,6 @@
     "HoldingsNotice",
     "JournalEntry",
     "LoadReport",
-    "Mark",
-    "MarkAck",
-    "MarkAnswer",
-    "MarkNotice",
-    "MarkQuery",
     "NotRun",
     "Order",
     "OrderResult",
