Gateway proved before stand-ins of the platform's store and backend servers

They found: a finding that tokens are used up outlived a raise of the total by 0.3 s; strikes of a crashing request counted once for a backend server that came back under its old id.

--- /dev/null
+++ b/features/prepaid_support.py
@@ -0,0 +1,400 @@
+"""Several gateways' prepaid funds over one store, in model time, with faults."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Success
+
+from bilberryshed.coordination import RouteIndex
+from bilberryshed.gateway import GatewayPorts
+from bilberryshed.gateway._bounds_recorder import BoundsRecorder
+from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._prepaid_funds import PrepaidFunds
+from bilberryshed.gateway._succession import Succession
+from bilberryshed.protocol import (
+    FundsAnswer,
+    FundsRequest,
+    Hello,
+    HoldingsNotice,
+    Transfer,
+    TransferAck,
+)
+from bilberryshed.state import (
+    Address,
+    ClockedTables,
+    GatewaySettings,
+    RoutedCustomer,
+    RouteTable,
+    Row,
+    StoreError,
+)
+
+NAMES = ("gate-1", "gate-2", "gate-3", "gate-4")
+CALL = 0.004  # seconds of a call to the store
+TIMEOUT = 1.0  # seconds
+LINK = 0.002  # seconds of a message
+DOWN = StoreError(False, "down")
+LOST = StoreError(True, "lost")
+
+
+class ModelTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time jumps to the next timer when nothing is ready."""
+
+    def __init__(self):
+        super().__init__()
+        self.model_time = 1000.0
+
+    def time(self):
+        """Return the model's time."""
+        return self.model_time
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self.model_time = max(self.model_time, self._scheduled[0]._when)
+        super()._run_once()
+
+
+@dataclass
+class ModelStore:
+    """Rows, with the store's clock."""
+
+    rows: dict = field(default_factory=dict)
+    version: int = 0
+
+    def apply(self, puts):
+        """Write all rows or none."""
+        for put in puts:
+            if self.rows.get(put.ref, (0, None))[0] != put.version:
+                return False
+        self.version += 1
+        for put in puts:
+            if put.value is None:
+                self.rows.pop(put.ref, None)
+            else:
+                self.rows[put.ref] = (self.version, put.value)
+        return True
+
+
+class FaultyStore(ClockedTables):
+    """One gateway's way to the store; ``cut`` and ``loss`` are switched from outside.
+
+    :param cut: ``up``, ``silent`` or ``busy``
+    :param loss: share of writes whose answers are lost, some of them done later
+    """
+
+    def __init__(self, store, dice):
+        self.store = store
+        self.dice = dice
+        self.cut = "up"
+        self.loss = 0.0
+        self.seen_clock = 0.0
+
+    @property
+    def clock(self):
+        return self.seen_clock
+
+    async def read(self, refs):
+        await self._reach()
+        if self.cut != "up":
+            return Failure(DOWN)
+        self.seen_clock = asyncio.get_running_loop().time()
+        found = [(ref, self.store.rows.get(ref, (0, {}))) for ref in refs]
+        return Success(tuple(Row(ref, version, dict(value)) for ref, (version, value) in found))
+
+    async def write(self, puts):
+        if not puts:
+            return Success(True)
+        await self._reach()
+        if self.cut == "busy":
+            return Failure(DOWN)
+        if self.cut == "silent":
+            return Failure(LOST)
+        if self.dice.random() < self.loss:
+            return await self._lose(puts)
+        self.seen_clock = asyncio.get_running_loop().time()
+        return Success(self.store.apply(puts))
+
+    async def put(self, put):
+        written = await self.write((put,))
+        return written.map(lambda done: self.store.version if done else None)
+
+    async def scan(self, table, prefix, after, limit):
+        return Success(())
+
+    async def _reach(self):
+        await asyncio.sleep(TIMEOUT if self.cut == "silent" else CALL * self.dice.uniform(0.5, 2))
+
+    async def _lose(self, puts):
+        if self.dice.random() < 0.5:
+            asyncio.get_running_loop().call_later(
+                self.dice.uniform(0.2, 6), self.store.apply, puts
+            )
+        else:
+            self.store.apply(puts)
+        await asyncio.sleep(TIMEOUT)
+        return Failure(LOST)
+
+
+class ModelLink:
+    """One direction of a link between two gateways."""
+
+    def __init__(self, world, sender, receiver):
+        self.world = world
+        self.sender = sender
+        self.receiver = receiver
+        self.peer = Hello(receiver.name, receiver.boot, "router", "quay", "")
+
+    def send(self, message):
+        """Deliver a message later, unless one of the two has died or the link is cut."""
+        asyncio.get_running_loop().call_later(
+            LINK * self.world.dice.uniform(0.5, 2), self._deliver, message
+        )
+        return True
+
+    def _deliver(self, message):
+        ends = {self.sender.name, self.receiver.name}
+        if not (self.sender.alive and self.receiver.alive) or ends & self.world.isolated:
+            return
+        back = ModelLink(self.world, self.receiver, self.sender)
+        handler = self.receiver.handlers()[type(message)]
+        handler(back, message)
+
+
+@dataclass
+class Request:
+    """A request that holds a reservation."""
+
+    customer: str
+    reserved: int
+    spent: int
+
+
+class ModelGateway:
+    """The prepaid parts of one lifetime of a gateway."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.alive = True
+        self.store = FaultyStore(world.store, world.dice)
+        self.store.loss = world.loss
+        self.context = GatewayContext(settings_for(name), ports_for(self.store))
+        self.boot = self.context.boot
+        self.recorder = BoundsRecorder(self.context)
+        self.funds = PrepaidFunds(self.context, self.recorder)
+        self.succession = Succession(self.context, self.funds)
+        self.running = set()
+        self.context.index = RouteIndex(world.table())
+
+    def start(self):
+        """Begin to work."""
+        self.recorder.start()
+        self.funds.start()
+        self.context.spawn(self.succession.run())
+        self.context.spawn(self.funds.sync({}))
+
+    def handlers(self):
+        """Return the handlers of messages."""
+        return {
+            HoldingsNotice: self.funds.on_holdings,
+            FundsRequest: self.funds.on_request,
+            FundsAnswer: self.funds.on_answer,
+            Transfer: self.funds.on_transfer,
+            TransferAck: self.funds.on_ack,
+        }
+
+    def kill(self):
+        """End at once; what was running counts as fully used."""
+        self.alive = False
+        self.context.timers.close()
+        for task in tuple(self.context.tasks.tasks):
+            task.cancel()
+        for request in self.running:
+            self.world.spent[request.customer] += request.reserved
+        self.running.clear()
+
+    async def request(self, customer, tokens, took, share):
+        """Run a request.
+
+        :param took: seconds
+        :param share: part of the reservation that it uses
+        """
+        reserved = await self.funds.reserve(customer, tokens)
+        if isinstance(reserved, Failure):
+            self.world.refused += 1
+            return
+        request = Request(customer, tokens, int(tokens * share))
+        self.running.add(request)
+        self.world.served += 1
+        self.world.check()
+        await asyncio.sleep(took)
+        if not self.alive:
+            return
+        self.running.discard(request)
+        self.world.spent[customer] += request.spent
+        self.funds.settle(customer, tokens, request.spent)
+
+    def __hash__(self):
+        return id(self)
+
+
+Request.__hash__ = object.__hash__
+
+
+def settings_for(name):
+    """Return settings; no address is used."""
+    address = Address("127.0.0.1", 1)
+    return GatewaySettings(
+        name, "quay", address, address, address, None, None, 300, address, 1.0, 8.0, 0.2, 10.0,
+        50.0, 25.0,
+    )  # fmt: skip
+
+
+def ports_for(store):
+    """Return ports with only the tables."""
+    return GatewayPorts(store, None, None, None, None, "op", "config", "servers")
+
+
+class World:
+    """Gateways, their store, and what the customers have used.
+
+    :param loss: share of the store's write answers that are lost
+    """
+
+    def __init__(self, seed, loss):
+        self.dice = random.Random(seed)
+        self.loss = loss
+        self.store = ModelStore()
+        self.prepaid = {"harbour": 400_000, "school": 60_000}
+        self.spent = dict.fromkeys(self.prepaid, 0)
+        self.served = self.refused = 0
+        self.isolated = set()
+        self.gateways = {}
+        self.version = 1
+        self.faults = []
+
+    def table(self):
+        """Return the route table in force."""
+        customers = {
+            name: RoutedCustomer(name, (), None, total) for name, total in self.prepaid.items()
+        }
+        return RouteTable(self.version, (), {}, customers, True)
+
+    def used(self, customer):
+        """Return what a customer has used or may yet use of running requests."""
+        running = [r for g in self.gateways.values() if g.alive for r in g.running]
+        return self.spent[customer] + sum(r.reserved for r in running if r.customer == customer)
+
+    def check(self):
+        """Raise if a customer got more than it has paid for."""
+        for customer, total in self.prepaid.items():
+            used = self.used(customer)
+            assert used <= total, f"{customer}: {used} of {total} tokens after {self.faults}"
+
+    def boot(self, name):
+        """Start a lifetime of a gateway."""
+        gateway = ModelGateway(self, name)
+        self.gateways[name] = gateway
+        gateway.start()
+        self.relink()
+
+    def relink(self):
+        """Link all gateways that live and reach each other."""
+        living = [g for g in self.gateways.values() if g.alive]
+        for gateway in living:
+            gateway.context.peer_links = {
+                other.name: ModelLink(self, gateway, other)
+                for other in living
+                if other is not gateway and not {other.name, gateway.name} & self.isolated
+            }
+            gateway.context.known_routers = set(NAMES)
+
+    async def play(self, seconds):
+        """Play a random history."""
+        for name in NAMES:
+            self.boot(name)
+        await asyncio.sleep(0.5)
+        end = asyncio.get_running_loop().time() + seconds
+        traffic = asyncio.ensure_future(self._traffic(end))
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(self.dice.uniform(0.3, 2.5))
+            await self._fault()
+            self.check()
+        await traffic
+        for gateway in self.gateways.values():
+            if gateway.alive:
+                gateway.kill()
+        self.check()
+
+    async def _traffic(self, end):
+        weights = (5, 2, 1, 1)
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(self.dice.expovariate(25))
+            gateway = self.gateways[self.dice.choices(NAMES, weights)[0]]
+            if not gateway.alive:
+                continue
+            customer = self.dice.choices(tuple(self.prepaid), (4, 1))[0]
+            tokens = int(self.dice.lognormvariate(7.2, 0.8)) + 50
+            took, share = self.dice.uniform(0.1, 2.0), self.dice.uniform(0.4, 1.0)
+            gateway.context.spawn(gateway.request(customer, tokens, took, share))
+
+    async def _fault(self):
+        kind = self.dice.choice(
+            ("kill", "kill", "kill_all", "cut", "cut_all", "isolate", "heal", "top_up", "busy")
+        )
+        name = self.dice.choice(NAMES)
+        self.faults.append(f"{kind} {name}")
+        if kind == "kill":
+            self._kill((name,))
+        elif kind == "kill_all":
+            self._kill(NAMES)
+        elif kind in ("cut", "busy"):
+            self.gateways[name].store.cut = "silent" if kind == "cut" else "busy"
+        elif kind == "cut_all":
+            for gateway in self.gateways.values():
+                gateway.store.cut = "silent"
+        elif kind == "isolate":
+            self.isolated = {name}
+        elif kind == "heal":
+            self.isolated = set()
+            for gateway in self.gateways.values():
+                gateway.store.cut = "up"
+        else:
+            self._top_up()
+        self.relink()
+
+    def _kill(self, names):
+        loop = asyncio.get_running_loop()
+        for name in names:
+            if self.gateways[name].alive:
+                self.gateways[name].kill()
+                loop.call_later(self.dice.uniform(0.2, 4), self.boot, name)
+
+    def _top_up(self):
+        self.version += 1
+        self.prepaid = {name: int(total * 1.15) for name, total in self.prepaid.items()}
+        for gateway in self.gateways.values():
+            gateway.context.index = RouteIndex(self.table())
+
+
+def play(seed, seconds=40.0, loss=0.1):
+    """Play one history.
+
+    :returns: its world
+    :raises AssertionError: if a customer got more than it has paid for
+    """
+    began = time.monotonic()
+    loop = ModelTimeLoop()
+    asyncio.set_event_loop(loop)
+    world = World(seed, loss)
+    try:
+        loop.run_until_complete(world.play(seconds))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+    world.took = time.monotonic() - began
+    return world
--- a/src/bilberryshed/coordination/_crash_record.py
+++ b/src/bilberryshed/coordination/_crash_record.py
@@ -1,13 +1,13 @@
 """Finds requests that crash the backend servers which run them.
 
-A request that was running on a backend server when it crashed gets a strike. Innocent requests that
-shared the backend server rarely collect several; a request that crashes whatever runs it does, and
+A request whose channel broke before its first event gets a strike: its backend server may have
+crashed. Innocent requests rarely collect several; a request that crashes whatever runs it does, and
 is then refused everywhere until its conviction expires.
 """
 
 from dataclasses import dataclass, field
 
-CONVICTING_STRIKES = 3  # crashes of different backend servers
+CONVICTING_STRIKES = 3  # broken runs
 STRIKE_LIFE = 60.0  # seconds after which a strike no longer counts
 CONVICTION_LIFE = 120.0  # seconds
 
@@ -26,17 +26,17 @@
     def __init__(self) -> None:
         self.entries: dict[str, _Entry] = {}
 
-    def strike(self, now: float, fingerprint: str, crash: str) -> bool:
-        """Note that a request was running when a backend server crashed.
+    def strike(self, now: float, fingerprint: str, run: str) -> bool:
+        """Note that a run of a request broke.
 
-        :param crash: names the crash, the same for every observer of one run
+        :param run: identifies the run
         :returns: whether it was news
         """
         entry = self.entries.setdefault(fingerprint, _Entry())
-        if crash in entry.strikes:
+        if run in entry.strikes:
             return False
-        entry.strikes = {c: at for c, at in entry.strikes.items() if at > now - STRIKE_LIFE}
-        entry.strikes[crash] = now
+        entry.strikes = {known: at for known, at in entry.strikes.items() if at > now - STRIKE_LIFE}
+        entry.strikes[run] = now
         if len(entry.strikes) >= CONVICTING_STRIKES:
             entry.convicted_until = now + CONVICTION_LIFE
         return True
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -9,7 +9,6 @@
 
 from bilberryshed.coordination import (
     BackendPool,
-    BackendView,
     CrashRecord,
     PrepaidBook,
     RetryAllowance,
@@ -88,14 +87,12 @@
         for link in self.peer_links.values():
             link.send(message)
 
-    def note_crash(self, fingerprint: str, view: BackendView, events: int) -> None:
-        """Note that a request was running when its channel broke.
+    def note_crash(self, fingerprint: str, run: str) -> None:
+        """Note that the channel of a request broke before its first event.
 
-        :param events: events that it had made; one that made any did not crash at its start
+        :param fingerprint: identifies requests of the same content
+        :param run: identifies the run, for peers that hear of it twice
         """
-        if events:
-            return
-        crash = f"{view.server.id}/{view.server.born}"
-        if self.crashes.strike(self.timers.now(), fingerprint, crash):
-            self.broadcast(CrashNotice(fingerprint, crash))
-            logger().info("crash_strike", fingerprint=fingerprint, crash=crash)
+        if self.crashes.strike(self.timers.now(), fingerprint, run):
+            self.broadcast(CrashNotice(fingerprint, run))
+            logger().info("crash_strike", fingerprint=fingerprint, run=run)
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -339,8 +339,8 @@
         now = self.context.timers.now()
         job.tried.add(view.server.id)
         self.pool.note_outcome(now, view, failed=True)
-        if crashed:
-            self.context.note_crash(job.fingerprint, view, job.cutter.events)
+        if crashed and not job.cutter.events:
+            self.context.note_crash(job.fingerprint, f"{job.request.id}/{job.runs}")
         self._log(job, "attempt_broken", error=job.last_failure)
 
     def _log(self, job: Job, event: str, **details: object) -> None:
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -145,7 +145,7 @@
         self.context.crashes.prune(now)
 
     def _on_table(self) -> None:
-        self.spawn(self.funds.sync({}))
+        self.funds.on_table()
 
     def _message_handlers(self) -> dict[type, Any]:
         return {
@@ -159,7 +159,7 @@
         }
 
     def _on_crash_notice(self, link: Link, notice: CrashNotice) -> None:
-        self.context.crashes.strike(self.context.timers.now(), notice.fingerprint, notice.crash)
+        self.context.crashes.strike(self.context.timers.now(), notice.fingerprint, notice.run)
 
     # HTTP -----------------------------------------------------------------------------------
 
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -87,6 +87,11 @@
         timers.subscribe(NOTICE_INTERVAL, lambda now: self._notify())
         timers.subscribe(RESEND_INTERVAL, lambda now: self._resend())
 
+    def on_table(self) -> None:
+        """Take in a new route table: totals may have changed."""
+        self.dry.clear()
+        self.context.spawn(self.sync({}))
+
     # Requests -------------------------------------------------------------------------------
 
     async def reserve(self, customer: str, tokens: int) -> Result[int, Shortage]:
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -48,11 +48,11 @@
 @message(53)
 @dataclass(slots=True, frozen=True)
 class CrashNotice:
-    """A request was running on a backend server when it crashed.
+    """A run of a request broke before its first event.
 
     :param fingerprint: identifies requests of the same content
-    :param crash: names the crash
+    :param run: identifies the run
     """
 
     fingerprint: str
-    crash: str
+    run: str
--- a/src/bilberryshed/transport/_channels.py
+++ b/src/bilberryshed/transport/_channels.py
@@ -51,7 +51,16 @@
     :param key: what the pool keeps it under
     """
 
-    __slots__ = ("key", "stream", "framing", "pending", "request", "idle_since", "idle_limit")
+    __slots__ = (
+        "key",
+        "stream",
+        "framing",
+        "pending",
+        "request",
+        "idle_since",
+        "idle_limit",
+        "ended",
+    )
 
     def __init__(self, key: str, stream: IOStream) -> None:
         self.key = key
@@ -59,6 +68,7 @@
         self.framing = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER)
         self.pending = self._read()
         self.request: h11.Request | None = None
+        self.ended = False
         self.idle_since = 0.0
         self.idle_limit = DEFAULT_IDLE
 
@@ -151,7 +161,8 @@
             try:
                 event = self.framing.next_event()
             except h11.RemoteProtocolError as error:
-                raise BrokenAnswerError(str(error)) from error
+                cause = "the channel was closed within the answer" if self.ended else str(error)
+                raise BrokenAnswerError(cause) from error
             if event is not h11.NEED_DATA:
                 return event
             self.framing.receive_data(await self._take())
@@ -163,6 +174,7 @@
         except StreamClosedError as error:
             if error.real_error is not None:
                 raise BrokenAnswerError(f"the channel was reset: {error.real_error}") from error
+            self.ended = True
             return b""
         self.pending = self._read()
         return data
--- a/src/bilberryshed_standins/__init__.py
+++ b/src/bilberryshed_standins/__init__.py
@@ -7,8 +7,11 @@
 from bilberryshed_standins._faults import FaultSwitches
 from bilberryshed_standins._memory import MemoryObjects, MemoryTables
 from bilberryshed_standins._platform import LaggingVmList, PlatformStandin, WeightStore
+from bilberryshed_standins._routed_backend import EVENTS, RoutedBackend, Seen
+from bilberryshed_standins._row_store import RowStore, serve_row_store
 
 __all__ = [
+    "EVENTS",
     "EngineCore",
     "EngineLimits",
     "FaultSwitches",
@@ -16,6 +19,10 @@
     "MemoryObjects",
     "MemoryTables",
     "PlatformStandin",
+    "RoutedBackend",
+    "RowStore",
+    "Seen",
     "WeightStore",
+    "serve_row_store",
     "whole_text",
 ]
--- /dev/null
+++ b/src/bilberryshed_standins/_row_store.py
@@ -0,0 +1,206 @@
+"""Stand-in for the store of the users' platform: rows with versions, transactions and a feed.
+
+Faults are switched from outside: ``ok``; ``busy`` refuses with 503; ``lost`` does what it is told
+and answers nothing; ``late`` answers nothing and does it some time later; ``silent`` does nothing.
+"""
+
+import asyncio
+import base64
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+LATE_AFTER = 0.5  # seconds after which a late transaction is tried
+SILENCE = 30.0  # seconds for which an unanswered call is kept open
+FEED_POLL = 0.02  # seconds between looks for changes
+
+Place = tuple[str, str]  # table and key
+
+
+@dataclass(slots=True)
+class StoredRow:
+    """A row; ``data`` is ``None`` after its removal."""
+
+    data: bytes | None
+    version: int
+
+
+@dataclass(slots=True)
+class RowStore:
+    """Rows of all tables.
+
+    :param fault: fault in force
+    :param oldest: version before which history is forgotten
+    """
+
+    rows: dict[Place, StoredRow] = field(default_factory=dict)
+    version: int = 0
+    oldest: int = 0
+    fault: str = "ok"
+    calls: list[str] = field(default_factory=list)
+    started: float = field(default_factory=time.monotonic)
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        """Write a row as an operator or a backend server does."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._set((table, key), data)
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._set((table, key), None)
+
+    def value(self, table: str, key: str) -> Any:
+        """Return the value of a row, ``None`` if it is absent."""
+        row = self.rows.get((table, key))
+        return json.loads(row.data) if row and row.data is not None else None
+
+    def values(self, table: str) -> dict[str, Any]:
+        """Return the values of all rows of a table."""
+        keys = [key for name, key in self.rows if name == table]
+        found = {key: self.value(table, key) for key in keys}
+        return {key: value for key, value in found.items() if value is not None}
+
+    def forget_history(self) -> None:
+        """Make every feed begin anew."""
+        self.oldest = self.version
+
+    def current(self, place: Place) -> int:
+        """Return the version of a row, 0 if it is absent."""
+        row = self.rows.get(place)
+        return row.version if row and row.data is not None else 0
+
+    def transact(self, body: dict[str, Any]) -> bool:
+        """Apply a transaction; ``False`` if a precondition does not hold."""
+        for item in body.get("precondition", ()):
+            if self.current(_place(item)) != item["rowVersion"]:
+                return False
+        self.version += 1
+        for item in body.get("write", ()):
+            self.rows[_place(item)] = StoredRow(base64.b64decode(item["data"]), self.version)
+        for item in body.get("remove", ()):
+            self.rows[_place(item)] = StoredRow(None, self.version)
+        return True
+
+    def clock(self) -> int:
+        """Return milliseconds of a steady clock."""
+        return int((time.monotonic() - self.started) * 1000)
+
+    def _set(self, place: Place, data: bytes | None) -> None:
+        self.version += 1
+        self.rows[place] = StoredRow(data, self.version)
+
+
+def _place(item: dict[str, Any]) -> Place:
+    return (item["tableName"], item["key"])
+
+
+class _StoreHandler(RequestHandler):
+    """Base: faults and answers."""
+
+    def initialize(self, store: RowStore) -> None:
+        """Keep the store."""
+        self.store = store
+
+    async def prepare(self) -> None:
+        """Apply the fault in force."""
+        self.store.calls.append(f"{self.request.method} {self.request.path}")
+        if self.store.fault == "busy":
+            self.set_status(503)
+            self.finish()
+        elif self.store.fault == "silent":
+            await asyncio.sleep(SILENCE)
+
+    def reply(self, status: int, **fields: Any) -> None:
+        """Answer."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        body = {"rowVersion": self.store.version, "serverTimeMs": self.store.clock(), **fields}
+        self.finish(json.dumps(body))
+
+    def shown(self, place: Place, row: StoredRow) -> dict[str, Any]:
+        """Return a row as answers show it."""
+        shown = {"tableName": place[0], "part": "", "key": place[1], "rowVersion": row.version}
+        if row.data is None:
+            return {**shown, "deleted": True}
+        return {**shown, "data": base64.b64encode(row.data).decode()}
+
+
+class _TransactionHandler(_StoreHandler):
+    async def post(self) -> None:
+        """Apply a transaction."""
+        body, fault = json.loads(self.request.body), self.store.fault
+        if fault == "late":
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_AFTER, self.store.transact, body)
+            await asyncio.sleep(SILENCE)
+        done = self.store.transact(body)
+        if fault == "lost":
+            await asyncio.sleep(SILENCE)
+        self.reply(200 if done else 412)
+
+
+class _RangeHandler(_StoreHandler):
+    def get(self) -> None:
+        """Read a range of a table."""
+        table, limit = self.get_query_argument("tableName"), int(self._argument("maxResults", 500))
+        low, high = self._argument("source", ""), self._argument("to", "")
+        found = sorted(
+            place
+            for place, row in self.store.rows.items()
+            if place[0] == table and row.data is not None
+            if place[1] >= low and (not high or place[1] < high)
+        )
+        rows = [self.shown(place, self.store.rows[place]) for place in found[:limit]]
+        self.reply(200, rows=rows, hasMore=len(found) > limit)
+
+    def _argument(self, name: str, default: Any) -> Any:
+        return self.get_query_argument(name, str(default), strip=False)
+
+
+class _FeedHandler(_StoreHandler):
+    async def get(self) -> None:
+        """Tell what has changed after a version."""
+        table, after = self.get_query_argument("tableName"), int(self.get_query_argument("after"))
+        until = time.monotonic() + int(self.get_query_argument("waitMs", "0")) / 1000
+        while True:
+            if after < self.store.oldest:
+                self.reply(410)
+                return
+            changed = [
+                (row.version, place)
+                for place, row in self.store.rows.items()
+                if place[0] == table and row.version > after
+            ]
+            if changed or time.monotonic() >= until:
+                break
+            await asyncio.sleep(FEED_POLL)
+        rows = [self.shown(place, self.store.rows[place]) for _, place in sorted(changed)]
+        self.reply(200, rows=rows)
+
+
+def serve_row_store(
+    store: RowStore, port: int = 0, host: str = "127.0.0.1"
+) -> tuple[HTTPServer, int]:
+    """Serve a store over HTTP.
+
+    :param port: 0 for any free one
+    :returns: the server, and its port
+    """
+    args = {"store": store}
+    server = HTTPServer(
+        Application(
+            [
+                (r"/rows-tx", _TransactionHandler, args),
+                (r"/rows-get", _RangeHandler, args),
+                (r"/rows-feed", _FeedHandler, args),
+            ]
+        )
+    )
+    sockets = bind_sockets(port, host)
+    server.add_sockets(sockets)
+    return server, sockets[0].getsockname()[1]
