--- /dev/null
+++ b/features/prepaid.feature
@@ -0,0 +1,53 @@
+Feature: No customer gets more prepaid tokens than it has paid for
+  Four gateways share running totals over a store that fails, through kills, cuts and top-ups.
+
+  Scenario Outline: Random histories from seed <first> to <last>
+    When histories of 25 s with seeds <first> to <last> are played
+    Then no customer got more than it has paid for
+    And at least 100 requests a history were served
+
+    Examples:
+      | first | last |
+      | 1     | 4    |
+      | 5     | 8    |
+      | 9     | 12   |
+
+  Scenario Outline: The histories catch a fleet where <fault>
+    Given a fleet where <fault>
+    When histories of 25 s with seeds 1 to 12 are played until one fails
+    Then a customer got more than it has paid for
+
+    Examples:
+      | fault                                      |
+      | a successor takes nothing as used          |
+      | recorded bounds are not obeyed             |
+      | transfers are credited each time they come |
+      | grants whose answer was lost count at once |
+
+  Scenario Outline: A bound of <tokens> tokens that grows by <growth> a second, after <age> s
+    Then the bound is <bound>
+
+    Examples:
+      | tokens | growth | age | bound |
+      | 1000   | 100    | 0   | 1000  |
+      | 1000   | 100    | 2.4 | 1000  |
+      | 1000   | 100    | 4.4 | 1200  |
+
+  Scenario Outline: A pool of <prepaid> with <free> left, a router in hand of <held> with demand <rate>
+    When the router plans with <need> tokens lacking
+    Then its grant changes by <change>
+
+    Examples: it takes ahead of need, what waiting requests lack, and never more than there is
+      | prepaid | free   | held  | rate | need  | change |
+      | 100000  | 100000 | 0     | 0    | 0     | 5000   |
+      | 100000  | 100000 | 0     | 1000 | 0     | 25000  |
+      | 100000  | 100000 | 24000 | 1000 | 0     | 0      |
+      | 100000  | 50000  | 0     | 0    | 30000 | 30000  |
+      | 100000  | 8000   | 0     | 1000 | 30000 | 8000   |
+      | 100000  | 0      | 500   | 1000 | 30000 | 0      |
+
+    Examples: it returns a surplus, and what a lowered total asks for
+      | prepaid | free   | held  | rate | need  | change |
+      | 100000  | 40000  | 60000 | 1000 | 0     | -35000 |
+      | 100000  | -20000 | 60000 | 1000 | 0     | -20000 |
+      | 100000  | -90000 | 60000 | 1000 | 0     | -60000 |
--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -3,15 +3,17 @@
 import asyncio
 import random
 import time
+import uuid
 from dataclasses import dataclass, field
+from unittest import mock
 
 from returns.result import Failure, Success
 
-from bilberryshed.coordination import RouteIndex
+from bilberryshed.coordination import PoolRow, RouteIndex
 from bilberryshed.gateway import GatewayPorts
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.gateway._prepaid_funds import PrepaidFunds
+from bilberryshed.gateway._prepaid_funds import POOL_TABLE, PrepaidFunds
 from bilberryshed.gateway._succession import Succession
 from bilberryshed.protocol import (
     FundsAnswer,
@@ -28,6 +30,7 @@
     RoutedCustomer,
     RouteTable,
     Row,
+    RowRef,
     StoreError,
 )
 
@@ -35,6 +38,10 @@
 CALL = 0.004  # seconds of a call to the store
 TIMEOUT = 1.0  # seconds
 LINK = 0.002  # seconds of a message
+LINK_LOSS = 0.05  # share of messages that are lost with their link
+RATE = 25.0  # requests a second
+LONGEST_DOWN = 4.0  # seconds from a kill to the next start
+LONGEST_LATE = 6.0  # seconds by which a write is done late
 DOWN = StoreError(False, "down")
 LOST = StoreError(True, "lost")
 
@@ -129,7 +136,7 @@
     async def _lose(self, puts):
         if self.dice.random() < 0.5:
             asyncio.get_running_loop().call_later(
-                self.dice.uniform(0.2, 6), self.store.apply, puts
+                self.dice.uniform(0.2, LONGEST_LATE), self.store.apply, puts
             )
         else:
             self.store.apply(puts)
@@ -154,6 +161,8 @@
         return True
 
     def _deliver(self, message):
+        if self.world.dice.random() < LINK_LOSS:
+            return
         ends = {self.sender.name, self.receiver.name}
         if not (self.sender.alive and self.receiver.alive) or ends & self.world.isolated:
             return
@@ -211,6 +220,8 @@
         self.context.timers.close()
         for task in tuple(self.context.tasks.tasks):
             task.cancel()
+        accounts = self.funds.book.accounts
+        self.world.used_at_death[self.boot] = {name: a.used for name, a in accounts.items()}
         for request in self.running:
             self.world.spent[request.customer] += request.reserved
         self.running.clear()
@@ -269,6 +280,7 @@
         self.store = ModelStore()
         self.prepaid = {"harbour": 400_000, "school": 60_000}
         self.spent = dict.fromkeys(self.prepaid, 0)
+        self.used_at_death = {}
         self.served = self.refused = 0
         self.isolated = set()
         self.gateways = {}
@@ -292,6 +304,26 @@
         for customer, total in self.prepaid.items():
             used = self.used(customer)
             assert used <= total, f"{customer}: {used} of {total} tokens after {self.faults}"
+        for gateway in self.gateways.values():
+            for boot, counted in gateway.succession.used.items():
+                self._check_closed(boot, counted)
+
+        for gateway in self.gateways.values():
+            if gateway.alive:
+                self._check_granted(gateway)
+
+    def _check_granted(self, gateway):
+        """Raise if a gateway believes that it was granted more than the store says."""
+        for customer, account in gateway.funds.book.accounts.items():
+            value = self.store.rows.get(RowRef(POOL_TABLE, customer), (0, {}))[1]
+            granted = PoolRow.from_value(value).holders.get(gateway.boot, 0)
+            assert account.granted <= granted, f"{gateway.boot}: {account.granted} of {granted}"
+
+    def _check_closed(self, boot, counted):
+        """Raise if a successor counts less than its predecessor used."""
+        for customer, used in self.used_at_death.get(boot, {}).items():
+            found = counted.get(customer, 0)
+            assert found >= used, f"{boot} used {used} of {customer}, {found} is counted"
 
     def boot(self, name):
         """Start a lifetime of a gateway."""
@@ -317,21 +349,36 @@
             self.boot(name)
         await asyncio.sleep(0.5)
         end = asyncio.get_running_loop().time() + seconds
-        traffic = asyncio.ensure_future(self._traffic(end))
+        traffic = asyncio.ensure_future(self._traffic(end, RATE))
         while asyncio.get_running_loop().time() < end:
             await asyncio.sleep(self.dice.uniform(0.3, 2.5))
             await self._fault()
             self.check()
         await traffic
+        await self._use_up()
         for gateway in self.gateways.values():
             if gateway.alive:
                 gateway.kill()
         self.check()
 
-    async def _traffic(self, end):
+    async def _use_up(self):
+        """Heal everything and ask for all that is left, so that a token counted twice shows."""
+        await asyncio.sleep(LONGEST_DOWN)
+        self._heal()
+        self.relink()
+        await asyncio.sleep(LONGEST_LATE)
+        end = asyncio.get_running_loop().time() + 6.0
+        await self._traffic(end, 4 * RATE)
+
+    def _heal(self):
+        self.isolated = set()
+        for gateway in self.gateways.values():
+            gateway.store.cut = "up"
+
+    async def _traffic(self, end, rate):
         weights = (5, 2, 1, 1)
         while asyncio.get_running_loop().time() < end:
-            await asyncio.sleep(self.dice.expovariate(25))
+            await asyncio.sleep(self.dice.expovariate(rate))
             gateway = self.gateways[self.dice.choices(NAMES, weights)[0]]
             if not gateway.alive:
                 continue
@@ -358,9 +405,7 @@
         elif kind == "isolate":
             self.isolated = {name}
         elif kind == "heal":
-            self.isolated = set()
-            for gateway in self.gateways.values():
-                gateway.store.cut = "up"
+            self._heal()
         else:
             self._top_up()
         self.relink()
@@ -370,7 +415,7 @@
         for name in names:
             if self.gateways[name].alive:
                 self.gateways[name].kill()
-                loop.call_later(self.dice.uniform(0.2, 4), self.boot, name)
+                loop.call_later(self.dice.uniform(0.2, LONGEST_DOWN), self.boot, name)
 
     def _top_up(self):
         self.version += 1
@@ -389,9 +434,12 @@
     loop = ModelTimeLoop()
     asyncio.set_event_loop(loop)
     world = World(seed, loss)
+    names = mock.patch("uuid.uuid4", lambda: uuid.UUID(int=world.dice.getrandbits(128)))
     try:
+        names.start()
         loop.run_until_complete(world.play(seconds))
     finally:
+        names.stop()
         for task in asyncio.all_tasks(loop):
             task.cancel()
         loop.run_until_complete(asyncio.sleep(0))
--- /dev/null
+++ b/features/steps/prepaid_steps.py
@@ -0,0 +1,118 @@
+"""Steps for prepaid tokens."""
+
+import logging
+from unittest import mock
+
+import structlog
+from behave import given, then, when
+from prepaid_support import play
+
+from bilberryshed.coordination import Bound, BoundsRecord, PoolRow, PrepaidBook, SpendingSchedule
+from bilberryshed.gateway._prepaid_funds import PrepaidFunds
+
+NOW = 1000.0  # seconds
+
+
+def quiet(function):
+    """Run without log lines."""
+    config = structlog.get_config()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    try:
+        return function()
+    finally:
+        structlog.configure(**config)
+
+
+def receive_always(book, customer, transfer, tokens):
+    """Credit a transfer without a look whether it came before."""
+    book.account(customer).used -= tokens
+    return True
+
+
+def trust_doubt(funds, name, row):
+    """Take the amount that was asked for last as granted, whatever the row says."""
+    pool = PoolRow.from_value(row.value)
+    funds.seen[name] = pool
+    account = funds.book.account(name)
+    account.granted = max(account.granted, funds.doubt_grants.pop(name, 0))
+    funds.doubts.pop(name, None)
+    return pool
+
+
+FAULTS = {
+    "a successor takes nothing as used": (BoundsRecord, "used_at_most", lambda *args: 0),
+    "recorded bounds are not obeyed": (SpendingSchedule, "_limit", lambda *args: 10**12),
+    "transfers are credited each time they come": (PrepaidBook, "receive", receive_always),
+    "grants whose answer was lost count at once": (PrepaidFunds, "_take_in", trust_doubt),
+}
+
+
+@given("a fleet where {fault}")
+def given_fault(context, fault):
+    owner, name, replacement = FAULTS[fault]
+    patch = mock.patch.object(owner, name, replacement)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when("histories of {seconds:d} s with seeds {first:d} to {last:d} are played")
+def when_played(context, seconds, first, last):
+    context.worlds = [
+        quiet(lambda seed=seed: play(seed, float(seconds))) for seed in range(first, last + 1)
+    ]
+
+
+@when("histories of {seconds:d} s with seeds {first:d} to {last:d} are played until one fails")
+def when_played_until(context, seconds, first, last):
+    context.failure = None
+    for seed in range(first, last + 1):
+        try:
+            quiet(lambda seed=seed: play(seed, float(seconds), 0.3))
+        except AssertionError as error:
+            context.failure = error
+            return
+
+
+@then("no customer got more than it has paid for")
+def then_no_overspend(context):
+    for world in context.worlds:
+        world.check()
+
+
+@then("at least {count:d} requests a history were served")
+def then_served(context, count):
+    assert all(world.served >= count for world in context.worlds)
+
+
+@then("a customer got more than it has paid for")
+def then_overspend(context):
+    assert context.failure is not None, "no history shows the fault"
+
+
+@then("the bound is {tokens:d}")
+def then_bound(context, tokens):
+    row = context.active_outline
+    bound = Bound(int(row["tokens"]), float(row["growth"]))
+    assert bound.after(float(row["age"])) == tokens
+
+
+@when("the router plans with {need:d} tokens lacking")
+def when_plans(context, need):
+    row = context.active_outline
+    prepaid, free, held = (int(row[name]) for name in ("prepaid", "free", "held"))
+    book = PrepaidBook("r1.a", 25.0)
+    account = book.account("harbour")
+    account.granted = held
+    rate = float(row["rate"])
+    if rate:
+        account.first_at = NOW - 1000
+        account.rate, account.rate_at = rate, NOW
+    others = prepaid - free - held
+    before = PoolRow(0, {"r1.a": held, "r2.b": others})
+    after = book.plan(NOW, "harbour", before, prepaid, need, 4)
+    context.change = after.holders.get("r1.a", 0) - held
+
+
+@then("its grant changes by {change:d}")
+def then_change(context, change):
+    assert context.change == change, context.change
