--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,214 @@
+"""Steps for the adapter of the users' platform."""
+
+import asyncio
+import json
+import re
+from pathlib import Path
+
+from behave import given, then, when
+from gateway_support import config, free_port
+from returns.result import Failure
+
+from bilberryshed.coordination import BackendRegistry, RouteIndex
+from bilberryshed.platform._config import decode_table
+from bilberryshed.platform._store import PlatformStore
+from bilberryshed.state import Address, BackendServer, Put, Row, RowRef
+from bilberryshed_standins import RowStore, serve_row_store
+
+PRODUCT = Path(__file__).parents[2] / "src" / "bilberryshed"
+HEADERS = (
+    r"x-(attempt-id|deadline-ms|key|tenant|target-instance|not-executed|response-signature)"
+    r"|x-(token-usage|prompt-prefix|model-name|request-priority|kv-replica|pin-ms)"
+    r"|kv-from|kv-fetch|rows-(tx|get|feed|parts)|blob-put"
+)
+FIELDS = (
+    r"\b(routeTable|pathPrefix|trafficSplit|apiKeys|maxAttempts|targetLatencyMs|timeoutMs"
+    r"|rowVersion|tableName|hasMore|serverTimeMs|nodeName)\b"
+)
+TABLE = "things"
+
+
+def run(context, coroutine):
+    """Run a coroutine on the scenario's loop."""
+    return context.loop.run_until_complete(coroutine)
+
+
+@then("no header, path, field or word of the platform stands outside its adapter")
+def then_no_names(context):
+    found = []
+    for path in sorted(PRODUCT.rglob("*.py")):
+        if PRODUCT / "platform" in path.parents:
+            continue
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if re.search(HEADERS, line, re.IGNORECASE) or re.search(FIELDS, line):
+                found.append(f"{path.relative_to(PRODUCT)}:{number}: {line.strip()}")
+    assert not found, "\n".join(found)
+
+
+# Configs ------------------------------------------------------------------------------------
+
+
+def damaged(fault):
+    """Return the bytes of a config with a fault."""
+    value = config()
+    first = value["routeTable"][0]
+    if fault == "no JSON":
+        return b"{"
+    if fault == "a list":
+        return b"[]"
+    if fault == "no version":
+        del value["version"]
+    elif fault == "a version that is a text":
+        value["version"] = "7"
+    elif fault == "a route that is a text":
+        value["routeTable"][0] = "r"
+    elif fault == "a route without a host":
+        del first["host"]
+    elif fault == "an unknown kind":
+        first["kind"] = "batch"
+    elif fault == "a timeout below zero":
+        first["timeoutMs"] = -1
+    elif fault == "a service that is not there":
+        first["service"] = "nowhere"
+    elif fault == "a total that is a text":
+        value["tenants"][0]["prepaid"] = "many"
+    return json.dumps(value).encode()
+
+
+@when("a config with {fault} is decoded")
+def when_decoded(context, fault):
+    context.decoded = decode_table(damaged(fault))
+
+
+@then("the finding names {place}")
+def then_finding(context, place):
+    assert isinstance(context.decoded, Failure), context.decoded
+    assert place in str(context.decoded.failure()), context.decoded.failure()
+
+
+@when("the example config is decoded")
+def when_example(context):
+    value = config()
+    split = [{"service": "model", "weight": 90}, {"service": "desk", "weight": 10}]
+    value["routeTable"][0]["trafficSplit"] = split
+    context.route_table = decode_table(json.dumps(value).encode()).unwrap()
+
+
+@then("a split of 90 to 10 goes to both services in that proportion")
+def then_split(context):
+    index = RouteIndex(context.route_table)
+    route = context.route_table.routes[0]
+    drawn = [index.service(route, draw / 1000) for draw in range(1000)]
+    assert drawn.count("model") == 900 and drawn.count("desk") == 100
+
+
+@then("the stream may be resumed and has 4 tokens an event")
+def then_stream(context):
+    assert context.route_table.routes[0].repeatable and not context.route_table.routes[1].repeatable
+    assert context.route_table.services["model"].tokens_per_event == 4
+
+
+# Store --------------------------------------------------------------------------------------
+
+
+def start_store(context):
+    """Start a stand-in store and a client of it."""
+
+    async def start():
+        context.row_store = RowStore()
+        server, port = serve_row_store(context.row_store)
+        context.add_cleanup(server.stop)
+        return PlatformStore(Address("127.0.0.1", port), 0.4)
+
+    context.client = run(context, start())
+
+
+@given('a store with the row "{key}" at {value:d}')
+def given_row(context, key, value):
+    start_store(context)
+    context.row_store.put(TABLE, key, {"n": value})
+
+
+@given("a store with {count:d} rows")
+def given_rows(context, count):
+    start_store(context)
+    for number in range(count):
+        context.row_store.put(TABLE, f"{number:05d}", {"n": number})
+
+
+@given("the store is {fault:w}")
+def given_fault(context, fault):
+    if fault == "gone":
+        context.client = PlatformStore(Address("127.0.0.1", free_port()), 0.4)
+    else:
+        context.row_store.fault = fault
+
+
+@when('the row "{key}" is written with {value:d}')
+def when_written(context, key, value):
+    version = context.row_store.current((TABLE, key))
+    put = Put(RowRef(TABLE, key), version, {"n": value})
+    context.written = run(context, context.client.write((put,)))
+
+
+@when('the row "{key}" is written with {value:d} on an old version')
+def when_written_old(context, key, value):
+    put = Put(RowRef(TABLE, key), 0, {"n": value})
+    context.written = run(context, context.client.write((put,)))
+
+
+@then("the write is {reported}")
+def then_written(context, reported):
+    if isinstance(context.written, Failure):
+        found = "in doubt" if context.written.failure().ambiguous else "not done"
+    else:
+        found = "done" if context.written.unwrap() else "refused"
+    assert found == reported, context.written
+
+
+@then('after {seconds:d} s the row "{key}" is {value:d}')
+def then_value(context, seconds, key, value):
+    run(context, asyncio.sleep(seconds))
+    assert context.row_store.value(TABLE, key) == {"n": value}
+
+
+@then("a scan finds {count:d} rows in order")
+def then_scan(context, count):
+    rows = run(context, context.client.scan(TABLE, "", "", 10_000)).unwrap()
+    assert [row.value["n"] for row in rows] == list(range(count))
+    assert all(isinstance(row, Row) for row in rows)
+
+
+@then("a snapshot finds {count:d} rows")
+def then_snapshot(context, count):
+    assert len(run(context, context.client.snapshot(TABLE)).unwrap().rows) == count
+
+
+# Entries ------------------------------------------------------------------------------------
+
+
+@given("a backend server that the store lists")
+def given_listed(context):
+    context.registry = BackendRegistry()
+    context.entry = BackendServer("i-1", "desk", "127.0.0.1:80", "quay", 6, False)
+    context.registry.on_contact(0.0)
+    context.registry.put(context.entry)
+
+
+@when("the store is away for {seconds:d} s and the entry is gone {moment}")
+def when_lapsed(context, seconds, moment):
+    registry = context.registry
+    if moment == "before it":
+        registry.remove(0.0, "i-1")
+    registry.on_outage()
+    registry.on_contact(float(seconds))
+    registry.keep_only(float(seconds), set())
+    if moment == "and comes back":
+        registry.put(context.entry)
+    context.returned = float(seconds)
+
+
+@then("after {seconds:d} s the backend server is {state}")
+def then_entry(context, seconds, state):
+    context.registry.expire(context.returned + seconds)
+    assert ("i-1" in context.registry.servers) == (state == "kept")
