--- /dev/null
+++ b/features/gateway_program.feature
@@ -0,0 +1,42 @@
+Feature: The gateway as a program
+  It runs as a process of its own, from a settings file, and explains itself by logs and metrics.
+
+  Background:
+    Given a platform with 2 model engines and 2 plain servers
+    And a gateway process
+
+  Scenario: It serves, explains, and stops
+    When a caller calls GET /look/1 with its key
+    Then the status is 200
+    When a caller calls GET /look/1 with another key
+    Then the status is 401
+    And the metrics page counts 1 answers with status 200 and 1 with status 401
+    When the process is sent SIGTERM
+    Then it ends with code 0
+    And its log has one line of key=value pairs for each of: started, route_table, request, refused, draining, drained, stopped
+    And every line of a request names its id
+
+  Scenario: A slow reader of the log slows no request
+    Given nobody reads the log
+    When a caller calls 400 times GET /nothing/ with its key
+    Then each of them took less than 0.25 s
+    And the log that is read afterwards tells what was left out or lost, or holds all 400
+
+  Scenario Outline: Settings with <fault>
+    When a gateway is started with <fault>
+    Then it ends with code <code>
+    And standard error names <place>
+
+    Examples:
+      | fault              | code | place           |
+      | no zone            | 2    | [vm] zone       |
+      | a port of 99999    | 2    | [vm] listen     |
+      | an unknown key     | 2    | [vm] colour     |
+      | a listener's port  | 1    | Address already |
+
+  Scenario: A request is followed by its id through a retry
+    Given the plain servers' next answers are: reset
+    When a caller calls GET /look/1 with its key
+    Then the status is 200
+    When the process is sent SIGTERM
+    Then the report explains that request: attempt_broken, then request
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -157,15 +157,20 @@
             assert asyncio.get_running_loop().time() < end, "not in time"
             await asyncio.sleep(0.02)
 
+    async def close_gateways(self):
+        """Stop the gateways of this process at once."""
+        for name, task in self.tasks.items():
+            task.cancel()
+            gateway = self.gateways[name]
+            gateway.context.timers.close()
+            await gateway.peers.close()
+        self.tasks.clear()
+
     async def close(self):
         """Stop everything at once."""
-        for task in self.tasks.values():
-            task.cancel()
+        await self.close_gateways()
         for backend in self.backends.values():
             backend.stop()
-        for gateway in self.gateways.values():
-            gateway.context.timers.close()
-            await gateway.peers.close()
         self.server.stop()
         await asyncio.sleep(0.02)
 
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -137,10 +137,12 @@
 @when("a caller calls {count:d} times {method:w} {path:S} with its key")
 def when_calls(context, count, method, path):
     async def calls():
-        replies = []
+        replies, loop = [], asyncio.get_running_loop()
+        context.times = []
         for _ in range(count):
-            id_ = context.rig.request_id()
+            id_, began = context.rig.request_id(), loop.time()
             replies.append((id_, await context.rig.call(path, method=method, id=id_)))
+            context.times.append(loop.time() - began)
         return replies
 
     context.pairs = run(context, calls())
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -72,6 +72,7 @@
 from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
 from bilberryshed.coordination._spending_schedule import Bound, BoundsRecord, SpendingSchedule
+from bilberryshed.coordination._story import Story, StoryLine, request_story
 from bilberryshed.coordination._submission import (
     Accepted,
     Conflict,
@@ -153,6 +154,8 @@
     "SloTally",
     "SpendingSchedule",
     "Standing",
+    "Story",
+    "StoryLine",
     "Submission",
     "Suspicion",
     "Take",
@@ -175,6 +178,7 @@
     "policies",
     "policy",
     "prompt_prefixes",
+    "request_story",
     "shard_of",
     "vm_of_boot",
 ]
--- /dev/null
+++ b/src/bilberryshed/coordination/_story.py
@@ -0,0 +1,62 @@
+"""Puts together what the log lines of several processes say of one request."""
+
+import re
+from dataclasses import dataclass
+
+_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_SHOWN_APART = ("timestamp", "level", "event", "program", "vm", "request", "failed")
+FINAL_EVENTS = ("request", "refused", "caller_gone", "request_failed")
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class StoryLine:
+    """One line of a log.
+
+    :param timestamp: ISO time of day of the process that wrote it
+    :param details: the remaining fields
+    """
+
+    timestamp: str
+    vm: str
+    event: str
+    details: str
+
+
+@dataclass(slots=True, frozen=True)
+class Story:
+    """All lines of a request in order, and what is missing."""
+
+    lines: tuple[StoryLine, ...]
+    gaps: tuple[str, ...]
+
+
+def request_story(request: str, logs: dict[str, str]) -> Story:
+    """Return what logs say of a request.
+
+    :param request: id of a caller's attempt
+    :param logs: text by name of log
+    """
+    lines: list[StoryLine] = []
+    gaps: list[str] = []
+    for name, text in logs.items():
+        for row in text.splitlines():
+            fields = dict(_FIELD.findall(row))
+            if fields.get("event") == "lines_left_out":
+                gaps.append(f"{name}: lines were left out until {fields.get('timestamp')}")
+            if fields.get("request") == request:
+                lines.append(_line(fields))
+    lines.sort()
+    if not lines:
+        gaps.append(f"no line names request {request!r}")
+    elif not any(line.event in FINAL_EVENTS for line in lines):
+        gaps.append("no line tells how the request ended; its process may have been killed")
+    return Story(tuple(lines), tuple(gaps))
+
+
+def _line(fields: dict[str, str]) -> StoryLine:
+    details = " ".join(
+        f"{name}={value}" for name, value in fields.items() if name not in _SHOWN_APART
+    )
+    return StoryLine(
+        fields.get("timestamp", ""), fields.get("vm", ""), fields.get("event", ""), details
+    )
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -59,6 +59,8 @@
     :param sent: backend servers to which it was sent
     :param runs: sends that may have begun to run
     :param tried: ids of backend servers that it does not go to again
+    :param status: status of the answer that the caller gets
+    :param first_event_at: monotonic time at which the caller got the first event
     """
 
     request: CallerRequest
@@ -77,6 +79,8 @@
     last_failure: str = ""
     failed_answer: "tuple[BackendAnswer, bytes] | None" = None
     server: str = ""
+    status: int = 0
+    first_event_at: float | None = None
 
     @property
     def streams(self) -> bool:
@@ -299,6 +303,7 @@
     def _deliver(self, job: Job, answer: BackendAnswer, body: bytes) -> None:
         if job.exchange.started:
             raise BrokenAnswerError(f"answer {answer.status} in place of the rest of a stream")
+        job.status = answer.status
         job.exchange.answer(answer.status, answer.headers, body)
 
     async def _whole_body(self, job: Job, channel: Channel) -> bytes:
@@ -311,6 +316,7 @@
     async def _stream(self, job: Job, channel: Channel, answer: BackendAnswer) -> None:
         """Pass whole events on as they come."""
         exchange, cutter = job.exchange, job.cutter
+        job.status = answer.status
         cutter.restart()
         while True:
             async with asyncio.timeout_at(self._patience(job, STALL_FACTOR)):
@@ -322,6 +328,7 @@
                 continue
             if not exchange.started:
                 exchange.begin(answer.status, answer.headers)
+                job.first_event_at = self.context.timers.now()
             await exchange.write(events)
         if cutter.buffer:
             raise BrokenAnswerError("the stream ended within an event")
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
@@ -18,6 +17,7 @@
 from bilberryshed.gateway._dialect import CallerRequest
 from bilberryshed.gateway._followers import BackendWatch, RouteTableWatch
 from bilberryshed.gateway._forwarder import Forwarder, Job, Outcome
+from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.gateway._peers import Peers
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds, Shortage
 from bilberryshed.gateway._succession import Succession
@@ -48,10 +48,13 @@
     """An answer of the gateway's own.
 
     :param status: HTTP status
+    :param cause: one word for metrics
+    :param reason: what happened, for the caller
     :param retry_after: seconds after which the caller should come back, ``None`` for not at all
     """
 
     status: int
+    cause: str
     reason: str
     retry_after: float | None = None
 
@@ -85,7 +88,7 @@
         self.peers = Peers(self.context, self._message_handlers())
         self.peers.greeting = [self.tables.notice]
         self.running = 0
-        self.answers: Counter[int] = Counter()
+        self.metrics = GatewayMetrics(self.context)
 
     # Life -----------------------------------------------------------------------------------
 
@@ -96,6 +99,7 @@
         """
         http = self._listen()
         ready = self._listen_ready()
+        metrics = self.metrics.listen()
         await self.peers.start()
         self.recorder.start()
         self.funds.start()
@@ -107,6 +111,8 @@
         await stop.wait()
         finished = await self._drain(http)
         ready.stop()
+        if metrics is not None:
+            metrics.stop()
         return finished
 
     def is_ready(self) -> bool:
@@ -203,7 +209,7 @@
             exchange.break_off()
         except Exception:
             logger().exception("request_failed", target=exchange.target)
-            self._refuse(exchange, Refusal(502, "internal error"))
+            self._refuse(exchange, Refusal(502, "internal", "internal error"))
         finally:
             self.running -= 1
 
@@ -211,12 +217,14 @@
         logger().info(
             "refused",
             request=exchange.request_id,
+            failed=True,
             status=refusal.status,
+            cause=refusal.cause,
             reason=refusal.reason,
             retry_after=refusal.retry_after,
             started=exchange.started,
         )
-        self.answers[refusal.status] += 1
+        self.metrics.answers.labels(refusal.status, refusal.cause).inc()
         if exchange.started:
             exchange.break_off()
             return
@@ -229,26 +237,26 @@
     async def _answer(self, exchange: CallerExchange) -> Refusal | None:
         began = self.context.timers.now()
         if exchange.oversized:
-            return Refusal(413, f"the body has {exchange.size} bytes, more than allowed")
+            return Refusal(413, "body", f"the body has {exchange.size} bytes, more than allowed")
         index = self.context.index
         if index is None:
-            return Refusal(503, "no route table is in force yet", SOON)
+            return Refusal(503, "no_table", "no route table is in force yet", SOON)
         read = self.context.dialect.read_request(
             exchange.method, exchange.target, exchange.header_list(), b"".join(exchange.body)
         )
         if isinstance(read, Failure):
             fault = read.failure()
-            return Refusal(fault.status, fault.reason)
+            return Refusal(fault.status, "malformed", fault.reason)
         request = read.unwrap()
         exchange.request_id = request.id
         route = index.route(request.host, request.path)
         if route is None:
-            return Refusal(404, f"no route for {request.host!r} {request.path!r}")
+            return Refusal(404, "route", f"no route for {request.host!r} {request.path!r}")
         customer = None
         if index.table.keyed and not route.anonymous:
             customer = index.customer(request.key)
             if customer is None:
-                return Refusal(401, "the key is not known")
+                return Refusal(401, "key", "the key is not known")
         return await self._fund(exchange, request, route, customer, began)
 
     async def _fund(
@@ -274,13 +282,15 @@
             began + min(request.patience, route.timeout),
         )
         if self.context.crashes.is_convicted(began, job.fingerprint):
-            return Refusal(503, "requests like this one crash backend servers")
+            return Refusal(503, "convicted", "requests like this one crash backend servers")
         prompt = request.prompt
         if prompt is None or customer is None or customer.prepaid is None:
             return await self._run(job)
         tokens = prompt.tokens + prompt.max_output
         if tokens > customer.prepaid:
-            return Refusal(402, f"{tokens} tokens are more than {customer.name} has paid for")
+            return Refusal(
+                402, "spent", f"{tokens} tokens are more than {customer.name} has paid for"
+            )
         reserved = await self.funds.reserve(customer.name, tokens)
         if isinstance(reserved, Failure):
             self._log_shortage(request.id, customer.name, tokens, reserved.failure())
@@ -293,11 +303,16 @@
             self.funds.settle(customer.name, tokens, spent)
             logger().info("tokens", request=request.id, customer=customer.name, spent=spent)
 
+    def _table_version(self) -> int:
+        index = self.context.index
+        return index.table.version if index else 0
+
     def _log_shortage(self, id_: str, customer: str, tokens: int, shortage: Shortage) -> None:
         account, row = self.context.book.account(customer), self.funds.seen.get(customer)
         logger().info(
             "unfunded",
             request=id_,
+            failed=True,
             customer=customer,
             need=tokens,
             shortage=shortage,
@@ -310,8 +325,10 @@
 
     def _unfunded(self, shortage: Shortage, customer: str, tokens: int) -> Refusal:
         if shortage is Shortage.SPENT:
-            return Refusal(402, f"{customer} has less than {tokens} tokens left")
-        return Refusal(503, f"the tokens left of {customer} cannot be reached now", FUNDS_SOON)
+            return Refusal(402, "spent", f"{customer} has less than {tokens} tokens left")
+        return Refusal(
+            503, "funds", f"the tokens left of {customer} cannot be reached now", FUNDS_SOON
+        )
 
     async def _run(self, job: Job) -> Refusal | None:
         outcome = await self.forwarder.run(job)
@@ -321,26 +338,35 @@
             request=job.request.id,
             route=job.route.name,
             customer=job.customer.name if job.customer else None,
+            table=self._table_version(),
             outcome=outcome,
+            status=job.status,
             server=job.server,
             sent=job.sent,
             runs=job.runs,
             events=job.cutter.events,
             ms=round(took * 1000),
             cause=job.last_failure,
+            failed=outcome is not Outcome.DONE,
         )
+        self.metrics.seconds.labels(job.route.kind).observe(took)
+        self.metrics.attempts.labels(outcome).inc()
+        if job.first_event_at is not None:
+            self.metrics.first_byte.observe(job.first_event_at - job.began)
         if outcome is Outcome.DONE:
-            self.answers[200] += 1
+            self.metrics.answers.labels(job.status, "answer").inc()
             return None
         if outcome is Outcome.NOT_RUN and not job.runs:
-            return Refusal(503, f"not run: {job.last_failure or 'no backend server'}", SOON)
+            return Refusal(
+                503, "not_run", f"not run: {job.last_failure or 'no backend server'}", SOON
+            )
         if job.failed_answer is not None and not job.exchange.started:
             answer, body = job.failed_answer
             job.exchange.answer(answer.status, answer.headers, body)
             return None
         if outcome is Outcome.TIMEOUT:
-            return Refusal(504, "no answer in time")
-        return Refusal(502, job.last_failure)
+            return Refusal(504, "timeout", "no answer in time")
+        return Refusal(502, "broken", job.last_failure)
 
 
 def _fingerprint(request: CallerRequest) -> str:
--- /dev/null
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -0,0 +1,95 @@
+"""Counters, gauges and histograms of a gateway, served as text."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.transport import logger
+
+LATENCIES = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)  # seconds
+PREFIX = "bilberryshed"
+
+
+class GatewayMetrics:
+    """What a gateway counts.
+
+    :param context: whose state the gauges show
+    """
+
+    def __init__(self, context: GatewayContext) -> None:
+        self.context = context
+        self.registry = CollectorRegistry()
+        registry = self.registry
+        self.answers = Counter(
+            f"{PREFIX}_answers", "Answers to callers", ["status", "reason"], registry=registry
+        )
+        self.attempts = Counter(
+            f"{PREFIX}_attempts", "Attempts at backend servers", ["result"], registry=registry
+        )
+        self.seconds = Histogram(
+            f"{PREFIX}_request_seconds",
+            "Time from a whole request to the end of its answer",
+            ["route_kind"],
+            buckets=LATENCIES,
+            registry=registry,
+        )
+        self.first_byte = Histogram(
+            f"{PREFIX}_first_event_seconds",
+            "Time from a whole request to the first event of its stream",
+            buckets=LATENCIES,
+            registry=registry,
+        )
+        self.table_version = Gauge(
+            f"{PREFIX}_route_table_version", "Route table in force", registry=registry
+        )
+        self.backends = Gauge(
+            f"{PREFIX}_backend_servers", "Backend servers", ["state"], registry=registry
+        )
+        self.tokens = Gauge(
+            f"{PREFIX}_tokens", "Prepaid tokens", ["customer", "state"], registry=registry
+        )
+        self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
+
+    def text(self) -> bytes:
+        """Return all metrics in the usual text format."""
+        index = self.context.index
+        self.table_version.set(index.table.version if index else 0)
+        now = self.context.timers.now()
+        views = self.context.backends.views.values()
+        self.backends.labels("leaving").set(sum(view.left for view in views))
+        self.backends.labels("avoided").set(sum(view.avoid_until > now for view in views))
+        self.backends.labels("all").set(len(views))
+        for customer, account in self.context.book.accounts.items():
+            self.tokens.labels(customer, "held").set(account.held)
+            self.tokens.labels(customer, "reserved").set(account.reserved)
+            self.tokens.labels(customer, "granted").set(account.granted)
+        for event, count in self.context.metrics.counts.items():
+            self.events.labels(event).set(count)
+        return generate_latest(self.registry)
+
+    def listen(self) -> HTTPServer | None:
+        """Serve the metrics if the settings name an address."""
+        address = self.context.settings.metrics_listen
+        if address is None:
+            return None
+        server = HTTPServer(Application([(r"/.*", MetricsHandler, {"metrics": self})]))
+        try:
+            server.listen(address.port, address.host)
+        except OSError as error:
+            logger().error("metrics_not_served", address=str(address), error=str(error))
+            return None
+        return server
+
+
+class MetricsHandler(RequestHandler):
+    """The metrics page."""
+
+    def initialize(self, metrics: GatewayMetrics) -> None:
+        """Keep the metrics."""
+        self.metrics = metrics
+
+    def get(self) -> None:
+        """Answer with all metrics."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self.metrics.text())
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -78,6 +78,7 @@
         self.outgoing: dict[str, tuple[str, Transfer]] = {}
         self.next_id = 1
         self.failed_at = float("-inf")
+        self.read_once = asyncio.Event()
         self.closed = False
 
     def start(self) -> None:
@@ -230,6 +231,7 @@
         for row in rows.unwrap():
             name = row.ref.key
             pool = self._take_in(name, row)
+            self.read_once.set()
             total = prepaid[name] or 0
             wish = self.book.plan(now, name, pool, total, needs.get(name, 0), routers)
             if wish is not pool or name in self.doubts:
--- a/src/bilberryshed/gateway/_succession.py
+++ b/src/bilberryshed/gateway/_succession.py
@@ -28,13 +28,15 @@
 
     async def run(self) -> None:
         """Close predecessors until none is left."""
+        await self.funds.read_once.wait()
         while not self.funds.closed:
             dead = self._dead()
-            if self.funds.seen and not dead:
+            if not dead:
                 return
             for boot in sorted(dead):
                 await self._close(boot)
-            await asyncio.sleep(INTERVAL)
+            if self._dead():
+                await asyncio.sleep(INTERVAL)
 
     def _dead(self) -> set[str]:
         """Return earlier lifetimes of this gateway that hold grants."""
--- a/src/bilberryshed/programs/gateway.py
+++ b/src/bilberryshed/programs/gateway.py
@@ -13,7 +13,7 @@
 from bilberryshed.gateway import Gateway
 from bilberryshed.platform import gateway_ports
 from bilberryshed.state import GatewaySettings, load_settings
-from bilberryshed.transport import configure_logs, logger
+from bilberryshed.transport import LogReporter, configure_piped_logs, logger
 
 SETTINGS_VARIABLE = "BILBERRYSHED_BOOT"  # names the settings file if no argument does
 EXIT_ERROR = 1
@@ -21,15 +21,20 @@
 EXIT_UNFINISHED = 3
 
 
-async def _serve(settings: GatewaySettings) -> bool:
+async def _serve(settings: GatewaySettings, logs: LogReporter) -> bool:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: logger().info("reload", changed=False))
     ports = gateway_ports(settings.store, settings.store_timeout)
-    finished = await Gateway(settings, ports).serve_until(stop)
-    logger().info("stopped", finished=finished)
+    gateway = Gateway(settings, ports)
+    logs.start(gateway.context.timers)
+    try:
+        finished = await gateway.serve_until(stop)
+        logger().info("stopped", finished=finished)
+    finally:
+        logs.finish()
     return finished
 
 
@@ -48,9 +53,9 @@
             print(finding, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     values = loaded.unwrap()
-    configure_logs("bilberryshed-gateway", values.name)
+    logs = configure_piped_logs("bilberryshed-gateway", values.name)
     try:
-        finished = asyncio.run(_serve(values))
+        finished = asyncio.run(_serve(values, logs))
     except OSError as error:
         print(f"bilberryshed-gateway: {error}", file=sys.stderr)
         sys.exit(EXIT_ERROR)
--- a/src/bilberryshed/programs/report.py
+++ b/src/bilberryshed/programs/report.py
@@ -6,13 +6,14 @@
 import time
 from collections.abc import Awaitable, Callable
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import TypeVar
 
 import defopt
 from returns.result import Failure, Result
 
 from bilberryshed import __version__
-from bilberryshed.coordination import burn_rates
+from bilberryshed.coordination import burn_rates, request_story
 from bilberryshed.protocol import UsageRecord
 from bilberryshed.runtime import RecordsOffice
 from bilberryshed.state import Address, StoreError
@@ -104,6 +105,26 @@
         print(f"{vm.name:16} {vm.role:8} {vm.zone:12} {vm.link:22} {vm.state}")
 
 
+def explain(request_id: str, *logs: Path) -> None:
+    """Print one request's story from log files, in order; exit code 2 if no line names it.
+
+    :param request_id: id of a caller's attempt
+    :param logs: log files of one or more processes
+    """
+    try:
+        texts = {path.name: path.read_text(encoding="utf-8", errors="replace") for path in logs}
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        sys.exit(EXIT_FINDINGS)
+    story = request_story(request_id, texts)
+    for line in story.lines:
+        print(f"{line.timestamp}  {line.vm:20} {line.event:18} {line.details}")
+    for gap in story.gaps:
+        print(f"missing: {gap}")
+    if not story.lines:
+        sys.exit(EXIT_FINDINGS)
+
+
 def _cells(record: UsageRecord) -> tuple[str, ...]:
     finished = datetime.fromtimestamp(record.finished_at, UTC).isoformat(timespec="milliseconds")
     return (
@@ -135,4 +156,6 @@
 
 def main() -> None:
     """Entry point of the program."""
-    defopt.run([audit, statement, request, burn, fleet], version=__version__, argv=sys.argv[1:])
+    defopt.run(
+        [audit, statement, request, burn, fleet, explain], version=__version__, argv=sys.argv[1:]
+    )
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -16,7 +16,8 @@
     LinkServer,
     MessageTable,
 )
-from bilberryshed.transport._logs import configure_logs, logger
+from bilberryshed.transport._log_pipe import LineBudget, LogPipe, LogReporter
+from bilberryshed.transport._logs import configure_logs, configure_piped_logs, logger
 from bilberryshed.transport._metrics import Metrics
 from bilberryshed.transport._platform import (
     HttpObjectStore,
@@ -40,16 +41,20 @@
     "HttpObjectStore",
     "HttpTableService",
     "HttpVmList",
+    "LineBudget",
     "Link",
     "LinkClient",
     "LinkHandlers",
     "LinkServer",
+    "LogPipe",
+    "LogReporter",
     "MessageTable",
     "Metrics",
     "Subscription",
     "TimerService",
     "client_context",
     "configure_logs",
+    "configure_piped_logs",
     "describe_error",
     "http_client",
     "http_platform",
--- a/src/bilberryshed/transport/_logs.py
+++ b/src/bilberryshed/transport/_logs.py
@@ -2,10 +2,13 @@
 
 import logging
 import sys
+import time
 from typing import Any
 
 import structlog
 
+from bilberryshed.transport._log_pipe import LineBudget, LogPipe, LogReporter
+
 
 def configure_logs(program: str, vm: str, level: int = logging.INFO) -> None:
     """Send log events of this process to standard error.
@@ -13,8 +16,28 @@
     :param program: name of the program
     :param vm: name of the VM
     """
+    _configure(program, vm, level, structlog.PrintLoggerFactory(sys.stderr), [])
+
+
+def configure_piped_logs(program: str, vm: str, level: int = logging.INFO) -> LogReporter:
+    """Send log events to standard output without ever waiting for its reader.
+
+    :param program: name of the program
+    :param vm: name of the VM
+    :returns: what writes the lines; start it once the loop runs
+    """
+    pipe, budget = LogPipe(sys.stdout.fileno()), LineBudget(time.monotonic)
+    factory = structlog.PrintLoggerFactory(pipe)  # type: ignore[arg-type]
+    _configure(program, vm, level, factory, [budget])
+    return LogReporter(pipe, budget)
+
+
+def _configure(
+    program: str, vm: str, level: int, factory: Any, first: list[structlog.types.Processor]
+) -> None:
     structlog.configure(
         processors=[
+            *first,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -24,11 +47,11 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=factory,
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(program=program, vm=vm)
-    for name in ("tornado.access", "websockets", "asyncio"):
+    for name in ("tornado.access", "tornado.general", "websockets", "asyncio"):
         logging.getLogger(name).setLevel(logging.CRITICAL)
 
 
