--- a/src/bilberryshed/gateway/_succession.py
+++ b/src/bilberryshed/gateway/_succession.py
@@ -54,6 +54,8 @@
             self.used[boot] = {
                 name: record.used_at_most(name, tables.clock) for name in record.bounds
             }
+            age = round(tables.clock - record.store_clock, 2)
+            logger().info("predecessor_bounds", boot=boot, record=record.number, age=age)
         await self._write(boot, self.used[boot])
 
     async def _write(self, boot: str, used: dict[str, int]) -> None:
