Refusals before a table is in force name their request; settings reload; peers tell backend servers

A test of the program found log lines of refusals without an id. Idle and size limits of callers' channels follow the route table in force; a gateway that starts while the store refuses it takes the list of backend servers from a peer; SIGHUP or a changed file puts new settings in force.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -196,3 +196,22 @@
     When a caller streams /chat/1 and the gateway is told to stop
     Then the caller has events 1 to 5 once each, and a whole answer
     And the gateway has left the tokens to the pool
+
+  Scenario: A gateway that starts while the store refuses it learns all from a peer
+    Given the store has the gateways' list and refuses calls of a second gateway
+    Then the second gateway serves GET /look/1 within 3 s
+
+  Scenario: Two gateways share what is left
+    Given a second gateway
+    And the customer has paid for 1000 tokens
+    When 20 prompts of 30 tokens for 20 go to both gateways in turn
+    Then 20 of them are answered 200
+    When 1 prompts of 30 tokens for 20 go to both gateways in turn
+    Then 0 of them are answered 200
+
+  Scenario: Gateways cut off from the store hand tokens to each other
+    Given a second gateway
+    And the customer has paid for 100000 tokens
+    When 8 prompts of 30 tokens for 20 go to both gateways in turn
+    And the store falls silent and 80 prompts of 60 for 40 reach the second gateway
+    Then at least 80 of them are answered 200
--- a/features/gateway_program.feature
+++ b/features/gateway_program.feature
@@ -40,3 +40,11 @@
     Then the status is 200
     When the process is sent SIGTERM
     Then the report explains that request: attempt_broken, then request
+
+  Scenario: Settings that change are applied, and bad ones leave the last in force
+    When the settings change to a retry slack of 7 before a hangup
+    And the settings change to a retry slack of none before a hangup
+    And a caller calls GET /look/1 with its key
+    Then the status is 200
+    When the process is sent SIGTERM
+    Then its log has one line of key=value pairs for each of: reload, settings_applied, reload_refused
--- a/features/steps/gateway_program_steps.py
+++ b/features/steps/gateway_program_steps.py
@@ -202,3 +202,11 @@
     found = subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
     assert found.returncode == 0, found.stderr
     assert 0 <= found.stdout.index(first) < found.stdout.index(f"{second} "), found.stdout
+
+
+@when("the settings change to a retry slack of {slack} before a hangup")
+def when_hangup(context, slack):
+    context.sections["retries"] = {"retry_slack": slack}
+    Path(context.process.args[1]).write_text(write(context.sections).read_text())
+    context.process.send_signal(signal.SIGHUP)
+    time.sleep(0.3)
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -355,3 +355,77 @@
     rows = context.rig.store.values("prepaid")
     assert all(not row["holders"] for row in rows.values()), rows
     assert rows[CUSTOMER]["closed"] == 30 + EVENTS * 4, rows
+
+
+@given("a second gateway")
+def given_second(context):
+    async def start():
+        gateway = await context.rig.add_gateway("gate-2")
+        await context.rig.until(lambda: gateway.context.peer_links)
+
+    run(context, start())
+
+
+@given("the store has the gateways' list and refuses calls of a second gateway")
+def given_refused(context):
+    async def start():
+        first = context.rig.gateways["gate-1"]
+        await context.rig.until(lambda: context.rig.store.values("gateways"))
+        gateway = await context.rig.add_gateway("gate-0", ready=False)
+        port, gateway.context.ports.tables.base = context.rig.store_port, "http://127.0.0.1:1"
+        gateway.peers._connect("gate-1", str(first.settings.link_listen))
+        assert port
+
+    run(context, start())
+
+
+@then("the second gateway serves {method:w} {path:S} within {seconds:d} s")
+def then_second(context, method, path, seconds):
+    async def serves():
+        end = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end:
+            try:
+                reply = await context.rig.call(path, "gate-0", method)
+                if reply.status == 200:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.05)
+        raise AssertionError("not served in time")
+
+    run(context, serves())
+
+
+async def prompts(context, gateways, count, tokens):
+    """Send prompts to gateways in turn; return the answers."""
+    replies = []
+    for number in range(count):
+        name = gateways[number % len(gateways)]
+        replies.append(await context.rig.call("/chat/1", name, tokens=tokens))
+    return replies
+
+
+@when("{count:d} prompts of {size:d} tokens for {most:d} go to both gateways in turn")
+def when_both(context, count, size, most):
+    call = prompts(context, ("gate-1", "gate-2"), count, f"{size},{most}")
+    context.replies = run(context, call)
+
+
+@when(
+    "the store falls silent and {count:d} prompts of {size:d} for {most:d} reach the second gateway"
+)
+def when_cut(context, count, size, most):
+    context.rig.store.fault = "silent"
+    context.replies = run(context, prompts(context, ("gate-2",), count, f"{size},{most}"))
+
+
+@then("{count:d} of them are answered {status:d}")
+def then_count(context, count, status):
+    found = [reply.status for reply in context.replies]
+    assert found.count(status) == count, found
+
+
+@then("at least {count:d} of them are answered {status:d}")
+def then_least(context, count, status):
+    found = [reply.status for reply in context.replies]
+    assert found.count(status) >= count, found
--- a/src/bilberryshed/gateway/_dialect.py
+++ b/src/bilberryshed/gateway/_dialect.py
@@ -105,6 +105,10 @@
 class Dialect(ABC):
     """Translates between HTTP messages and typed values."""
 
+    @abstractmethod
+    def request_id(self, headers: HeaderList) -> str:
+        """Return the id of a caller's request that may be malformed, empty if it has none."""
+
     @abstractmethod
     def read_request(
         self, method: str, target: str, headers: HeaderList, body: bytes
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -7,7 +7,7 @@
 
 from bilberryshed.coordination import BackendRegistry, RouteIndex
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.protocol import RouteTableNotice
+from bilberryshed.protocol import BackendEntry, BackendsNotice, RouteTableNotice
 from bilberryshed.state import Changes
 from bilberryshed.transport import Link, logger
 
@@ -130,6 +130,8 @@
     def __init__(self, context: GatewayContext) -> None:
         self.context = context
         self.registry = BackendRegistry()
+        self.entries: dict[str, bytes] = {}
+        self.read_once = False
 
     def follower(self) -> TableFollower:
         """Return what follows the store."""
@@ -141,21 +143,46 @@
 
     def _on_changes(self, changes: Changes) -> None:
         now = self.context.timers.now()
+        self.read_once = True
         self.registry.on_contact(now)
         for row in changes.rows:
             if row.data is None:
-                self.registry.remove(now, row.key)
-                continue
-            decoded = self.context.ports.decode_server(row.key, row.data)
-            if isinstance(decoded, Failure):
-                logger().warning("backend_entry_unreadable", finding=str(decoded.failure()))
+                self.entries.pop(row.key, None)
                 self.registry.remove(now, row.key)
             else:
-                self.registry.put(decoded.unwrap())
+                self._put(now, row.key, row.data)
         if changes.whole:
             self.registry.keep_only(now, {row.key for row in changes.rows})
         self._apply()
 
+    def _put(self, now: float, id_: str, data: bytes) -> None:
+        decoded = self.context.ports.decode_server(id_, data)
+        if isinstance(decoded, Failure):
+            logger().warning("backend_entry_unreadable", finding=str(decoded.failure()))
+            self.entries.pop(id_, None)
+            self.registry.remove(now, id_)
+        else:
+            self.entries[id_] = data
+            self.registry.put(decoded.unwrap())
+
+    def notice(self) -> BackendsNotice | None:
+        """Return the entries in use for a peer that has just linked."""
+        if not self.read_once:
+            return None
+        known = self.registry.servers
+        return BackendsNotice(
+            tuple(BackendEntry(id_, data) for id_, data in self.entries.items() if id_ in known)
+        )
+
+    def on_notice(self, link: Link, notice: BackendsNotice) -> None:
+        """Use a peer's entries as long as the store has told none."""
+        if self.read_once:
+            return
+        for entry in notice.entries:
+            self._put(self.context.timers.now(), entry.id, entry.data)
+        logger().info("backends_from_peer", peer=link.peer.name, entries=len(notice.entries))
+        self._apply()
+
     def _expire(self, now: float) -> None:
         if self.registry.expire(now):
             self._apply()
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -31,10 +31,9 @@
 FIRST_BYTE_FACTOR = 2.0  # of the latency target, after which a repeatable request moves on
 STALL_FACTOR = 1.5  # of the latency target without an event, after which a stream moves on
 NEXT_CHOICE_PAUSE = 0.05  # seconds between looks for a backend server
-CHOICE_PATIENCE = 0.4  # of the latency target, for which a request may wait for a backend server
+CHOICE_PATIENCE = 0.25  # of the latency target, for which a request may wait for a backend server
 LEAST_TIME = 0.02  # seconds below which a send is pointless
 MOST_REFUSED = 6  # channels that one request may find refused
-BUSY_RETRY = 0.7  # seconds after which a refused caller should come back
 
 
 class Outcome(StrEnum):
@@ -47,10 +46,6 @@
     TIMEOUT = "timeout"
 
 
-class WrongServerError(Exception):
-    """Another backend server has the address now."""
-
-
 @dataclass(slots=True)
 class Job:
     """One request under way.
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -22,6 +22,7 @@
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds, Shortage
 from bilberryshed.gateway._succession import Succession
 from bilberryshed.protocol import (
+    BackendsNotice,
     CrashNotice,
     FundsAnswer,
     FundsRequest,
@@ -86,7 +87,8 @@
         self.servers = BackendWatch(self.context)
         self.forwarder = Forwarder(self.context)
         self.peers = Peers(self.context, self._message_handlers())
-        self.peers.greeting = [self.tables.notice]
+        self.peers.greeting = [self.tables.notice, self.servers.notice]
+        self.http: HTTPServer | None = None
         self.running = 0
         self.metrics = GatewayMetrics(self.context)
 
@@ -97,7 +99,8 @@
 
         :returns: whether all work was finished
         """
-        http = self._listen()
+        http = self.http = self._listen()
+        self._apply_limits()
         ready = self._listen_ready()
         metrics = self.metrics.listen()
         await self.peers.start()
@@ -117,7 +120,8 @@
 
     def is_ready(self) -> bool:
         """Whether new channels are welcome."""
-        return not self.context.draining and self.context.index is not None
+        known = self.context.index is not None and bool(self.context.backends.views)
+        return known and not self.context.draining
 
     def spawn(self, coroutine: Any) -> "asyncio.Future[Any]":
         """Run a coroutine on the loop."""
@@ -152,6 +156,27 @@
 
     def _on_table(self) -> None:
         self.funds.on_table()
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        """Give the callers' server the limits of the table in force."""
+        index = self.context.index
+        if self.http is None or index is None:
+            return
+        limits, params = index.table.limits, self.http.conn_params
+        params.max_header_size = limits.header_bytes
+        params.max_body_size = limits.body_bytes * READ_FACTOR
+        params.header_timeout = limits.idle_timeout
+
+    def use_settings(self, settings: GatewaySettings) -> None:
+        """Put new settings into force; addresses and names stay until the next start."""
+        self.settings = self.context.settings = settings
+        retries = self.context.retries
+        retries.ratio = settings.retry_ratio
+        retries.window = settings.retry_window
+        retries.slack = settings.retry_slack
+        self.context.book.horizon = settings.grant_horizon
+        logger().info("settings_applied")
 
     def _message_handlers(self) -> dict[type, Any]:
         return {
@@ -161,6 +186,7 @@
             Transfer: self.funds.on_transfer,
             TransferAck: self.funds.on_ack,
             RouteTableNotice: self.tables.on_notice,
+            BackendsNotice: self.servers.on_notice,
             CrashNotice: self._on_crash_notice,
         }
 
@@ -236,19 +262,20 @@
 
     async def _answer(self, exchange: CallerExchange) -> Refusal | None:
         began = self.context.timers.now()
+        headers = exchange.header_list()
+        exchange.request_id = self.context.dialect.request_id(headers)
         if exchange.oversized:
             return Refusal(413, "body", f"the body has {exchange.size} bytes, more than allowed")
         index = self.context.index
         if index is None:
             return Refusal(503, "no_table", "no route table is in force yet", SOON)
         read = self.context.dialect.read_request(
-            exchange.method, exchange.target, exchange.header_list(), b"".join(exchange.body)
+            exchange.method, exchange.target, headers, b"".join(exchange.body)
         )
         if isinstance(read, Failure):
             fault = read.failure()
             return Refusal(fault.status, "malformed", fault.reason)
         request = read.unwrap()
-        exchange.request_id = request.id
         route = index.route(request.host, request.path)
         if route is None:
             return Refusal(404, "route", f"no route for {request.host!r} {request.path!r}")
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -73,6 +73,10 @@
 
     __slots__ = ()
 
+    def request_id(self, headers: HeaderList) -> str:
+        id_ = dict(headers).get(REQUEST_ID, "")
+        return id_ if _ID.fullmatch(id_) else ""
+
     def read_request(
         self, method: str, target: str, headers: HeaderList, body: bytes
     ) -> Result[CallerRequest, Fault]:
--- a/src/bilberryshed/programs/gateway.py
+++ b/src/bilberryshed/programs/gateway.py
@@ -16,20 +16,55 @@
 from bilberryshed.transport import LogReporter, configure_piped_logs, logger
 
 SETTINGS_VARIABLE = "BILBERRYSHED_BOOT"  # names the settings file if no argument does
+SETTINGS_INTERVAL = 3.0  # seconds between looks at the settings file
 EXIT_ERROR = 1
 EXIT_BAD_SETTINGS = 2
 EXIT_UNFINISHED = 3
 
 
-async def _serve(settings: GatewaySettings, logs: LogReporter) -> bool:
+class SettingsWatch:
+    """Applies changes of the settings file, with or without a signal.
+
+    :param path: the file
+    :param settings: what was read from it last
+    """
+
+    __slots__ = ("path", "settings", "gateway")
+
+    def __init__(self, path: Path, settings: GatewaySettings, gateway: Gateway) -> None:
+        self.path = path
+        self.settings = settings
+        self.gateway = gateway
+
+    def look(self) -> None:
+        """Read the file; put changed settings into force, or say why not."""
+        loaded = load_settings(GatewaySettings, self.path)
+        if isinstance(loaded, Failure):
+            findings = "; ".join(str(finding) for finding in loaded.failure())
+            logger().error("reload_refused", findings=findings)
+            return
+        if loaded.unwrap() != self.settings:
+            self.settings = loaded.unwrap()
+            self.gateway.use_settings(self.settings)
+
+    def on_hangup(self) -> None:
+        """Look at once, as the signal asks."""
+        logger().info("reload")
+        self.look()
+
+
+async def _serve(path: Path, settings: GatewaySettings, logs: LogReporter) -> bool:
     stop = asyncio.Event()
+    ports = gateway_ports(settings.store, settings.store_timeout)
+    gateway = Gateway(settings, ports)
+    watch = SettingsWatch(path, settings, gateway)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: logger().info("reload", changed=False))
-    ports = gateway_ports(settings.store, settings.store_timeout)
-    gateway = Gateway(settings, ports)
-    logs.start(gateway.context.timers)
+    loop.add_signal_handler(signal.SIGHUP, watch.on_hangup)
+    timers = gateway.context.timers
+    timers.subscribe(SETTINGS_INTERVAL, lambda now: watch.look())
+    logs.start(timers)
     try:
         finished = await gateway.serve_until(stop)
         logger().info("stopped", finished=finished)
@@ -55,7 +90,7 @@
     values = loaded.unwrap()
     logs = configure_piped_logs("bilberryshed-gateway", values.name)
     try:
-        finished = asyncio.run(_serve(values, logs))
+        finished = asyncio.run(_serve(path, values, logs))
     except OSError as error:
         print(f"bilberryshed-gateway: {error}", file=sys.stderr)
         sys.exit(EXIT_ERROR)
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -38,6 +38,8 @@
 )
 from bilberryshed.protocol._outcomes import Finding, Outcome, Refusal, RefusalCode
 from bilberryshed.protocol._peer_messages import (
+    BackendEntry,
+    BackendsNotice,
     CrashNotice,
     Holding,
     HoldingsNotice,
@@ -46,6 +48,8 @@
 
 __all__ = [
     "AttemptQuery",
+    "BackendEntry",
+    "BackendsNotice",
     "Cancel",
     "Charge",
     "Chunk",
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -56,3 +56,20 @@
 
     fingerprint: str
     run: str
+
+
+@message(54)
+@dataclass(slots=True, frozen=True)
+class BackendEntry:
+    """The entry of a backend server, as the store holds it."""
+
+    id: str
+    data: bytes
+
+
+@message(55)
+@dataclass(slots=True, frozen=True)
+class BackendsNotice:
+    """Tells a peer that has just linked which backend servers the sender knows."""
+
+    entries: tuple[BackendEntry, ...]
