Peers tell versions, not tables; notices and questions bounded by the number of peers

Change: a version number is announced and the table is asked for if the store has not told it in 0.3 s; notices grow rarer with peers; the six peers that hold most are asked.

--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -311,12 +311,29 @@
         for gateway in self.gateways.values():
             if gateway.alive:
                 self._check_granted(gateway)
+        for customer in self.prepaid:
+            self._check_counted(customer)
+
+    def _check_counted(self, customer):
+        """Raise if the accounts together count less than the customer has used."""
+        pool = self._pool(customer)
+        living = {g.boot: g for g in self.gateways.values() if g.alive}
+        counted = pool.closed
+        counted += sum(g.funds.book.account(customer).used for g in living.values())
+        for boot in pool.holders:
+            if boot not in living:
+                counted += self.used_at_death.get(boot, {}).get(customer, 0)
+        used = self.used(customer)
+        assert counted >= used, f"{used} tokens of {customer} are used, {counted} are counted"
+
+    def _pool(self, customer):
+        value = self.store.rows.get(RowRef(POOL_TABLE, customer), (0, {}))[1]
+        return PoolRow.from_value(value)
 
     def _check_granted(self, gateway):
         """Raise if a gateway believes that it was granted more than the store says."""
         for customer, account in gateway.funds.book.accounts.items():
-            value = self.store.rows.get(RowRef(POOL_TABLE, customer), (0, {}))[1]
-            granted = PoolRow.from_value(value).holders.get(gateway.boot, 0)
+            granted = self._pool(customer).holders.get(gateway.boot, 0)
             assert account.granted <= granted, f"{gateway.boot}: {account.granted} of {granted}"
 
     def _check_closed(self, boot, counted):
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -7,12 +7,19 @@
 
 from bilberryshed.coordination import BackendRegistry, RouteIndex
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.protocol import BackendEntry, BackendsNotice, RouteTableNotice
+from bilberryshed.protocol import (
+    BackendEntry,
+    BackendsNotice,
+    RouteTableNotice,
+    RouteTableRequest,
+    RouteTableVersion,
+)
 from bilberryshed.state import Changes
 from bilberryshed.transport import Link, logger
 
 ERROR_PAUSE = 0.15  # seconds after a failed call
 TABLE_WAIT = 1.0  # seconds that a call for the route table waits for a change
+FETCH_DELAY = 0.3  # seconds for the store to tell of a table before a peer is asked for it
 SERVER_INTERVAL = 0.4  # seconds between looks at the backend servers
 EXPIRE_INTERVAL = 0.2  # seconds between looks for entries that did not come back
 
@@ -78,6 +85,8 @@
     def __init__(self, context: GatewayContext, on_table: Callable[[], None]) -> None:
         self.context = context
         self.on_table = on_table
+        self.heard = 0
+        self.fetching = False
 
     def follower(self) -> TableFollower:
         """Return what follows the store."""
@@ -89,17 +98,41 @@
             if row.key == self.context.ports.route_key and row.data is not None:
                 self.take(row.data, "store")
 
+    def version(self) -> int:
+        """Return the version in force, -1 before the first."""
+        index = self.context.index
+        return index.table.version if index else -1
+
+    def announcement(self) -> RouteTableVersion | None:
+        """Return what tells a peer which table is in force, if there is one."""
+        return RouteTableVersion(self.version()) if self.context.index else None
+
+    def on_version(self, link: Link, message: RouteTableVersion) -> None:
+        """Ask a peer for a newer table unless the store tells of it soon."""
+        self.heard = max(self.heard, message.version)
+        if message.version > self.version() and not self.fetching:
+            self.fetching = True
+            self.context.spawn(self._fetch(link))
+
+    async def _fetch(self, link: Link) -> None:
+        try:
+            if self.context.index is not None:
+                await asyncio.sleep(FETCH_DELAY)
+            if self.heard > self.version():
+                link.send(RouteTableRequest(self.version()))
+        finally:
+            self.fetching = False
+
+    def on_request(self, link: Link, request: RouteTableRequest) -> None:
+        """Send the table in force to a peer that has an older one."""
+        if self.version() > request.known:
+            link.send(RouteTableNotice(self.version(), self.context.table_data))
+
     def on_notice(self, link: Link, notice: RouteTableNotice) -> None:
         """Take in a table that a peer passes on."""
-        index = self.context.index
-        if index is None or notice.version > index.table.version:
+        if notice.version > self.version():
             self.take(notice.data, link.peer.name)
 
-    def notice(self) -> RouteTableNotice | None:
-        """Return the table in force for a peer, if there is one."""
-        index = self.context.index
-        return RouteTableNotice(index.table.version, self.context.table_data) if index else None
-
     def take(self, data: bytes, source: str) -> None:
         """Put a table in force if it can be read and is newer than the present one."""
         decoded = self.context.ports.decode_table(data)
@@ -120,7 +153,7 @@
         )
         for customer in table.customers.values():
             logger().info("prepaid", customer=customer.name, total=customer.prepaid)
-        self.context.broadcast(RouteTableNotice(table.version, data))
+        self.context.broadcast(RouteTableVersion(table.version))
         self.on_table()
 
 
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -28,6 +28,8 @@
     FundsRequest,
     HoldingsNotice,
     RouteTableNotice,
+    RouteTableRequest,
+    RouteTableVersion,
     Transfer,
     TransferAck,
 )
@@ -87,7 +89,7 @@
         self.servers = BackendWatch(self.context)
         self.forwarder = Forwarder(self.context)
         self.peers = Peers(self.context, self._message_handlers())
-        self.peers.greeting = [self.tables.notice, self.servers.notice]
+        self.peers.greeting = [self.tables.announcement, self.servers.notice]
         self.http: HTTPServer | None = None
         self.running = 0
         self.metrics = GatewayMetrics(self.context)
@@ -185,6 +187,8 @@
             FundsAnswer: self.funds.on_answer,
             Transfer: self.funds.on_transfer,
             TransferAck: self.funds.on_ack,
+            RouteTableVersion: self.tables.on_version,
+            RouteTableRequest: self.tables.on_request,
             RouteTableNotice: self.tables.on_notice,
             BackendsNotice: self.servers.on_notice,
             CrashNotice: self._on_crash_notice,
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -23,7 +23,9 @@
 POOL_TABLE = "prepaid"
 BUDGET_NAME = "prepaid"  # the one budget that each customer has
 SYNC_INTERVAL = 0.5  # seconds between updates of the store's rows
-NOTICE_INTERVAL = 0.25  # seconds between notices to peers
+NOTICE_INTERVAL = 0.25  # seconds between notices to a few peers
+NOTICE_PEERS = 6  # peers for each further interval between notices, so that their bytes are bounded
+ASKED_PEERS = 6  # peers asked at once for tokens, those that hold most
 RESEND_INTERVAL = 0.5  # seconds between sends of an unacknowledged transfer
 PEER_PATIENCE = 0.25  # seconds for peers to answer
 AGENT_PATIENCE = 0.5  # seconds for a peer that asks the store
@@ -74,6 +76,7 @@
         self.locks: dict[str, asyncio.Lock] = {}
         self.dry: dict[str, _Dry] = {}
         self.agents: set[str] = set()
+        self.ticks = 0
         self.questions: dict[str, _Question] = {}
         self.outgoing: dict[str, tuple[str, Transfer]] = {}
         self.next_id = 1
@@ -315,10 +318,15 @@
     # Peers ----------------------------------------------------------------------------------
 
     def _notify(self) -> None:
+        """Tell peers what is in hand, less often the more they are."""
+        self.ticks += 1
+        if self.ticks % (1 + len(self.context.peer_links) // NOTICE_PEERS):
+            return
         now = self.context.timers.now()
         holdings = tuple(
-            Holding(name, account.held, account.demand(now))
+            Holding(name, account.held, round(account.demand(now), 1))
             for name, account in self.book.accounts.items()
+            if account.held or account.demand(now) >= 1
         )
         self.context.broadcast(
             HoldingsNotice(holdings, self.context.draining, self.recorder.store_up)
@@ -344,8 +352,14 @@
         await self._ask({agent}, customer, tokens, wanted, recall=False)
 
     async def _ask_peers(self, customer: str, tokens: int) -> _Question:
-        """Have all peers give what they have in hand, up to what is lacking."""
-        peers = set(self.context.peer_links)
+        """Have the peers that hold most give what they have in hand, up to what is lacking."""
+        told = {
+            name: holdings[customer].free
+            for name, holdings in self.book.peers.items()
+            if name in self.context.peer_links and customer in holdings
+        }
+        holding = [name for name in sorted(told, key=lambda n: -told[n]) if told[name] > 0]
+        peers = set(holding[:ASKED_PEERS])
         return await self._ask(peers, customer, tokens, tokens, recall=True)
 
     async def _ask(
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -44,6 +44,8 @@
     Holding,
     HoldingsNotice,
     RouteTableNotice,
+    RouteTableRequest,
+    RouteTableVersion,
 )
 
 __all__ = [
@@ -81,6 +83,8 @@
     "Revoke",
     "RevokeAck",
     "RouteTableNotice",
+    "RouteTableRequest",
+    "RouteTableVersion",
     "SheetNotice",
     "Started",
     "Transfer",
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -32,10 +32,26 @@
     store_up: bool
 
 
+@message(56)
+@dataclass(slots=True, frozen=True)
+class RouteTableVersion:
+    """Tells a peer which route table is in force at the sender."""
+
+    version: int
+
+
+@message(57)
+@dataclass(slots=True, frozen=True)
+class RouteTableRequest:
+    """Asks a peer for the route table in force there."""
+
+    known: int
+
+
 @message(52)
 @dataclass(slots=True, frozen=True)
 class RouteTableNotice:
-    """Passes a route table on, as the store holds it.
+    """Passes a route table on to a peer that asked, as the store holds it.
 
     :param version: version of the table
     :param data: the store's bytes
