--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -3,7 +3,7 @@
 from dataclasses import fields
 from pathlib import Path
 
-from bilberryshed.state import AgentSettings, RouterSettings
+from bilberryshed.state import AgentSettings, GatewaySettings, RouterSettings
 
 TARGET = Path("docs/operators/settings.md")
 HEADER = """# Settings
@@ -46,6 +46,16 @@
     "secret_file": "file with the link secret, the same everywhere; empty for none",
     "certificate": "PEM certificate; TLS for callers and incoming links if set",
     "certificate_key": "PEM key of the certificate",
+    "ready_listen": "address of the readiness probe",
+    "metrics_listen": "address of the metrics page; empty for none",
+    "memory": "memory of the process, MB",
+    "store": "address of the platform's store",
+    "store_timeout": "limit of one call, s",
+    "drain_time": "time from SIGTERM to SIGKILL, s",
+    "retry_ratio": "retries allowed for each request, over all gateways",
+    "retry_window": "window in which retries are counted, s",
+    "retry_slack": "retries that all gateways have beside the ratio",
+    "grant_horizon": "demand for which prepaid tokens are held in hand, s",
     "link_ca": "PEM file of the CA of outgoing links; TLS on them if set",
 }
 
@@ -64,6 +74,7 @@
 def main() -> None:
     """Write the page."""
     parts = [HEADER, *reference("Router", RouterSettings), "", *reference("Agent", AgentSettings)]
+    parts += ["", *reference("Gateway", GatewaySettings)]
     TARGET.write_text("\n".join(parts) + "\n", encoding="utf-8")
 
 
