--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -130,6 +130,10 @@
     Then the status is 402
     And 0 servers ran it
 
+  Scenario: A prompt that names no parts is served
+    When a caller prompts without parts to /chat/1
+    Then the status is 200
+
   Scenario: A running total is used up and raised
     Given the customer has paid for 100 tokens
     When a caller prompts 30 tokens for 20 to /chat/1
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -429,3 +429,9 @@
 def then_least(context, count, status):
     found = [reply.status for reply in context.replies]
     assert found.count(status) >= count, found
+
+
+@when("a caller prompts without parts to {path:S}")
+def when_no_parts(context, path):
+    headers = {"X-Prompt-Prefix": None}
+    context.replies = [run(context, context.rig.call(path, tokens="30,20", headers=headers))]
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -89,7 +89,8 @@
         if prompt is None:
             return BackendDemand("", 1)
         shared = prompt.parts[:-1] or prompt.parts
-        return BackendDemand(shared[-1], prompt.tokens + OUTPUT_WEIGHT * prompt.max_output)
+        affinity = shared[-1] if shared else ""
+        return BackendDemand(affinity, prompt.tokens + OUTPUT_WEIGHT * prompt.max_output)
 
 
 class Forwarder:
--- /dev/null
+++ b/src/bilberryshed_load/_soak.py
@@ -0,0 +1,372 @@
+"""Randomized soak: gateways as real processes, faults from outside, promises checked by callers."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import h11
+
+from bilberryshed.state import Address
+from bilberryshed_load._soak_proxy import Harm, HarmfulProxy
+from bilberryshed_load._soak_record import Answered, Sent, SoakRecord
+from bilberryshed_standins import EVENTS, RoutedBackend, RowStore, serve_row_store
+
+HOST, KEY, CUSTOMER = "soak.example", "k-soak", "harbour"
+TOKENS_PER_EVENT = 4
+PREPAID = 120_000  # tokens at the start
+TOP_UP = 60_000  # tokens
+GATEWAYS = ("gate-1", "gate-2", "gate-3")
+RATE = 40.0  # requests a second
+CALLER_TIMEOUT = 4.0  # seconds
+DRAIN_TIME = 5.0  # seconds
+START_TIME = 10.0  # seconds
+BACKEND_FAULTS = ("full", "reset", "garbage", "unsigned", "error", "foreign", "extra", "cut 2")
+
+
+@dataclass(slots=True)
+class GatewayProcess:
+    """One gateway process and its way to the store."""
+
+    name: str
+    proxy: HarmfulProxy
+    settings: Path
+    listen: Address
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+    lifetime: int = 0
+    stopping: bool = False
+
+    @property
+    def boot(self) -> str:
+        """Name of the present lifetime."""
+        return f"{self.name}#{self.lifetime}"
+
+    def start(self) -> None:
+        """Start a lifetime."""
+        self.lifetime += 1
+        self.stopping = False
+        program = Path(sys.executable).parent / "bilberryshed-gateway"
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [program, str(self.settings)], stdout=log, stderr=subprocess.STDOUT
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it lives."""
+        if self.alive:
+            assert self.process is not None
+            self.process.send_signal(number)
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+
+@dataclass(slots=True)
+class Soak:
+    """One soak.
+
+    :param folder: where settings and logs go
+    """
+
+    seed: int
+    folder: Path
+    store: RowStore = field(default_factory=RowStore)
+    backends: dict[str, RoutedBackend] = field(default_factory=dict)
+    backend_proxies: dict[str, HarmfulProxy] = field(default_factory=dict)
+    gateways: dict[str, GatewayProcess] = field(default_factory=dict)
+    record: SoakRecord = field(default_factory=lambda: SoakRecord(EVENTS, TOKENS_PER_EVENT))
+    prepaid: int = PREPAID
+    version: int = 1
+    next_id: int = 1
+    faults: list[str] = field(default_factory=list)
+    tasks: set["asyncio.Task[None]"] = field(default_factory=set)
+
+    @property
+    def dice(self) -> random.Random:
+        """Random numbers of this seed, apart for each use."""
+        return random.Random(f"{self.seed}/{len(self.faults)}/{self.next_id}")
+
+    async def run(self, seconds: float) -> SoakRecord:
+        """Play the soak; the record's findings are the broken promises."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        server, port = serve_row_store(self.store)
+        try:
+            await self._set_up(port)
+            loop = asyncio.get_running_loop()
+            end = loop.time() + seconds
+            traffic = asyncio.ensure_future(self._traffic(end))
+            while loop.time() < end:
+                await asyncio.sleep(self.dice.uniform(0.2, 1.5))
+                await self._fault()
+            await traffic
+            await self._finish()
+        finally:
+            self._kill_all()
+            server.stop()
+        for backend in self.backends.values():
+            for id_ in backend.ran:
+                self.record.runs[id_] = self.record.runs.get(id_, 0) + 1
+        self.record.check(self.prepaid)
+        return self.record
+
+    # Set-up ---------------------------------------------------------------------------------
+
+    async def _set_up(self, store_port: int) -> None:
+        for number in range(1, 4):
+            await self._add_backend(f"i-model-{number}", "model", True)
+            await self._add_backend(f"i-desk-{number}", "desk", False)
+        self._put_config()
+        for name in GATEWAYS:
+            await self._add_gateway(name, store_port)
+        await asyncio.gather(*(self._wait_ready(g) for g in self.gateways.values()))
+
+    async def _add_backend(self, id_: str, service: str, streams: bool) -> None:
+        backend = RoutedBackend(id_, streams, delay=0.05 if streams else 0.0)
+        await backend.start()
+        address = Address.parse(backend.address)
+        proxy = HarmfulProxy((address.host, address.port), random.Random(self.seed))
+        await proxy.start()
+        self.backends[id_], self.backend_proxies[id_] = backend, proxy
+        entry = {"service": service, "address": proxy.address, "zone": "quay", "slots": 8}
+        self.store.put("servers", id_, {**entry, "state": "serving", "sequence": 1})
+
+    async def _add_gateway(self, name: str, store_port: int) -> None:
+        proxy = HarmfulProxy(("127.0.0.1", store_port), random.Random(self.seed))
+        await proxy.start()
+        listen, ready, link = (f"127.0.0.1:{_free_port()}" for _ in range(3))
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            f"[vm]\nname = {name}\nzone = quay\nlisten = {listen}\nready_listen = {ready}\n"
+            f"link_listen = {link}\n[store]\nstore = {proxy.address}\nstore_timeout = 0.5\n"
+            f"[stop]\ndrain_time = {DRAIN_TIME}\n"
+        )
+        log = self.folder / f"{name}.log"
+        gateway = GatewayProcess(name, proxy, path, Address.parse(listen), log)
+        self.gateways[name] = gateway
+        gateway.start()
+
+    async def _wait_ready(self, gateway: GatewayProcess) -> None:
+        end = asyncio.get_running_loop().time() + START_TIME
+        while asyncio.get_running_loop().time() < end:
+            probe = Sent(f"ready-{gateway.name}", True, False)
+            self.record.sent[probe.id] = probe
+            answer = await self._call(gateway, "GET", "/look/ready", probe)
+            if answer is not None and answer.status == 200:
+                return
+            await asyncio.sleep(0.1)
+
+    def _put_config(self) -> None:
+        """Write a config whose one changing route tells its version."""
+        base = {"host": HOST, "timeoutMs": 3000, "targetLatencyMs": 500, "maxAttempts": 2}
+        routes = [
+            {**base, "name": "chat", "pathPrefix": "/chat/", "kind": "streaming"},
+            {**base, "name": "book", "pathPrefix": "/book/", "kind": "non_idempotent"},
+            {**base, "name": "look", "pathPrefix": "/look/", "kind": "idempotent"},
+            {**base, "name": "gen", "pathPrefix": f"/gen-{self.version}/", "kind": "idempotent"},
+        ]
+        routes[0] |= {"service": "model", "resumable": True}
+        for route in routes[1:]:
+            route["service"] = "desk"
+        services = [
+            {"name": "model", "maxConnections": 99, "backend": {"stride": TOKENS_PER_EVENT}},
+            {"name": "desk", "maxConnections": 99},
+        ]
+        tenant = {"name": CUSTOMER, "apiKeys": [KEY], "prepaid": self.prepaid}
+        config = {"version": self.version, "routeTable": routes, "services": services}
+        self.store.put("op", "config", {**config, "tenants": [tenant]})
+
+    # Traffic --------------------------------------------------------------------------------
+
+    async def _traffic(self, end: float) -> None:
+        dice = random.Random(self.seed)
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(dice.expovariate(RATE))
+            task = asyncio.ensure_future(self._request(dice))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=CALLER_TIMEOUT + 1)
+
+    async def _request(self, dice: random.Random) -> None:
+        gateway = self.gateways[dice.choice(GATEWAYS)]
+        kind = dice.choice(("chat", "chat", "book", "look", "gen"))
+        id_ = f"{self.next_id:016x}"
+        self.next_id += 1
+        version = self.version
+        tokens = dice.randint(100, 1500) if kind == "chat" else 0
+        sent = Sent(id_, kind != "book", kind == "chat", tokens)
+        path = f"/gen-{version}/x" if kind == "gen" else f"/{kind}/x"
+        method = "POST" if kind in ("chat", "book") else "GET"
+        boot = gateway.boot
+        self.record.sent[id_] = sent
+        answer = await self._call(gateway, method, path, sent)
+        if answer is None:
+            return
+        self.record.answers[id_] = answer
+        if kind == "gen" and answer.status == 200 and gateway.boot == boot:
+            self.record.note_version(boot, version)
+
+    async def _call(
+        self, gateway: GatewayProcess, method: str, path: str, sent: Sent
+    ) -> Answered | None:
+        try:
+            async with asyncio.timeout(CALLER_TIMEOUT):
+                return await _exchange(gateway.listen, method, path, sent)
+        except (OSError, TimeoutError, h11.RemoteProtocolError):
+            return None
+
+    # Faults ---------------------------------------------------------------------------------
+
+    async def _fault(self) -> None:
+        dice = self.dice
+        kinds = ("harm", "harm", "kill", "kill_all", "stop", "pause", "config", "top_up")
+        kind = dice.choice((*kinds, "backend", "backend", "store", "heal", "heal"))
+        gateway = self.gateways[dice.choice(GATEWAYS)]
+        self.faults.append(f"{kind} {gateway.name}")
+        if kind == "harm":
+            gateway.proxy.set_harm(dice.choice(tuple(Harm)))
+        elif kind == "kill":
+            self._restart(gateway, signal.SIGKILL)
+        elif kind == "kill_all":
+            for each in self.gateways.values():
+                self._restart(each, signal.SIGKILL)
+        elif kind == "stop":
+            self._restart(gateway, signal.SIGTERM)
+        elif kind == "pause":
+            self._pause(gateway, dice.uniform(0.5, 3))
+        elif kind in ("config", "top_up"):
+            self.version += 1
+            self.prepaid += TOP_UP if kind == "top_up" else 0
+            self._put_config()
+        elif kind == "backend":
+            self._harm_backend(dice)
+        elif kind == "store":
+            self.store.fault = dice.choice(("busy", "lost", "late", "silent"))
+        else:
+            self._heal()
+
+    def _harm_backend(self, dice: random.Random) -> None:
+        id_ = dice.choice(tuple(self.backends))
+        if dice.random() < 0.5:
+            self.backends[id_].script.extend(dice.choices(BACKEND_FAULTS, k=4))
+        else:
+            self.backend_proxies[id_].set_harm(dice.choice((Harm.RESET, Harm.DELAY, Harm.NONE)))
+
+    def _restart(self, gateway: GatewayProcess, number: signal.Signals) -> None:
+        if not gateway.stopping and gateway.alive:
+            gateway.stopping = True
+            gateway.signal(number)
+            task = asyncio.ensure_future(self._start_again(gateway, number))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _start_again(self, gateway: GatewayProcess, number: signal.Signals) -> None:
+        assert gateway.process is not None
+        while gateway.alive:
+            await asyncio.sleep(0.05)
+        if number is signal.SIGTERM:
+            self.record.note_stop(gateway.boot, gateway.process.returncode)
+        await asyncio.sleep(0.3)
+        gateway.start()
+
+    def _pause(self, gateway: GatewayProcess, seconds: float) -> None:
+        gateway.signal(signal.SIGSTOP)
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, gateway.signal, signal.SIGCONT)
+
+    def _heal(self) -> None:
+        self.store.fault = "ok"
+        for gateway in self.gateways.values():
+            gateway.proxy.set_harm(Harm.NONE)
+        for proxy in self.backend_proxies.values():
+            proxy.set_harm(Harm.NONE)
+
+    # End ------------------------------------------------------------------------------------
+
+    async def _finish(self) -> None:
+        """Heal, and let what is under way come to its end."""
+        self._heal()
+        await asyncio.sleep(3.5)
+        for gateway in self.gateways.values():
+            gateway.signal(signal.SIGCONT)
+            gateway.stopping = True
+            gateway.signal(signal.SIGTERM)
+        await asyncio.sleep(DRAIN_TIME + 0.5)
+
+    def _kill_all(self) -> None:
+        """End the processes that this soak started."""
+        for gateway in self.gateways.values():
+            if gateway.process is not None and gateway.alive:
+                gateway.process.kill()
+                gateway.process.wait()
+            gateway.proxy.stop()
+        for task in self.tasks:
+            task.cancel()
+        for backend in self.backends.values():
+            backend.stop()
+        for proxy in self.backend_proxies.values():
+            proxy.stop()
+
+
+async def _exchange(address: Address, method: str, path: str, sent: Sent) -> Answered | None:
+    """Send a request on a channel of its own and read the answer."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    framing = h11.Connection(h11.CLIENT)
+    headers = [("Host", HOST), ("X-Key", KEY), ("X-Attempt-Id", sent.id)]
+    headers += [("X-Deadline-Ms", str(int(CALLER_TIMEOUT * 1000))), ("Content-Length", "0")]
+    if sent.tokens:
+        headers.append(("X-Token-Usage", f"{sent.tokens},{EVENTS * TOKENS_PER_EVENT}"))
+    status, body = 0, b""
+    try:
+        data = framing.send(h11.Request(method=method, target=path, headers=headers)) or b""
+        writer.write(data + (framing.send(h11.EndOfMessage()) or b""))
+        while True:
+            event = framing.next_event()
+            if event is h11.NEED_DATA:
+                framing.receive_data(await reader.read(65_536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return Answered(sent.id, status, body, True)
+            elif isinstance(event, h11.ConnectionClosed):
+                return None
+    except (OSError, h11.RemoteProtocolError):
+        return Answered(sent.id, status, body, False) if status else None
+    finally:
+        with contextlib.suppress(OSError):
+            writer.close()
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def run_soak(seed: int, seconds: float, folder: Path) -> SoakRecord:
+    """Play one soak and print what it found."""
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
+    soak = Soak(seed, folder)
+    record = asyncio.run(soak.run(seconds))
+    statuses: dict[int, int] = {}
+    for answer in record.answers.values():
+        statuses[answer.status] = statuses.get(answer.status, 0) + 1
+    print(
+        f"seed {seed}: {len(record.sent)} requests, answers {dict(sorted(statuses.items()))}, "
+        f"used {record.used()} of {soak.prepaid} tokens, {len(soak.faults)} faults, "
+        f"{len(record.findings)} findings"
+    )
+    for finding in record.findings:
+        print(f"  {finding}")
+    return record
--- a/src/bilberryshed_load/program.py
+++ b/src/bilberryshed_load/program.py
@@ -12,6 +12,7 @@
 from bilberryshed_load._plans import DEPLOYMENTS
 from bilberryshed_load._policy import run_policies
 from bilberryshed_load._slopes import measure_slopes
+from bilberryshed_load._soak import run_soak
 
 EXIT_BROKEN = 1
 
@@ -91,6 +92,23 @@
     run_policies(seed, budgets)
 
 
+def soak(
+    *, seed: int = 1, seeds: int = 1, seconds: float = 20.0, folder: Path = Path("build/soak")
+) -> None:
+    """Play random faults on real gateway processes and check the promises.
+
+    :param seed: first seed
+    :param seeds: seeds to play, one after the other
+    :param seconds: length of the load of each
+    :param folder: where settings and logs go, by seed
+    """
+    broken = 0
+    for number in range(seed, seed + seeds):
+        broken += bool(run_soak(number, seconds, folder / str(number)).findings)
+    print(f"{seeds - broken} seeds passed, {broken} failed")
+    sys.exit(EXIT_BROKEN if broken else 0)
+
+
 def main() -> None:
     """Entry point of the program."""
     defopt.run(
@@ -101,6 +119,7 @@
             "slopes": slopes,
             "policy": policy,
             "flood": flood,
+            "soak": soak,
         },
         version=__version__,
         argv=sys.argv[1:],
