--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -441,26 +441,37 @@
 def when_late(context, seconds, path):
     async def late():
         address = context.rig.gateways["gate-1"].settings.listen
-        reader, writer = await asyncio.open_connection(address.host, address.port)
-        head = (
-            f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {KEY}\r\n"
-            f"X-Attempt-Id: {context.rig.request_id()}\r\n\r\n"
-        )
-        writer.write(head.encode())
-        await read_reply(reader, "GET")
+        first, second = [await kept_channel(context, address) for _ in range(2)]
         context.rig.stops["gate-1"].set()
-        await asyncio.sleep(seconds)
-        head = head.replace("GET /look/1", f"POST {path}").replace(
-            "X-Attempt-Id: ", "X-Attempt-Id: 9"
-        )
-        writer.write(head.replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n").encode())
-        reply = await read_reply(reader)
-        writer.close()
+        await asyncio.sleep(seconds / 2)
+        given_faults(context, "plain", "hang")
+        second[1].write(plain_head(context, "POST", "/book/1"))
+        await asyncio.sleep(seconds / 2)
+        first[1].write(plain_head(context, "POST", path))
+        reply = await read_reply(first[0])
+        for _, writer in (first, second):
+            writer.close()
         return reply
 
     context.replies = [run(context, late())]
 
 
+def plain_head(context, method, path):
+    """Return the bytes of a request without a body."""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {KEY}\r\nContent-Length: 0\r\n"
+        f"X-Attempt-Id: {context.rig.request_id()}\r\n\r\n"
+    ).encode()
+
+
+async def kept_channel(context, address):
+    """Open a channel and have one request answered on it."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(plain_head(context, "GET", "/look/1"))
+    await read_reply(reader, "GET")
+    return reader, writer
+
+
 @then("{count:d} model engines ran it")
 def then_engines(context, count):
     ran = [b.id for b in context.rig.backends.values() if "model" in b.id and b.ran]
