Before a customer is told that its tokens are spent, every peer is asked

Change: first the six that told of most, then all others; the finding is reused longer the more peers there are.

--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -32,7 +32,7 @@
 AGENT_HORIZON = 4.0  # seconds of demand that such a peer is asked for
 STORE_PATIENCE = 0.35  # seconds that a request waits for the store
 STORE_PAUSE = 0.5  # seconds after a failed call in which requests do not wait for the store
-DRY_PAUSE = 0.3  # seconds for which a finding that nothing is left is reused
+DRY_PAUSE = 0.2  # seconds for which a finding that nothing is left is reused at least
 CONFLICTS = 8  # conflicting writes in a row after which a sync waits for its next turn
 
 
@@ -116,7 +116,8 @@
             shortage = await self._find(customer, tokens)
             if self._reserve(customer, tokens):
                 return Success(tokens)
-        until = self.context.timers.now() + DRY_PAUSE
+        pause = DRY_PAUSE * (1 + len(self.context.peer_links) / ASKED_PEERS)
+        until = self.context.timers.now() + pause
         self.dry[customer] = _Dry(until, tokens, shortage)
         return Failure(shortage)
 
@@ -152,8 +153,8 @@
             await self._ask_agent(customer, tokens - account.free)
             if self._free(customer) >= tokens:
                 return Shortage.OUT_OF_REACH
-        question = await self._ask_peers(customer, tokens - account.free)
-        if not reached or question.pending or account.held >= tokens:
+        answered = await self._ask_peers(customer, tokens)
+        if not reached or not answered or account.held >= tokens:
             return Shortage.OUT_OF_REACH
         return self._judge(customer)
 
@@ -351,16 +352,29 @@
         wanted = max(tokens, int(self.book.account(customer).demand(now) * AGENT_HORIZON))
         await self._ask({agent}, customer, tokens, wanted, recall=False)
 
-    async def _ask_peers(self, customer: str, tokens: int) -> _Question:
-        """Have the peers that hold most give what they have in hand, up to what is lacking."""
+    async def _ask_peers(self, customer: str, tokens: int) -> bool:
+        """Have peers give what they have in hand: first those that hold most, then all others.
+
+        :returns: whether all peers answered, or enough was given before
+        """
+        ranked = self._peers_by_holding(customer)
+        for group in (ranked[:ASKED_PEERS], ranked[ASKED_PEERS:]):
+            lacking = tokens - self._free(customer)
+            if lacking <= 0 or not group:
+                return True
+            question = await self._ask(set(group), customer, lacking, lacking, recall=True)
+            if question.pending:
+                return False
+        return True
+
+    def _peers_by_holding(self, customer: str) -> list[str]:
+        """Return the linked peers, those that said that they hold most first."""
+        nothing = PeerHolding(0, 0.0)
         told = {
-            name: holdings[customer].free
-            for name, holdings in self.book.peers.items()
-            if name in self.context.peer_links and customer in holdings
+            name: self.book.peers.get(name, {}).get(customer, nothing).free
+            for name in self.context.peer_links
         }
-        holding = [name for name in sorted(told, key=lambda n: -told[n]) if told[name] > 0]
-        peers = set(holding[:ASKED_PEERS])
-        return await self._ask(peers, customer, tokens, tokens, recall=True)
+        return sorted(told, key=lambda name: (-told[name], name))
 
     async def _ask(
         self, peers: set[str], customer: str, tokens: int, wanted: int, recall: bool
