--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -29,7 +29,7 @@
     "sheet_interval": "time between polls of the accepted version, s",
     "ledger_shards": "shards of the ledger; the same on all routers, never changed",
     "ledger_interval": "time between commits, s",
-    "grant_horizon": "demand that a grant covers, s",
+    "grant_horizon": "demand for which tokens are held in hand, s",
     "grant_least": "smallest grant while the budget is plentiful, tokens",
     "funding_wait": "longest wait for tokens of running requests, s",
     "settle_interval": "time between adoptions and closings of grants, s",
@@ -55,7 +55,6 @@
     "retry_ratio": "retries allowed for each request, over all gateways",
     "retry_window": "window in which retries are counted, s",
     "retry_slack": "retries that all gateways have beside the ratio",
-    "grant_horizon": "demand for which prepaid tokens are held in hand, s",
     "link_ca": "PEM file of the CA of outgoing links; TLS on them if set",
 }
 
