--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -13,7 +13,8 @@
 from bilberryshed.gateway import GatewayPorts
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.gateway._prepaid_funds import POOL_TABLE, PrepaidFunds
+from bilberryshed.gateway._pool_sync import POOL_TABLE
+from bilberryshed.gateway._prepaid_funds import PrepaidFunds
 from bilberryshed.gateway._succession import Succession
 from bilberryshed.protocol import (
     FundsAnswer,
@@ -193,7 +194,7 @@
         self.boot = self.context.boot
         self.recorder = BoundsRecorder(self.context)
         self.funds = PrepaidFunds(self.context, self.recorder)
-        self.succession = Succession(self.context, self.funds)
+        self.succession = Succession(self.context, self.funds.pool)
         self.running = set()
         self.context.index = RouteIndex(world.table())
 
@@ -202,16 +203,16 @@
         self.recorder.start()
         self.funds.start()
         self.context.spawn(self.succession.run())
-        self.context.spawn(self.funds.sync({}))
+        self.context.spawn(self.funds.pool.sync({}))
 
     def handlers(self):
         """Return the handlers of messages."""
         return {
-            HoldingsNotice: self.funds.on_holdings,
-            FundsRequest: self.funds.on_request,
-            FundsAnswer: self.funds.on_answer,
-            Transfer: self.funds.on_transfer,
-            TransferAck: self.funds.on_ack,
+            HoldingsNotice: self.funds.peers.on_holdings,
+            FundsRequest: self.funds.peers.on_request,
+            FundsAnswer: self.funds.peers.on_answer,
+            Transfer: self.funds.peers.on_transfer,
+            TransferAck: self.funds.peers.on_ack,
         }
 
     def kill(self):
--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -8,7 +8,7 @@
 from prepaid_support import play
 
 from bilberryshed.coordination import Bound, BoundsRecord, PoolRow, PrepaidBook, SpendingSchedule
-from bilberryshed.gateway._prepaid_funds import PrepaidFunds
+from bilberryshed.gateway._pool_sync import PoolSync
 
 NOW = 1000.0  # seconds
 
@@ -29,13 +29,13 @@
     return True
 
 
-def trust_doubt(funds, name, row):
+def trust_doubt(sync, name, row):
     """Take the amount that was asked for last as granted, whatever the row says."""
     pool = PoolRow.from_value(row.value)
-    funds.seen[name] = pool
-    account = funds.book.account(name)
-    account.granted = max(account.granted, funds.doubt_grants.pop(name, 0))
-    funds.doubts.pop(name, None)
+    sync.seen[name] = pool
+    account = sync.book.account(name)
+    account.granted = max(account.granted, sync.doubt_grants.pop(name, 0))
+    sync.doubts.pop(name, None)
     return pool
 
 
@@ -43,7 +43,7 @@
     "a successor takes nothing as used": (BoundsRecord, "used_at_most", lambda *args: 0),
     "recorded bounds are not obeyed": (SpendingSchedule, "_limit", lambda *args: 10**12),
     "transfers are credited each time they come": (PrepaidBook, "receive", receive_always),
-    "grants whose answer was lost count at once": (PrepaidFunds, "_take_in", trust_doubt),
+    "grants whose answer was lost count at once": (PoolSync, "_take_in", trust_doubt),
 }
 
 
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -85,7 +85,7 @@
         self.context = GatewayContext(settings, ports)
         self.recorder = BoundsRecorder(self.context)
         self.funds = PrepaidFunds(self.context, self.recorder)
-        self.succession = Succession(self.context, self.funds)
+        self.succession = Succession(self.context, self.funds.pool)
         self.tables = RouteTableWatch(self.context, self._on_table)
         self.servers = BackendWatch(self.context)
         self.forwarder = Forwarder(self.context)
@@ -135,7 +135,7 @@
         """Take new channels until no more come, finish what runs, settle the tokens."""
         began = self.context.timers.now()
         self.context.draining = self.context.book.draining = True
-        self.spawn(self.funds.sync({}))
+        self.spawn(self.funds.pool.sync({}))
         http.conn_params.no_keep_alive = True
         logger().info("draining", running=self.running)
         limit = began + self.settings.drain_time - DRAIN_MARGIN
@@ -146,7 +146,7 @@
         while self.running and self.context.timers.now() < limit:
             await asyncio.sleep(DRAIN_POLL)
         left = self.running
-        settled = await self.funds.close()
+        settled = await self.funds.pool.close()
         if settled:
             await self.recorder.forget()
         logger().info("drained", unfinished=left, settled=settled)
@@ -185,11 +185,11 @@
 
     def _message_handlers(self) -> dict[type, Any]:
         return {
-            HoldingsNotice: self.funds.on_holdings,
-            FundsRequest: self.funds.on_request,
-            FundsAnswer: self.funds.on_answer,
-            Transfer: self.funds.on_transfer,
-            TransferAck: self.funds.on_ack,
+            HoldingsNotice: self.funds.peers.on_holdings,
+            FundsRequest: self.funds.peers.on_request,
+            FundsAnswer: self.funds.peers.on_answer,
+            Transfer: self.funds.peers.on_transfer,
+            TransferAck: self.funds.peers.on_ack,
             RouteTableVersion: self.tables.on_version,
             RouteTableRequest: self.tables.on_request,
             RouteTableNotice: self.tables.on_notice,
@@ -345,7 +345,7 @@
         return index.table.version if index else 0
 
     def _log_shortage(self, id_: str, customer: str, tokens: int, shortage: Shortage) -> None:
-        account, row = self.context.book.account(customer), self.funds.seen.get(customer)
+        account, row = self.context.book.account(customer), self.funds.pool.seen.get(customer)
         logger().info(
             "unfunded",
             request=id_,
--- a/src/bilberryshed/gateway/_succession.py
+++ b/src/bilberryshed/gateway/_succession.py
@@ -11,7 +11,7 @@
 from bilberryshed.coordination import BoundsRecord, PoolRow
 from bilberryshed.gateway._bounds_recorder import BOUNDS_TABLE
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.gateway._prepaid_funds import POOL_TABLE, PrepaidFunds
+from bilberryshed.gateway._pool_sync import POOL_TABLE, PoolSync
 from bilberryshed.state import Put, RowRef
 from bilberryshed.transport import logger
 
@@ -21,15 +21,15 @@
 class Succession:
     """The successor's side of :class:`SpendingSchedule`."""
 
-    def __init__(self, context: GatewayContext, funds: PrepaidFunds) -> None:
+    def __init__(self, context: GatewayContext, pool: PoolSync) -> None:
         self.context = context
-        self.funds = funds
+        self.pool = pool
         self.used: dict[str, dict[str, int]] = {}
 
     async def run(self) -> None:
         """Close predecessors until none is left."""
-        await self.funds.read_once.wait()
-        while not self.funds.closed:
+        await self.pool.read_once.wait()
+        while not self.pool.closed:
             dead = self._dead()
             if not dead:
                 return
@@ -41,7 +41,7 @@
     def _dead(self) -> set[str]:
         """Return earlier lifetimes of this gateway that hold grants."""
         prefix, own = f"{self.context.settings.name}.", self.context.boot
-        holders = {boot for row in self.funds.seen.values() for boot in row.holders}
+        holders = {boot for row in self.pool.seen.values() for boot in row.holders}
         return {boot for boot in holders if boot.startswith(prefix) and boot != own}
 
     async def _close(self, boot: str) -> None:
@@ -59,20 +59,20 @@
         await self._write(boot, self.used[boot])
 
     async def _write(self, boot: str, used: dict[str, int]) -> None:
-        names = [name for name, row in self.funds.seen.items() if boot in row.holders]
+        names = [name for name, row in self.pool.seen.items() if boot in row.holders]
         refs = tuple(RowRef(POOL_TABLE, name) for name in sorted(names))
-        async with self.funds.store_lock:
+        async with self.pool.lock:
             rows = await self.context.ports.tables.read(refs)
             if isinstance(rows, Failure):
                 return
             puts = []
             for row in rows.unwrap():
-                pool = PoolRow.from_value(row.value)
-                self.funds.seen[row.ref.key] = pool
-                if boot in pool.holders:
-                    closed = pool.close_holder(boot, used.get(row.ref.key, 0))
+                found = PoolRow.from_value(row.value)
+                self.pool.seen[row.ref.key] = found
+                if boot in found.holders:
+                    closed = found.close_holder(boot, used.get(row.ref.key, 0))
                     puts.append(Put(row.ref, row.version, closed.to_value()))
             written = await self.context.ports.tables.write(tuple(puts))
         if not isinstance(written, Failure) and written.unwrap():
             logger().info("predecessor_closed", boot=boot, customers=len(puts))
-            await self.funds.sync({})
+            await self.pool.sync({})
--- /dev/null
+++ b/src/bilberryshed/gateway/_token_peers.py
@@ -0,0 +1,219 @@
+"""Prepaid tokens that move between gateways: questions, transfers, and what each has in hand."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from bilberryshed.coordination import PeerHolding, owner
+from bilberryshed.gateway._bounds_recorder import BoundsRecorder
+from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._pool_sync import PoolSync
+from bilberryshed.protocol import (
+    FundsAnswer,
+    FundsRequest,
+    Holding,
+    HoldingsNotice,
+    Transfer,
+    TransferAck,
+)
+from bilberryshed.transport import Link, logger
+
+BUDGET_NAME = "prepaid"  # the one budget that each customer has
+NOTICE_INTERVAL = 0.25  # seconds between notices to a few peers
+NOTICE_PEERS = 6  # peers for each further interval between notices, so that their bytes are bounded
+ASKED_PEERS = 6  # peers asked first for tokens, those that hold most
+RESEND_INTERVAL = 0.5  # seconds between sends of an unacknowledged transfer
+PEER_PATIENCE = 0.25  # seconds for peers to answer
+AGENT_PATIENCE = 0.5  # seconds for a peer that asks the store
+AGENT_HORIZON = 4.0  # seconds of demand that such a peer is asked for
+
+Obtain = Callable[[str, int], Awaitable[bool]]
+
+
+@dataclass(slots=True)
+class _Question:
+    """A question to peers that is open."""
+
+    customer: str
+    pending: set[str]
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+    reserved: int = 0
+
+
+class TokenPeers:
+    """Asks other gateways for tokens, and answers them.
+
+    :param obtain: takes a customer's tokens from the store
+    :param on_credit: called with the customer of a transfer that arrived
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        recorder: BoundsRecorder,
+        pool: PoolSync,
+        obtain: Obtain,
+        on_credit: Callable[[str], None],
+    ) -> None:
+        self.context = context
+        self.recorder = recorder
+        self.pool = pool
+        self.obtain = obtain
+        self.on_credit = on_credit
+        self.book = context.book
+        self.agents: set[str] = set()
+        self.ticks = 0
+        self.questions: dict[str, _Question] = {}
+        self.outgoing: dict[str, tuple[str, Transfer]] = {}
+        self.next_id = 1
+
+    def start(self) -> None:
+        """Subscribe to timers."""
+        timers = self.context.timers
+        timers.subscribe(NOTICE_INTERVAL, lambda now: self._notify())
+        timers.subscribe(RESEND_INTERVAL, lambda now: self._resend())
+
+    def free(self, customer: str) -> int:
+        """Return the tokens of a customer that may be used or given away now."""
+        return self.context.schedule.unlock(self.context.timers.now(), customer).free
+
+    def _notify(self) -> None:
+        """Tell peers what is in hand, less often the more they are."""
+        self.ticks += 1
+        if self.ticks % (1 + len(self.context.peer_links) // NOTICE_PEERS):
+            return
+        now = self.context.timers.now()
+        holdings = tuple(
+            Holding(name, account.held, round(account.demand(now), 1))
+            for name, account in self.book.accounts.items()
+            if account.held or account.demand(now) >= 1
+        )
+        self.context.broadcast(
+            HoldingsNotice(holdings, self.context.draining, self.recorder.store_up)
+        )
+
+    def on_holdings(self, link: Link, notice: HoldingsNotice) -> None:
+        """Take in what a peer has in hand."""
+        held = {h.customer: PeerHolding(h.free, h.rate) for h in notice.holdings}
+        self.book.hear(link.peer.name, held)
+        if notice.store_up and not notice.draining:
+            self.agents.add(link.peer.name)
+        else:
+            self.agents.discard(link.peer.name)
+
+    async def ask_agent(self, customer: str, tokens: int) -> None:
+        """Have one peer that reaches the store take tokens there for this gateway."""
+        names = sorted(self.agents & self.context.peer_links.keys())
+        agent = owner(customer, names)
+        if agent is None:
+            return
+        now = self.context.timers.now()
+        wanted = max(tokens, int(self.book.account(customer).demand(now) * AGENT_HORIZON))
+        await self._ask({agent}, customer, tokens, wanted, recall=False)
+
+    async def ask_all(self, customer: str, tokens: int) -> bool:
+        """Have peers give what they have in hand: first those that hold most, then all others.
+
+        :returns: whether all peers answered, or enough was given before
+        """
+        ranked = self._peers_by_holding(customer)
+        for group in (ranked[:ASKED_PEERS], ranked[ASKED_PEERS:]):
+            lacking = tokens - self.free(customer)
+            if lacking <= 0 or not group:
+                return True
+            question = await self._ask(set(group), customer, lacking, lacking, recall=True)
+            if question.pending:
+                return False
+        return True
+
+    def _peers_by_holding(self, customer: str) -> list[str]:
+        """Return the linked peers, those that said that they hold most first."""
+        nothing = PeerHolding(0, 0.0)
+        told = {
+            name: self.book.peers.get(name, {}).get(customer, nothing).free
+            for name in self.context.peer_links
+        }
+        return sorted(told, key=lambda name: (-told[name], name))
+
+    async def _ask(
+        self, peers: set[str], customer: str, tokens: int, wanted: int, recall: bool
+    ) -> _Question:
+        ask = f"{self.context.boot}.a{self.next_id}"
+        self.next_id += 1
+        question = _Question(customer, set(peers))
+        self.questions[ask] = question
+        request = FundsRequest(ask, customer, BUDGET_NAME, tokens, wanted, recall)
+        for name in peers:
+            self.context.peer_links[name].send(request)
+        try:
+            async with asyncio.timeout(PEER_PATIENCE if recall else AGENT_PATIENCE):
+                while question.pending:
+                    await question.done.wait()
+        except TimeoutError:
+            logger().info("peers_silent", customer=customer, peers=sorted(question.pending))
+        del self.questions[ask]
+        return question
+
+    def on_request(self, link: Link, request: FundsRequest) -> None:
+        """Give a peer what it lacks."""
+        if request.recall or self.free(request.customer) >= request.wanted:
+            self._give(link, request)
+        else:
+            self.context.spawn(self._obtain_for(link, request))
+
+    async def _obtain_for(self, link: Link, request: FundsRequest) -> None:
+        """Take from the store what a peer lacks that does not reach it."""
+        await self.obtain(request.customer, request.wanted)
+        self._give(link, request)
+
+    def _give(self, link: Link, request: FundsRequest) -> None:
+        peer = link.peer
+        transfers: tuple[Transfer, ...] = ()
+        self.context.schedule.unlock(self.context.timers.now(), request.customer)
+        moved = 0 if self.pool.closed else self.book.give(request.customer, request.wanted)
+        if moved:
+            id_ = f"{self.context.boot}.t{self.next_id}"
+            self.next_id += 1
+            transfer = Transfer(id_, peer.boot, request.customer, BUDGET_NAME, moved)
+            self.outgoing[id_] = (peer.name, transfer)
+            transfers = (transfer,)
+        account = self.book.account(request.customer)
+        if moved < request.tokens and account.held:
+            self.context.spawn(self.recorder.raise_bounds({request.customer: request.tokens}))
+        link.send(FundsAnswer(request.ask, moved, account.reserved, transfers, False))
+
+    def on_answer(self, link: Link, answer: FundsAnswer) -> None:
+        """Take in a peer's answer and what it gave."""
+        for transfer in answer.transfers:
+            self.on_transfer(link, transfer)
+        question = self.questions.get(answer.ask)
+        if question is None:
+            return
+        question.reserved += answer.reserved
+        question.pending.discard(link.peer.name)
+        if not question.pending:
+            question.done.set()
+
+    def on_transfer(self, link: Link, transfer: Transfer) -> None:
+        """Credit a transfer that was made to this lifetime, once."""
+        if transfer.source != self.context.boot or self.pool.closed:
+            return
+        if self.book.receive(transfer.customer, transfer.transfer, transfer.tokens):
+            self.on_credit(transfer.customer)
+        link.send(TransferAck((transfer.transfer,)))
+
+    def on_ack(self, link: Link, ack: TransferAck) -> None:
+        """Forget transfers that arrived."""
+        for transfer in ack.transfers:
+            self.outgoing.pop(transfer, None)
+
+    def _resend(self) -> None:
+        for id_, (name, transfer) in list(self.outgoing.items()):
+            link = self.context.peer_links.get(name)
+            if link is None:
+                continue
+            if link.peer.boot == transfer.source:
+                link.send(transfer)
+            else:
+                del self.outgoing[id_]
+                logger().warning("transfer_lost", transfer=id_, tokens=transfer.tokens, peer=name)
