--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -50,7 +50,10 @@
 
 
 class GatewayContext:
-    """Settings, ports and decisions of one gateway."""
+    """Settings, ports and decisions of one gateway.
+
+    ``draining`` is set from SIGTERM on; ``closing`` once requests that begin are refused.
+    """
 
     def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
         self.settings = settings
@@ -72,6 +75,7 @@
         self.peer_links: dict[str, Link] = {}
         self.known_routers: set[str] = set()
         self.draining = False
+        self.closing = False
         self.tasks = BackgroundTasks()
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> "asyncio.Future[Any]":
