Tokens that a peer holds and cannot give yet are not spent

Change: the answer says whether anything is kept, and the peer has its bound recorded before it answers.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -213,6 +213,13 @@
     When 1 prompts of 30 tokens for 20 go to both gateways in turn
     Then 0 of them are answered 200
 
+  Scenario: Tokens that a peer holds and cannot give yet are not spent
+    Given a second gateway
+    And the customer has paid for 1000 tokens
+    And the first gateway holds all tokens and its bounds are not recorded
+    When 1 prompts of 30 for 20 reach the second gateway
+    Then 1 of them are answered 503
+
   Scenario: Gateways cut off from the store hand tokens to each other
     Given a second gateway
     And the customer has paid for 100000 tokens
--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -15,6 +15,7 @@
 KEY = "k-harbour"
 CUSTOMER = "harbour"
 SETTLE = 3.0  # seconds in which a gateway must take in what the store says
+START_LIMIT = 15.0  # seconds for a gateway to start in, which is no promise
 
 
 def free_port():
@@ -141,7 +142,8 @@
         self.gateways[name], self.stops[name] = gateway, stop
         self.tasks[name] = asyncio.ensure_future(gateway.serve_until(stop))
         if ready:
-            await self.until(lambda: gateway.is_ready() and self._knows_backends(gateway))
+            known = lambda: gateway.is_ready() and self._knows_backends(gateway)  # noqa: E731
+            await self.until(known, START_LIMIT)
         return gateway
 
     def _knows_backends(self, gateway):
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -476,3 +476,22 @@
 def then_engines(context, count):
     ran = [b.id for b in context.rig.backends.values() if "model" in b.id and b.ran]
     assert len(ran) == count, ran
+
+
+@given("the first gateway holds all tokens and its bounds are not recorded")
+def given_locked(context):
+    async def lock():
+        first, second = (context.rig.gateways[name] for name in ("gate-1", "gate-2"))
+        row = {"closed": 0, "holders": {first.context.boot: 1000}}
+        context.rig.store.put("prepaid", CUSTOMER, row)
+        for gateway in (first, second):
+            await gateway.funds.pool.sync({})
+        first.recorder.closed = True
+        first.context.schedule.stored = None
+
+    run(context, lock())
+
+
+@when("{count:d} prompts of {size:d} for {most:d} reach the second gateway")
+def when_second(context, count, size, most):
+    context.replies = run(context, prompts(context, ("gate-2",), count, f"{size},{most}"))
--- a/src/bilberryshed/gateway/_token_peers.py
+++ b/src/bilberryshed/gateway/_token_peers.py
@@ -32,12 +32,16 @@
 
 @dataclass(slots=True)
 class _Question:
-    """A question to peers that is open."""
+    """A question to peers that is open.
+
+    :param pending: peers that have not answered
+    :param holding: whether one answered that it keeps tokens which it cannot give now
+    """
 
     customer: str
     pending: set[str]
     done: asyncio.Event = field(default_factory=asyncio.Event)
-    reserved: int = 0
+    holding: bool = False
 
 
 class TokenPeers:
@@ -114,7 +118,7 @@
     async def ask_all(self, customer: str, tokens: int) -> bool:
         """Have peers give what they have in hand: first those that hold most, then all others.
 
-        :returns: whether all peers answered, or enough was given before
+        :returns: whether enough was given, or all peers answered that they have nothing left
         """
         ranked = self._peers_by_holding(customer)
         for group in (ranked[:ASKED_PEERS], ranked[ASKED_PEERS:]):
@@ -122,7 +126,7 @@
             if lacking <= 0 or not group:
                 return True
             question = await self._ask(set(group), customer, lacking, lacking, recall=True)
-            if question.pending:
+            if question.pending or question.holding:
                 return False
         return True
 
@@ -156,14 +160,18 @@
 
     def on_request(self, link: Link, request: FundsRequest) -> None:
         """Give a peer what it lacks."""
-        if request.recall or self.free(request.customer) >= request.wanted:
+        if self.free(request.customer) >= request.wanted:
             self._give(link, request)
         else:
-            self.context.spawn(self._obtain_for(link, request))
+            self.context.spawn(self._unlock_for(link, request))
 
-    async def _obtain_for(self, link: Link, request: FundsRequest) -> None:
-        """Take from the store what a peer lacks that does not reach it."""
-        await self.obtain(request.customer, request.wanted)
+    async def _unlock_for(self, link: Link, request: FundsRequest) -> None:
+        """Give a peer what it lacks after more could be used here, or was taken for it."""
+        if request.recall:
+            if self.book.account(request.customer).held > 0:
+                await self.recorder.raise_bounds({request.customer: request.wanted})
+        else:
+            await self.obtain(request.customer, request.wanted)
         self._give(link, request)
 
     def _give(self, link: Link, request: FundsRequest) -> None:
@@ -178,9 +186,8 @@
             self.outgoing[id_] = (peer.name, transfer)
             transfers = (transfer,)
         account = self.book.account(request.customer)
-        if moved < request.tokens and account.held:
-            self.context.spawn(self.recorder.raise_bounds({request.customer: request.tokens}))
-        link.send(FundsAnswer(request.ask, moved, account.reserved, transfers, False))
+        exhausted = account.held <= 0
+        link.send(FundsAnswer(request.ask, moved, account.reserved, transfers, exhausted))
 
     def on_answer(self, link: Link, answer: FundsAnswer) -> None:
         """Take in a peer's answer and what it gave."""
@@ -189,7 +196,7 @@
         question = self.questions.get(answer.ask)
         if question is None:
             return
-        question.reserved += answer.reserved
+        question.holding = question.holding or not answer.exhausted
         question.pending.discard(link.peer.name)
         if not question.pending:
             question.done.set()
--- a/src/bilberryshed/protocol/_messages.py
+++ b/src/bilberryshed/protocol/_messages.py
@@ -314,7 +314,8 @@
     :param tokens: tokens transferred; 0 if none can be had
     :param transfers: transfers that carry them
     :param reserved: tokens held for running requests, some of which may be released
-    :param exhausted: whether the store has no more of this budget either
+    :param exhausted: whether nothing more can be had from the sender: neither from its hand nor,
+        where it asked the store, from there
     """
 
     ask: str
