One piece of code where two stood in the gateway; dead state gone

Both ways of closing a lifetime read, change and write pool rows through PoolSync.change; the messages that move tokens are listed beside their handlers, for the gateway and the histories; the load tool's free_port serves soak and tests; the version of the table in force is told in one place. Never read: CallerExchange.gone, _Question.customer, ChannelPool.opened. Behaviour and checks are the same.

--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -1,7 +1,6 @@
 """A gateway in this process before stand-ins of the users' platform."""
 
 import asyncio
-import socket
 from dataclasses import dataclass, field
 
 import h11
@@ -9,6 +8,7 @@
 from bilberryshed.gateway import Gateway
 from bilberryshed.platform import gateway_ports
 from bilberryshed.state import Address, GatewaySettings
+from bilberryshed_load._plans import free_port
 from bilberryshed_standins import RoutedBackend, RowStore, serve_row_store
 
 HOST = "calls.example"
@@ -18,13 +18,6 @@
 START_LIMIT = 15.0  # seconds for a gateway to start in, which is no promise
 
 
-def free_port():
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def route(name, prefix, service, kind="idempotent", **more):
     """Return a route as the operator writes it."""
     base = {
--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -17,12 +17,7 @@
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
 from bilberryshed.gateway._succession import Succession
 from bilberryshed.protocol import (
-    FundsAnswer,
-    FundsRequest,
     Hello,
-    HoldingsNotice,
-    Transfer,
-    TransferAck,
 )
 from bilberryshed.state import (
     Address,
@@ -207,13 +202,7 @@
 
     def handlers(self):
         """Return the handlers of messages."""
-        return {
-            HoldingsNotice: self.funds.peers.on_holdings,
-            FundsRequest: self.funds.peers.on_request,
-            FundsAnswer: self.funds.peers.on_answer,
-            Transfer: self.funds.peers.on_transfer,
-            TransferAck: self.funds.peers.on_ack,
-        }
+        return self.funds.peers.handlers()
 
     def kill(self):
         """End at once; what was running counts as fully used."""
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -126,10 +126,6 @@
             self.funds.settle(customer.name, tokens, spent)
             logger().info("tokens", request=request.id, customer=customer.name, spent=spent)
 
-    def _table_version(self) -> int:
-        index = self.context.index
-        return index.table.version if index else 0
-
     def _log_shortage(self, id_: str, customer: str, tokens: int, shortage: Shortage) -> None:
         account, row = self.context.book.account(customer), self.funds.pool.seen.get(customer)
         logger().info(
@@ -161,7 +157,7 @@
             request=job.request.id,
             route=job.route.name,
             customer=job.customer.name if job.customer else None,
-            table=self._table_version(),
+            table=self.context.table_version(),
             outcome=outcome,
             status=job.status,
             server=job.server,
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -14,7 +14,6 @@
     ResponseStartLine,
     responses,
 )
-from tornado.iostream import StreamClosedError
 
 from bilberryshed.transport import HeaderList
 
@@ -36,7 +35,6 @@
     """A request and its answer.
 
     :param started: whether any of the answer has been sent
-    :param gone: whether the caller closed the channel before the answer was whole
     """
 
     __slots__ = (
@@ -49,7 +47,6 @@
         "size",
         "started",
         "ended",
-        "gone",
         "task",
         "request_id",
     )
@@ -65,7 +62,6 @@
         self.request_id = ""
         self.started = False
         self.ended = False
-        self.gone = False
         self.task: asyncio.Future[None] | None = None
 
     # Called by the server -------------------------------------------------------------------
@@ -90,7 +86,6 @@
 
     def on_connection_close(self) -> None:
         """Stop work on the request: nobody waits for its answer."""
-        self.gone = True
         if self.task is not None and not self.ended:
             self.task.cancel()
 
@@ -161,5 +156,5 @@
 
 def _seen(future: "asyncio.Future[None]") -> None:
     """Mark a write's failure as seen: a closed channel is reported to the exchange."""
-    if not future.cancelled() and isinstance(future.exception(), StreamClosedError):
-        return
+    if not future.cancelled():
+        future.exception()
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -82,6 +82,10 @@
         """Run a coroutine on the loop; a failure is logged."""
         return self.tasks.spawn(coroutine)
 
+    def table_version(self) -> int:
+        """Return the version of the route table in force, 0 before the first."""
+        return self.index.table.version if self.index else 0
+
     def router_count(self) -> int:
         """Return the gateways of the deployment, this one included, as far as known."""
         return len(self.known_routers | {self.settings.name})
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -124,7 +124,7 @@
         if job.deadline - now < LEAST_TIME or job.refused > MOST_REFUSED:
             return False
         if result is Outcome.TIMEOUT or (
-            result is not Outcome.NOT_RUN and not self._repeatable(job)
+            result is not Outcome.NOT_RUN and not job.route.repeatable
         ):
             return False
         if job.runs >= job.route.attempts and job.runs:
@@ -136,9 +136,6 @@
             self._log(job, "retry_not_allowed", result=result)
         return allowed
 
-    def _repeatable(self, job: Job) -> bool:
-        return job.route.repeatable
-
     async def _choose(self, job: Job) -> BackendView | None:
         """Choose a backend server; wait briefly while all are busy or restarting."""
         patience = CHOICE_PATIENCE * job.route.latency_target
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -19,14 +19,9 @@
 from bilberryshed.protocol import (
     BackendsNotice,
     CrashNotice,
-    FundsAnswer,
-    FundsRequest,
-    HoldingsNotice,
     RouteTableNotice,
     RouteTableRequest,
     RouteTableVersion,
-    Transfer,
-    TransferAck,
 )
 from bilberryshed.state import CallerLimits, GatewaySettings
 from bilberryshed.transport import Link, logger
@@ -160,11 +155,7 @@
 
     def _message_handlers(self) -> dict[type, Any]:
         return {
-            HoldingsNotice: self.funds.peers.on_holdings,
-            FundsRequest: self.funds.peers.on_request,
-            FundsAnswer: self.funds.peers.on_answer,
-            Transfer: self.funds.peers.on_transfer,
-            TransferAck: self.funds.peers.on_ack,
+            **self.funds.peers.handlers(),
             RouteTableVersion: self.tables.on_version,
             RouteTableRequest: self.tables.on_request,
             RouteTableNotice: self.tables.on_notice,
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -53,8 +53,7 @@
 
     def text(self) -> bytes:
         """Return all metrics in the usual text format."""
-        index = self.context.index
-        self.table_version.set(index.table.version if index else 0)
+        self.table_version.set(self.context.table_version())
         now = self.context.timers.now()
         views = self.context.backends.views.values()
         self.backends.labels("leaving").set(sum(view.left for view in views))
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -1,6 +1,7 @@
 """Keeps the store's rows of prepaid tokens in line with what this gateway needs."""
 
 import asyncio
+from collections.abc import Callable
 
 from returns.result import Failure
 
@@ -16,6 +17,8 @@
 STORE_PAUSE = 0.5  # seconds after a failed call in which requests do not wait for the store
 CONFLICTS = 8  # conflicting writes in a row after which a sync waits for its next turn
 
+Change = Callable[[str, PoolRow], PoolRow]
+
 
 class PoolSync:
     """Reads, plans and writes the rows, one transaction at a time.
@@ -163,20 +166,33 @@
         return False
 
     async def _close_once(self) -> bool | None:
-        refs = tuple(RowRef(POOL_TABLE, name) for name in sorted(self.seen))
-        if not refs:
+        def close(name: str, pool: PoolRow) -> PoolRow:
+            closed = self.book.close(name, pool)
+            if closed is not pool:
+                self.book.account(name).granted = 0
+            return closed
+
+        return await self.change(sorted(self.seen), close)
+
+    async def change(self, names: list[str], change: Change) -> bool | None:
+        """Read rows and write those that a function changes; the caller holds the lock.
+
+        :param change: takes a customer and its row; returns the same row to leave it
+        :returns: whether the store took it, ``None`` after a conflict
+        """
+        if not names:
             return True
-        rows = await self.context.ports.tables.read(refs)
+        tables = self.context.ports.tables
+        rows = await tables.read(tuple(RowRef(POOL_TABLE, name) for name in names))
         if isinstance(rows, Failure):
             return False
         puts = []
         for row in rows.unwrap():
-            pool = PoolRow.from_value(row.value)
-            closed = self.book.close(row.ref.key, pool)
-            if closed is not pool:
-                puts.append(Put(row.ref, row.version, closed.to_value()))
-                self.book.account(row.ref.key).granted = 0
-        written = await self.context.ports.tables.write(tuple(puts))
+            pool = self.seen[row.ref.key] = PoolRow.from_value(row.value)
+            wished = change(row.ref.key, pool)
+            if wished is not pool:
+                puts.append(Put(row.ref, row.version, wished.to_value()))
+        written = await tables.write(tuple(puts))
         if isinstance(written, Failure):
             return False
         return True if written.unwrap() else None
--- a/src/bilberryshed/gateway/_succession.py
+++ b/src/bilberryshed/gateway/_succession.py
@@ -11,8 +11,8 @@
 from bilberryshed.coordination import BoundsRecord, PoolRow
 from bilberryshed.gateway._bounds_recorder import BOUNDS_TABLE
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.gateway._pool_sync import POOL_TABLE, PoolSync
-from bilberryshed.state import Put, RowRef
+from bilberryshed.gateway._pool_sync import PoolSync
+from bilberryshed.state import RowRef
 from bilberryshed.transport import logger
 
 INTERVAL = 0.2  # seconds between tries
@@ -59,20 +59,14 @@
         await self._write(boot, self.used[boot])
 
     async def _write(self, boot: str, used: dict[str, int]) -> None:
-        names = [name for name, row in self.pool.seen.items() if boot in row.holders]
-        refs = tuple(RowRef(POOL_TABLE, name) for name in sorted(names))
+        def close(name: str, pool: PoolRow) -> PoolRow:
+            if boot not in pool.holders:
+                return pool
+            return pool.close_holder(boot, used.get(name, 0))
+
+        names = sorted(name for name, row in self.pool.seen.items() if boot in row.holders)
         async with self.pool.lock:
-            rows = await self.context.ports.tables.read(refs)
-            if isinstance(rows, Failure):
-                return
-            puts = []
-            for row in rows.unwrap():
-                found = PoolRow.from_value(row.value)
-                self.pool.seen[row.ref.key] = found
-                if boot in found.holders:
-                    closed = found.close_holder(boot, used.get(row.ref.key, 0))
-                    puts.append(Put(row.ref, row.version, closed.to_value()))
-            written = await self.context.ports.tables.write(tuple(puts))
-        if not isinstance(written, Failure) and written.unwrap():
-            logger().info("predecessor_closed", boot=boot, customers=len(puts))
+            closed = await self.pool.change(names, close)
+        if closed:
+            logger().info("predecessor_closed", boot=boot, customers=len(names))
             await self.pool.sync({})
--- a/src/bilberryshed/gateway/_token_peers.py
+++ b/src/bilberryshed/gateway/_token_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from bilberryshed.coordination import PeerHolding, owner
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
@@ -38,7 +39,6 @@
     :param holding: whether one answered that it keeps tokens which it cannot give now
     """
 
-    customer: str
     pending: set[str]
     done: asyncio.Event = field(default_factory=asyncio.Event)
     holding: bool = False
@@ -77,6 +77,16 @@
         timers.subscribe(NOTICE_INTERVAL, lambda now: self._notify())
         timers.subscribe(RESEND_INTERVAL, lambda now: self._resend())
 
+    def handlers(self) -> dict[type, Callable[[Link, Any], None]]:
+        """Return the handlers of the messages that move tokens."""
+        return {
+            HoldingsNotice: self.on_holdings,
+            FundsRequest: self.on_request,
+            FundsAnswer: self.on_answer,
+            Transfer: self.on_transfer,
+            TransferAck: self.on_ack,
+        }
+
     def free(self, customer: str) -> int:
         """Return the tokens of a customer that may be used or given away now."""
         return self.context.schedule.unlock(self.context.timers.now(), customer).free
@@ -144,7 +154,7 @@
     ) -> _Question:
         ask = f"{self.context.boot}.a{self.next_id}"
         self.next_id += 1
-        question = _Question(customer, set(peers))
+        question = _Question(set(peers))
         self.questions[ask] = question
         request = FundsRequest(ask, customer, BUDGET_NAME, tokens, wanted, recall)
         for name in peers:
--- a/src/bilberryshed/transport/_channels.py
+++ b/src/bilberryshed/transport/_channels.py
@@ -191,11 +191,10 @@
 class ChannelPool:
     """Idle channels by key."""
 
-    __slots__ = ("idle", "opened")
+    __slots__ = ("idle",)
 
     def __init__(self) -> None:
         self.idle: dict[str, deque[Channel]] = {}
-        self.opened = 0
 
     def take(self, key: str, now: float, most_idle: float = 1.0) -> Channel | None:
         """Return an idle channel, the one used last first.
@@ -229,7 +228,6 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        self.opened += 1
         return Channel(key, stream)
 
     def put_back(self, channel: Channel, now: float, stated_idle: float | None) -> None:
--- a/src/bilberryshed_load/_soak.py
+++ b/src/bilberryshed_load/_soak.py
@@ -5,7 +5,6 @@
 import logging
 import random
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
 import h11
 
 from bilberryshed.state import Address
+from bilberryshed_load._plans import free_port
 from bilberryshed_load._soak_proxy import Harm, HarmfulProxy
 from bilberryshed_load._soak_record import Answered, Sent, SoakRecord
 from bilberryshed_standins import EVENTS, RoutedBackend, RowStore, serve_row_store
@@ -148,7 +148,7 @@
     async def _add_gateway(self, name: str, store_port: int) -> None:
         proxy = HarmfulProxy(("127.0.0.1", store_port), random.Random(self.seed))
         await proxy.start()
-        listen, ready, link = (f"127.0.0.1:{_free_port()}" for _ in range(3))
+        listen, ready, link = (f"127.0.0.1:{free_port()}" for _ in range(3))
         path = self.folder / f"{name}.ini"
         path.write_text(
             f"[vm]\nname = {name}\nzone = quay\nlisten = {listen}\nready_listen = {ready}\n"
@@ -355,12 +355,6 @@
             writer.close()
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def run_soak(seed: int, seconds: float, folder: Path) -> SoakRecord:
     """Play one soak and print what it found."""
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
