--- a/scripts/count_results.py
+++ b/scripts/count_results.py
@@ -3,6 +3,17 @@
 import json
 import sys
 from pathlib import Path
+from typing import Any
+
+
+def print_failure(scenario: dict[str, Any]) -> None:
+    """Print the place and the message of each step of a scenario that did not pass."""
+    for step in scenario.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") in ("failed", "error"):
+            message = result.get("error_message", "no message")
+            text = message if isinstance(message, str) else "\n".join(message)
+            print(f"{scenario['location']} {scenario['name']!r}, step {step['name']!r}:\n{text}")
 
 
 def main() -> int:
@@ -12,12 +23,15 @@
         print(f"{path} is missing: behave did not run")
         print("0 passed, 1 failed")
         return 1
-    statuses = [
-        element["status"]
+    scenarios = [
+        element
         for feature in json.loads(path.read_text(encoding="utf-8"))
         for element in feature.get("elements", [])
         if element["type"] == "scenario"
     ]
+    statuses = [scenario["status"] for scenario in scenarios]
+    for scenario in scenarios:
+        print_failure(scenario)
     passed = statuses.count("passed")
     failed = len([status for status in statuses if status not in ("passed", "skipped")])
     print(f"{passed} passed, {failed} failed")
--- a/src/bilberryshed_load/_plans.py
+++ b/src/bilberryshed_load/_plans.py
@@ -1,11 +1,16 @@
 """Which processes a fleet on one machine consists of, and their settings."""
 
 import configparser
+import itertools
+import os
 import socket
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 HOST = "127.0.0.1"
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+PORT_STRIDE = 997  # ports between the starts of processes with consecutive ids
 
 
 @dataclass(slots=True, frozen=True)
@@ -200,15 +205,28 @@
     return path
 
 
-_reserved: set[int] = set()
+def _candidates() -> Iterator[int]:
+    """Yield ports for this process, from a start of its own, so that parallel runs differ."""
+    count = LAST_PORT - FIRST_PORT + 1
+    for step in itertools.count(os.getpid() * PORT_STRIDE):
+        yield FIRST_PORT + step % count
+
+
+_ports = _candidates()
 
 
 def free_port() -> int:
-    """Return a TCP port that is free now and was not returned before."""
-    while True:
+    """Return a TCP port on which nothing listens and that was not returned lately.
+
+    It lies below the range from which the system takes source ports: otherwise any connection
+    that is opened before the port is listened on may occupy it.
+    """
+    for port in _ports:
         with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _reserved:
-            _reserved.add(port)
-            return int(port)
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
+    raise AssertionError("the candidates never end")
