--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -46,6 +46,17 @@
     TIMEOUT = "timeout"
 
 
+@dataclass(slots=True, frozen=True)
+class Load:
+    """What this gateway has at a backend server.
+
+    :param work: tokens, outputs weighted
+    """
+
+    running: int = 0
+    work: int = 0
+
+
 @dataclass(slots=True)
 class Job:
     """One request under way.
@@ -55,6 +66,7 @@
     :param runs: sends that may have begun to run
     :param tried: ids of backend servers that it does not go to again
     :param status: status of the answer that the caller gets
+    :param load: requests and work of this gateway at the backend server when it was chosen
     :param first_event_at: monotonic time at which the caller got the first event
     """
 
@@ -74,6 +86,7 @@
     last_failure: str = ""
     failed_answer: "tuple[BackendAnswer, bytes] | None" = None
     server: str = ""
+    load: Load = Load()
     status: int = 0
     first_event_at: float | None = None
 
@@ -82,6 +95,13 @@
         """Whether the answer is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def first_ms(self) -> int | None:
+        """Milliseconds from the request to the first event for the caller."""
+        return (
+            None if self.first_event_at is None else _milliseconds(self.first_event_at - self.began)
+        )
+
     @property
     def demand(self) -> BackendDemand:
         """What it asks of a backend server."""
@@ -155,6 +175,7 @@
 
     async def _attempt(self, job: Job, view: BackendView) -> Outcome:
         demand = job.demand
+        job.load = Load(view.running, view.work)
         self.pool.begin(view, demand)
         job.server = view.server.id
         try:
@@ -354,3 +375,7 @@
             events=job.cutter.events,
             **details,
         )
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
