A lowered total is given back in proportion; bounds lead by 1.8 s; grants are logged

Now each gives back its part by what it holds, at once again if it came too late, and looks again after 50 ms while tokens are still out. Tokens that arrive from a peer are unlocked by a raised bound before a refusal. One log line for each change of a grant.

--- a/features/prepaid.feature
+++ b/features/prepaid.feature
@@ -45,8 +45,8 @@
     Examples:
       | tokens | growth | age | bound |
       | 1000   | 100    | 0   | 1000  |
-      | 1000   | 100    | 2.4 | 1000  |
-      | 1000   | 100    | 4.4 | 1200  |
+      | 1000   | 100    | 1.8 | 1000  |
+      | 1000   | 100    | 5.8 | 1400  |
 
   Scenario Outline: A pool of <prepaid> with <free> left, a router in hand of <held> with demand <rate>
     When the router plans with <need> tokens lacking
@@ -66,3 +66,13 @@
       | 100000  | 40000  | 60000 | 1000 | 0     | -35000 |
       | 100000  | -20000 | 60000 | 1000 | 0     | -20000 |
       | 100000  | -90000 | 60000 | 1000 | 0     | -60000 |
+
+  Scenario Outline: With <held> in hand and <told> with a peer, <back> of 20000 missing go back
+    When the router plans with 0 tokens lacking
+    Then its grant changes by -<back>
+
+    Examples: what was granted beyond a lowered total goes back in proportion to what is held
+      | prepaid | free   | held  | told  | rate | back  |
+      | 100000  | -20000 | 60000 | 0     | 0    | 20000 |
+      | 100000  | -20000 | 60000 | 20000 | 0    | 15000 |
+      | 100000  | -20000 | 5000  | 5000  | 0    | 5000  |
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -57,6 +57,14 @@
 def given_paid(context, tokens):
     tenant = {"name": CUSTOMER, "apiKeys": [KEY], "prepaid": tokens}
     put_config(context, tenants=[tenant])
+    gateways = context.rig.gateways.values()
+
+    def is_in_force():
+        accounts = [gateway.context.book.account(CUSTOMER) for gateway in gateways]
+        totals = {gateway.context.prepaid_totals()[CUSTOMER] for gateway in gateways}
+        return totals == {tokens} and sum(account.granted for account in accounts) <= tokens
+
+    run(context, context.rig.until(is_in_force))
 
 
 @given("the customer's key is replaced")
@@ -411,6 +419,16 @@
     context.replies = run(context, call)
 
 
+@when("both gateways have recorded bounds since")
+def when_recorded(context):
+    async def recorded():
+        now = asyncio.get_running_loop().time()
+        schedules = [gateway.context.schedule for gateway in context.rig.gateways.values()]
+        await context.rig.until(lambda: all(s.stored.composed_at > now for s in schedules))
+
+    run(context, recorded())
+
+
 @when(
     "the store falls silent and {count:d} prompts of {size:d} for {most:d} reach the second gateway"
 )
--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -7,7 +7,14 @@
 from behave import given, then, when
 from prepaid_support import play, play_outage, play_restart
 
-from bilberryshed.coordination import Bound, BoundsRecord, PoolRow, PrepaidBook, SpendingSchedule
+from bilberryshed.coordination import (
+    Bound,
+    BoundsRecord,
+    PeerHolding,
+    PoolRow,
+    PrepaidBook,
+    SpendingSchedule,
+)
 from bilberryshed.gateway._pool_requests import PoolRequests
 from bilberryshed.gateway._pool_sync import PoolSync
 
@@ -114,6 +121,8 @@
     if rate:
         account.first_at = NOW - 1000
         account.rate, account.rate_at = rate, NOW
+    if row.get("told"):
+        book.hear("peer", {"harbour": PeerHolding(int(row["told"]), 0.0)})
     others = prepaid - free - held
     before = PoolRow(0, {"r1.a": held, "r2.b": others})
     after = book.plan(NOW, "harbour", before, prepaid, need, 4)
--- a/src/bilberryshed/coordination/_prepaid.py
+++ b/src/bilberryshed/coordination/_prepaid.py
@@ -245,7 +245,7 @@
         account = self.account(customer)
         pool_free = row.free(prepaid)
         if pool_free < 0 < account.held:
-            return -min(account.held, -pool_free)
+            return -self._part_of_deficit(customer, row, -pool_free)
         goal = self.target(now, customer, max(0, pool_free), routers)
         lacking = max(need, goal - account.held)
         if need or (account.held < REFILL_SHARE * goal and lacking >= LEAST_GRANT):
@@ -254,6 +254,17 @@
             return goal - account.held
         return 0
 
+    def _part_of_deficit(self, customer: str, row: PoolRow, deficit: int) -> int:
+        """Return what this router gives back of what was granted beyond a lowered total.
+
+        All give back in proportion to what they hold, so that none is left with nothing.
+        """
+        held = self.account(customer).held
+        told = [holdings[customer] for holdings in self.peers.values() if customer in holdings]
+        granted = sum(tokens for boot, tokens in row.holders.items() if boot != self.boot)
+        others = min(max(0, granted), sum(max(0, holding.free) for holding in told))
+        return min(held, math.ceil(deficit * held / (held + others)))
+
     def plan(
         self, now: float, customer: str, row: PoolRow, prepaid: int, need: int, routers: int
     ) -> PoolRow:
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -18,6 +18,7 @@
 SYNC_INTERVAL = 0.5  # seconds between looks whether the grants fit
 READ_INTERVAL = 0.45  # seconds after which a few gateways read the rows although nothing is needed
 READ_PEERS = 6  # peers for each further interval between reads, so that the store's load is bounded
+FOLLOW_UP_DELAY = 0.05  # seconds after which a total that was lowered is looked at again
 STORE_PATIENCE = 0.35  # seconds that a request waits for the store
 STORE_PAUSE = 0.5  # seconds after a failed call in which requests do not wait for the store
 
@@ -102,18 +103,33 @@
             return True
         if self._must_read(totals) and not await self._read(totals):
             return False
-        now, routers = self.context.timers.now(), self.context.router_count()
         changes: list[PoolChange] = []
         direct: list[str] = []
         for name, total in totals.items():
-            need = needs.get(name, 0)
-            wish = self.book.wish(now, name, self.seen[name], total, need, routers)
+            wish = self._wish(name, total, needs.get(name, 0))
             if name in self.doubts:
                 direct.append(name)
             elif wish:
                 changes.append(self._request(name, wish))
         direct += await self._have_changed(changes, totals)
-        return all([await self._write_batch(names, needs) for names in row_batches(direct)])
+        done = [await self._write_batch(names, needs) for names in row_batches(direct)]
+        self._follow_up(totals)
+        return all(done)
+
+    def _follow_up(self, totals: dict[str, int]) -> None:
+        """Look again soon where more is granted than a lowered total and some is held here."""
+        missing = [
+            name
+            for name, total in totals.items()
+            if self.seen[name].free(total) < 0 and self.book.account(name).held > 0
+        ]
+        if missing:
+            self.read_at = float("-inf")
+            asyncio.get_running_loop().call_later(FOLLOW_UP_DELAY, self._sync_soon)
+
+    def _wish(self, name: str, total: int, need: int) -> int:
+        now, routers = self.context.timers.now(), self.context.router_count()
+        return self.book.wish(now, name, self.seen[name], total, need, routers)
 
     def _must_read(self, totals: dict[str, int]) -> bool:
         interval = READ_INTERVAL * (1 + len(self.context.peer_links) // READ_PEERS)
@@ -147,25 +163,48 @@
     async def _have_changed(self, changes: list[PoolChange], totals: dict[str, int]) -> list[str]:
         """Have coordinators change grants.
 
+        What could not be given back, as the pool has changed since, is debited anew at once.
+
         :returns: customers for whom less was granted than the store has, by this gateway's table
         """
-        if not changes:
+        left: list[str] = []
+        for _ in range(CONFLICTS):
+            if not changes:
+                break
+            granted = {c.customer: self.book.account(c.customer).granted for c in changes}
+            pools = await self.requests.change(changes)
+            again: list[PoolChange] = []
+            for change in changes:
+                name = change.customer
+                if name in pools:
+                    self.take_in(name, pools[name])
+                if change.take < 0:
+                    again += self._give_back_again(change, granted[name], totals[name])
+                elif not self._is_granted(change, granted[name], name in pools, totals[name]):
+                    left.append(name)
+            changes = again
+        return left
+
+    def _give_back_again(self, change: PoolChange, granted: int, total: int) -> list[PoolChange]:
+        """Return a new change in place of one that came too late, if one is still wanted.
+
+        :param granted: the grant without what was to be given back
+        """
+        name = change.customer
+        if name in self.doubts or self.book.account(name).granted <= granted:
             return []
-        before = {change.customer: self.book.account(change.customer).granted for change in changes}
-        pools = await self.requests.change(changes)
-        for name, versioned in pools.items():
-            self.take_in(name, versioned)
-        return [
-            change.customer
-            for change in changes
-            if change.take > 0
-            and (
-                change.customer not in pools
-                or self.book.account(change.customer).granted
-                < before[change.customer] + change.take
-                and self.seen[change.customer].free(totals[change.customer]) > 0
-            )
-        ]
+        wish = self._wish(name, total, 0)
+        return [self._request(name, wish)] if wish < 0 else []
+
+    def _is_granted(self, change: PoolChange, granted: int, answered: bool, total: int) -> bool:
+        """Whether as much was granted as the pool allows.
+
+        :param granted: the grant before
+        :param answered: whether the coordinator answered
+        :param total: tokens paid for in all
+        """
+        used_up = answered and self.seen[change.customer].free(total) <= 0
+        return used_up or self.book.account(change.customer).granted >= granted + change.take
 
     async def close_lifetime(self, boot: str, used: dict[str, int]) -> bool:
         """Close an earlier lifetime in all pools that granted it tokens.
@@ -202,7 +241,17 @@
             granted = min(granted, doubt.granted)
         else:
             self.doubts.pop(name, None)
-        self.book.account(name).granted = granted
+        account = self.book.account(name)
+        if granted != account.granted:
+            logger().info(
+                "granted",
+                customer=name,
+                tokens=granted,
+                before=account.granted,
+                used=account.used,
+                version=versioned.version,
+            )
+        account.granted = granted
 
     def _take_in_row(self, row: Row) -> PoolRow:
         pool = PoolRow.from_value(row.value)
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -109,6 +109,8 @@
             if self.peers.free(customer) >= tokens:
                 return Shortage.OUT_OF_REACH
         granted = await self.peers.ask_all(customer, tokens)
+        if account.held >= tokens and self.peers.free(customer) < tokens:
+            await self.recorder.raise_bounds({customer: tokens})
         if not reached or granted is None or account.held >= tokens:
             return Shortage.OUT_OF_REACH
         return self._judge(customer, tokens - account.held, granted)
