--- a/src/bilberryshed/coordination/_spending_schedule.py
+++ b/src/bilberryshed/coordination/_spending_schedule.py
@@ -13,7 +13,7 @@
 from bilberryshed.coordination._prepaid import Account, PrepaidBook
 
 LEAD_TIME = 1.8  # seconds of demand that a bound is ahead of use when it is recorded
-LEAD_TOKENS = 5_000  # tokens that it is ahead beside at least
+LEAD_TOKENS = 1_500  # tokens that it is ahead beside at least
 LEAD_SHARE = 0.03  # of the tokens in hand that it is ahead beside
 GROWTH_DELAY = 1.8  # seconds after which a bound that was not recorded anew begins to grow
 GROWTH = 2.5  # times the demand, by which a bound grows
