--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -11,7 +11,7 @@
 from bilberryshed.state import BackendServer
 
 LOAD_MARGIN = 1.25  # times the mean work, above which the next backend server takes a prompt
-LOAD_SLACK = 12_000  # tokens of work beyond the margin that do no harm
+LOAD_SLACK = 36_000  # tokens of work beyond the margin that do no harm
 OUTPUT_WEIGHT = 10  # tokens read in the time in which one is generated
 REFUSED_PAUSE = 0.3  # seconds without new work after a refused channel, doubled each time
 FULL_PAUSE = 0.15  # seconds without new work after an answer that it is full
