Gateways tell each other their load at backend servers

Cause: each gateway knew only its own work; the hot server of one was the hot server of all (six routers, one conversation: more than 20 of 60 prompts on one of six servers; told of each other, at most 16). Plain calls of two gateways met at the same server.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -35,6 +35,21 @@
     Then at least 1 backend servers run some of them
     And at most 1 backend servers run some of them
 
+  Scenario: Six routers place a burst of a hot conversation, told of each other
+    Given 6 backend servers and 6 routers
+    When 60 prompts of one conversation of 9000 tokens reach the routers in turn, loads told: each
+    Then the most loaded backend server runs at most 16 of them
+
+  Scenario: Routers that know nothing of each other fill one backend server
+    Given 6 backend servers and 6 routers
+    When 60 prompts of one conversation of 9000 tokens reach the routers in turn, loads told: never
+    Then the most loaded backend server runs at least 20 of them
+
+  Scenario: Plain calls of two routers avoid backend servers that the other uses
+    Given 3 backend servers and 2 routers
+    When 12 plain calls reach the routers in turn, loads told: each
+    Then the most loaded backend server runs at most 4 of them
+
   Scenario: Plain calls go to the backend server with the least work, then to the nearest
     Given 3 backend servers
     Then the first plain call goes to the one in its zone
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -1,5 +1,7 @@
 """Steps for the gateway's decisions."""
 
+import collections
+
 from behave import given, then, when
 
 from bilberryshed.coordination import (
@@ -56,6 +58,52 @@
     context.pool.set_servers(context.entries)
 
 
+@given("{count:d} backend servers and {routers:d} routers")
+def given_routers(context, count, routers):
+    given_servers(context, count)
+    context.pools = [BackendPool("zone-1") for _ in range(routers)]
+    for pool in context.pools:
+        pool.set_servers(context.entries)
+
+
+def place_in_turn(context, count, demand, told):
+    """Place requests at all routers in turn; they run on."""
+    context.runs = collections.Counter()
+    for number in range(count):
+        sender = number % len(context.pools)
+        pool = context.pools[sender]
+        view = pool.choose(NOW, "model", demand, NOBODY)
+        pool.begin(view, demand)
+        context.runs[view.server.id] += 1
+        if told == "each":
+            for other in context.pools:
+                if other is not pool:
+                    other.hear(f"router-{sender}", pool.loads())
+
+
+@when(
+    "{count:d} prompts of one conversation of {tokens:d} tokens reach the routers in turn, "
+    "loads told: {told}"
+)
+def when_burst(context, count, tokens, told):
+    place_in_turn(context, count, BackendDemand("hot", tokens), told)
+
+
+@when("{count:d} plain calls reach the routers in turn, loads told: {told}")
+def when_plain_burst(context, count, told):
+    place_in_turn(context, count, PLAIN, told)
+
+
+@then("the most loaded backend server runs at most {most:d} of them")
+def then_most(context, most):
+    assert max(context.runs.values()) <= most, context.runs
+
+
+@then("the most loaded backend server runs at least {least:d} of them")
+def then_least(context, least):
+    assert max(context.runs.values()) >= least, context.runs
+
+
 def place(context, demand, now=NOW):
     """Choose a backend server and count the request there."""
     view = context.pool.choose(now, "model", demand, NOBODY)
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -1,13 +1,16 @@
 """Which backend server a request is sent to.
 
-Prompts go to the backend server that rendezvous hashing names for their shared parts, so that a
-part is read once, unless it has clearly more work than its peers: then the next in order takes it.
-Backend servers that fail are left out for a while, by their outcomes and not by probes.
+Routers tell each other what they have at each backend server, so that all see nearly the same load
+and none fills one that its peers fill too. Prompts go to the backend server that rendezvous hashing
+names for their shared parts, so that a part is read once, unless it has clearly more work than its
+peers: then the next in order takes it. Backend servers that fail are left out for a while, by their
+outcomes and not by probes.
 """
 
 from dataclasses import dataclass
 
 from bilberryshed.coordination._rendezvous import owner
+from bilberryshed.protocol import ServerLoad
 from bilberryshed.state import BackendServer
 
 LOAD_MARGIN = 1.25  # times the mean work, above which the next backend server takes a prompt
@@ -28,6 +31,8 @@
 
     :param running: requests of this router that run there
     :param work: their tokens, outputs weighted
+    :param peers_running: requests of other routers, as they said last
+    :param peers_work: tokens of these
     :param refused: refused channels in a row
     :param not_before: monotonic time before which it gets no new work
     :param failures: share of recent requests that it failed, from 0 to 1
@@ -38,12 +43,24 @@
     server: BackendServer
     running: int = 0
     work: int = 0
+    peers_running: int = 0
+    peers_work: int = 0
     refused: int = 0
     not_before: float = 0.0
     failures: float = 0.0
     avoid_until: float = 0.0
     left: bool = False
 
+    @property
+    def all_running(self) -> int:
+        """Requests of all routers that run there."""
+        return self.running + self.peers_running
+
+    @property
+    def all_work(self) -> int:
+        """Tokens of these, outputs weighted."""
+        return self.work + self.peers_work
+
 
 @dataclass(slots=True, frozen=True)
 class Demand:
@@ -63,11 +80,39 @@
     :param zone: availability zone of this router, preferred for plain requests
     """
 
-    __slots__ = ("zone", "views")
+    __slots__ = ("zone", "views", "peer_loads")
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
         self.views: dict[str, BackendView] = {}
+        self.peer_loads: dict[str, tuple[ServerLoad, ...]] = {}
+
+    def loads(self) -> tuple[ServerLoad, ...]:
+        """Return what this router has at backend servers, for its peers."""
+        return tuple(
+            ServerLoad(id_, view.running, view.work)
+            for id_, view in self.views.items()
+            if view.running
+        )
+
+    def hear(self, peer: str, loads: tuple[ServerLoad, ...]) -> None:
+        """Take in what a peer has at backend servers."""
+        self.peer_loads[peer] = loads
+        self._add_up()
+
+    def forget_peer(self, peer: str) -> None:
+        """Forget a peer that no longer tells its load."""
+        if self.peer_loads.pop(peer, None) is not None:
+            self._add_up()
+
+    def _add_up(self) -> None:
+        for view in self.views.values():
+            view.peers_running = view.peers_work = 0
+        told = (load for loads in self.peer_loads.values() for load in loads)
+        for load in told:
+            if load.server in self.views:
+                self.views[load.server].peers_running += load.running
+                self.views[load.server].peers_work += load.work
 
     def set_servers(self, servers: dict[str, BackendServer]) -> list[BackendView]:
         """Take in the registered backend servers.
@@ -88,6 +133,7 @@
                 view.not_before = 0.0
             view.server = server
             view.left = server.draining
+        self._add_up()
         return gone
 
     def _is_another(self, new: BackendServer, old: BackendServer) -> bool:
@@ -111,16 +157,16 @@
             return None
         if demand.affinity:
             return self._by_affinity(sound, demand)
-        return min(sound, key=lambda v: (v.running, v.server.zone != self.zone, v.server.id))
+        return min(sound, key=lambda v: (v.all_running, v.server.zone != self.zone, v.server.id))
 
     def _by_affinity(self, views: list[BackendView], demand: Demand) -> BackendView:
-        mean = (sum(view.work for view in views) + demand.work) / len(views)
+        mean = (sum(view.all_work for view in views) + demand.work) / len(views)
         limit = LOAD_MARGIN * mean + LOAD_SLACK
         by_id = {view.server.id: view for view in views}
-        light = [view.server.id for view in views if view.work + demand.work <= limit]
+        light = [view.server.id for view in views if view.all_work + demand.work <= limit]
         chosen = owner(demand.affinity, light)
         if chosen is None:
-            return min(views, key=lambda view: view.work)
+            return min(views, key=lambda view: view.all_work)
         return by_id[chosen]
 
     def begin(self, view: BackendView, demand: Demand) -> None:
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -19,9 +19,11 @@
 from bilberryshed.protocol import (
     BackendsNotice,
     CrashNotice,
+    LoadNotice,
     RouteTableNotice,
     RouteTableRequest,
     RouteTableVersion,
+    ServerLoad,
 )
 from bilberryshed.state import CallerLimits, GatewaySettings
 from bilberryshed.transport import Link, logger
@@ -29,6 +31,8 @@
 BACKLOG = 1024  # channels waiting to be accepted
 READ_FACTOR = 2  # of the largest body, up to which one is read so as to be refused in words
 PRUNE_INTERVAL = 1.0  # seconds
+LOAD_INTERVAL = 0.1  # seconds between notices of load to a few peers
+LOAD_PEERS = 4  # peers for each further interval between notices, so that their bytes are bounded
 UNREADY_TIME = 2.6  # seconds after SIGTERM until no new channel comes
 DRAIN_MARGIN = 0.9  # seconds before SIGKILL by which the stop is complete
 DRAIN_POLL = 0.05  # seconds
@@ -72,6 +76,8 @@
         ]
         self.http: HTTPServer | None = None
         self.running = 0
+        self.load_ticks = 0
+        self.told_loads: tuple[ServerLoad, ...] = ()
         self.metrics = GatewayMetrics(self.context)
         self.admission = Admission(self.context, self.funds, self.metrics)
 
@@ -93,6 +99,7 @@
         for follower in (self.tables.follower(), self.servers.follower()):
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
+        self.context.timers.subscribe(LOAD_INTERVAL, self._tell_load)
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
         finished = await self._drain(http)
@@ -138,6 +145,19 @@
         self.context.channels.prune(now)
         self.context.crashes.prune(now)
 
+    def _tell_load(self, now: float) -> None:
+        """Tell peers what runs where, if that has changed; less often the more they are."""
+        self.load_ticks += 1
+        if self.load_ticks % (1 + len(self.context.peer_links) // LOAD_PEERS):
+            return
+        loads = self.context.backends.loads()
+        if loads != self.told_loads:
+            self.told_loads = loads
+            self.context.broadcast(LoadNotice(loads))
+
+    def _on_loads(self, link: Link, notice: LoadNotice) -> None:
+        self.context.backends.hear(link.peer.name, notice.loads)
+
     def _on_table(self) -> None:
         self.funds.on_table()
         self._apply_limits()
@@ -170,6 +190,7 @@
             RouteTableNotice: self.tables.on_notice,
             BackendsNotice: self.servers.on_notice,
             CrashNotice: self._on_crash_notice,
+            LoadNotice: self._on_loads,
         }
 
     def _on_crash_notice(self, link: Link, notice: CrashNotice) -> None:
--- a/src/bilberryshed/gateway/_peers.py
+++ b/src/bilberryshed/gateway/_peers.py
@@ -104,4 +104,5 @@
         del self.context.peer_links[name]
         self.context.store_peers.discard(name)
         self.context.book.forget_peer(name)
+        self.context.backends.forget_peer(name)
         logger().info("peer_lost", peer=name, boot=link.peer.boot)
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -43,6 +43,7 @@
     CrashNotice,
     Holding,
     HoldingsNotice,
+    LoadNotice,
     PoolAnswer,
     PoolChange,
     PoolHolder,
@@ -51,6 +52,7 @@
     RouteTableNotice,
     RouteTableRequest,
     RouteTableVersion,
+    ServerLoad,
 )
 
 __all__ = [
@@ -74,6 +76,7 @@
     "Holding",
     "HoldingsNotice",
     "JournalEntry",
+    "LoadNotice",
     "LoadReport",
     "NotRun",
     "Order",
@@ -95,6 +98,7 @@
     "RouteTableNotice",
     "RouteTableRequest",
     "RouteTableVersion",
+    "ServerLoad",
     "SheetNotice",
     "Started",
     "Transfer",
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -156,3 +156,25 @@
 
     ask: str
     pools: tuple[PoolState, ...]
+
+
+@message(75)
+@dataclass(slots=True, frozen=True)
+class ServerLoad:
+    """What one gateway has at a backend server.
+
+    :param running: requests
+    :param work: their tokens, outputs weighted
+    """
+
+    server: str
+    running: int
+    work: int
+
+
+@message(76)
+@dataclass(slots=True, frozen=True)
+class LoadNotice:
+    """Tells a peer what the sender has at backend servers; nothing at those left out."""
+
+    loads: tuple[ServerLoad, ...]
