Prompts are placed by the tokens that are read before them; replay of load patterns

Load answered: long prompts read one after another, hot parts, bursts. Each gateway counts the tokens still to be read at each server, tells them, and which parts it has sent where, and places a prompt where the fewest are read before its first event; a part that would be read again counts three times. Peers hear of a long prompt at once, of the rest every 0.1 s.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -45,6 +45,17 @@
     When 60 prompts of one conversation of 9000 tokens reach the routers in turn, loads told: never
     Then the most loaded backend server runs at least 20 of them
 
+  Scenario Outline: Peers hear at once of <unread> tokens to be read after they heard of <told>
+    Then that is news: <news>
+
+    Examples:
+      | told | unread | news |
+      | 0    | 500    | no   |
+      | 0    | 6000   | yes  |
+      | 9000 | 12000  | no   |
+      | 9000 | 0      | no   |
+      | 9000 | 30000  | yes  |
+
   Scenario: Plain calls of two routers avoid backend servers that the other uses
     Given 3 backend servers and 2 routers
     When 12 plain calls reach the routers in turn, loads told: each
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -10,7 +10,9 @@
     CrashRecord,
     EventCutter,
     RetryAllowance,
+    is_news,
 )
+from bilberryshed.protocol import LoadNotice, ServerLoad
 from bilberryshed.state import BackendServer
 
 NOW = 100.0  # seconds
@@ -73,12 +75,13 @@
         sender = number % len(context.pools)
         pool = context.pools[sender]
         view = pool.choose(NOW, "model", demand, NOBODY)
-        pool.begin(view, demand)
+        pool.begin(NOW, view, demand)
         context.runs[view.server.id] += 1
         if told == "each":
+            notice = LoadNotice(pool.loads(), pool.take_new_parts())
             for other in context.pools:
                 if other is not pool:
-                    other.hear(f"router-{sender}", pool.loads())
+                    other.hear(NOW, f"router-{sender}", notice)
 
 
 @when(
@@ -99,6 +102,13 @@
     assert max(context.runs.values()) <= most, context.runs
 
 
+@then("that is news: {news}")
+def then_news(context, news):
+    row = context.active_outline
+    told, loads = ((ServerLoad("i-1", 1, 10_000, int(row[name])),) for name in ("told", "unread"))
+    assert is_news(loads, told) == (news == "yes")
+
+
 @then("the most loaded backend server runs at least {least:d} of them")
 def then_least(context, least):
     assert max(context.runs.values()) >= least, context.runs
@@ -107,7 +117,7 @@
 def place(context, demand, now=NOW):
     """Choose a backend server and count the request there."""
     view = context.pool.choose(now, "model", demand, NOBODY)
-    context.pool.begin(view, demand)
+    context.pool.begin(now, view, demand)
     return view
 
 
@@ -116,8 +126,8 @@
     context.found = {}
     for number in range(count):
         demand = BackendDemand(f"part-{number % kinds}", 9_000)
-        view = place(context, demand)
-        context.pool.end(view, demand)
+        view = context.pool.choose(NOW, "model", demand, NOBODY)
+        context.pool.end(context.pool.begin(NOW, view, demand))
         context.found.setdefault(demand.affinity, set()).add(view.server.id)
 
 
@@ -183,10 +193,13 @@
 
 def is_chosen(context, now):
     """Return whether one of several calls at once goes to the first backend server."""
-    views = [place(context, PLAIN, now) for _ in range(6)]
-    for view in views:
-        context.pool.end(view, PLAIN)
-    return any(view.server.id == "i-1" for view in views)
+    runs = []
+    for _ in range(6):
+        view = context.pool.choose(now, "model", PLAIN, NOBODY)
+        runs.append(context.pool.begin(now, view, PLAIN))
+    for run in runs:
+        context.pool.end(run)
+    return any(run.view.server.id == "i-1" for run in runs)
 
 
 @then("it is chosen {now} at once and {later} after {seconds:g} s")
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -6,9 +6,11 @@
 from bilberryshed.coordination._agent_runs import Closing, Refused, Runs
 from bilberryshed.coordination._answers import AnswerCheck, AnswerDamagedError
 from bilberryshed.coordination._audit import Audit, BudgetLine, audit
-from bilberryshed.coordination._backend_pool import OUTPUT_WEIGHT, BackendPool, BackendView
-from bilberryshed.coordination._backend_pool import Demand as BackendDemand
+from bilberryshed.coordination._backend_pool import OUTPUT_WEIGHT, BackendPool, is_news
 from bilberryshed.coordination._backend_registry import BackendRegistry
+from bilberryshed.coordination._backend_view import BackendView
+from bilberryshed.coordination._backend_view import Demand as BackendDemand
+from bilberryshed.coordination._backend_view import Run as BackendRun
 from bilberryshed.coordination._claims import (
     Claim,
     ClaimInsert,
@@ -97,6 +99,7 @@
     "BackendDemand",
     "BackendPool",
     "BackendRegistry",
+    "BackendRun",
     "BackendView",
     "Bound",
     "BoundsRecord",
@@ -176,6 +179,7 @@
     "claim_ref",
     "coordinator",
     "demand_for",
+    "is_news",
     "owner",
     "plan_orders",
     "policies",
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -1,20 +1,16 @@
-"""Which backend server a request is sent to.
+"""Which backend servers a request may be sent to.
 
 Routers tell each other what they have at each backend server, so that all see nearly the same load
-and none fills one that its peers fill too. Prompts go to the backend server that rendezvous hashing
-names for their shared parts, so that a part is read once, unless it has clearly more work than its
-peers: then the next in order takes it. Backend servers that fail are left out for a while, by their
-outcomes and not by probes.
+and none fills one that its peers fill too. Backend servers that fail are left out for a while, by
+their outcomes and not by probes.
 """
 
-from dataclasses import dataclass
-
-from bilberryshed.coordination._rendezvous import owner
-from bilberryshed.protocol import ServerLoad
+from bilberryshed.coordination._backend_view import BackendView, Demand, Run
+from bilberryshed.coordination._placement import place_plain, place_prompt, tokens_to_read
+from bilberryshed.protocol import LoadNotice, PartSent, ServerLoad
 from bilberryshed.state import BackendServer
 
-LOAD_MARGIN = 1.25  # times the mean work, above which the next backend server takes a prompt
-LOAD_SLACK = 36_000  # tokens of work beyond the margin that do no harm
+LONG_READ = 6_000  # tokens to be read that peers should know of before they send more
 OUTPUT_WEIGHT = 10  # tokens read in the time in which one is generated
 REFUSED_PAUSE = 0.3  # seconds without new work after a refused channel, doubled each time
 FULL_PAUSE = 0.15  # seconds without new work after an answer that it is full
@@ -25,53 +21,14 @@
 PROBATION = 0.35  # share of failures with which an avoided backend server returns
 
 
-@dataclass(slots=True)
-class BackendView:
-    """What one router knows of a backend server.
-
-    :param running: requests of this router that run there
-    :param work: their tokens, outputs weighted
-    :param peers_running: requests of other routers, as they said last
-    :param peers_work: tokens of these
-    :param refused: refused channels in a row
-    :param not_before: monotonic time before which it gets no new work
-    :param failures: share of recent requests that it failed, from 0 to 1
-    :param avoid_until: monotonic time before which it is used only if there is no other
-    :param left: whether its entry is gone or says that it leaves
-    """
+def is_news(loads: tuple[ServerLoad, ...], told: tuple[ServerLoad, ...]) -> bool:
+    """Whether peers should hear at once of what a router has at backend servers.
 
-    server: BackendServer
-    running: int = 0
-    work: int = 0
-    peers_running: int = 0
-    peers_work: int = 0
-    refused: int = 0
-    not_before: float = 0.0
-    failures: float = 0.0
-    avoid_until: float = 0.0
-    left: bool = False
-
-    @property
-    def all_running(self) -> int:
-        """Requests of all routers that run there."""
-        return self.running + self.peers_running
-
-    @property
-    def all_work(self) -> int:
-        """Tokens of these, outputs weighted."""
-        return self.work + self.peers_work
-
-
-@dataclass(slots=True, frozen=True)
-class Demand:
-    """What a request asks of a backend server.
-
-    :param affinity: identifies the shared parts of its prompt, empty for a plain request
-    :param work: tokens, outputs weighted; 1 for a plain request
+    :param loads: what it has
+    :param told: what it has told
     """
-
-    affinity: str
-    work: int
+    before = {load.server: load.unread for load in told}
+    return any(load.unread - before.get(load.server, 0) >= LONG_READ for load in loads)
 
 
 class BackendPool:
@@ -80,25 +37,35 @@
     :param zone: availability zone of this router, preferred for plain requests
     """
 
-    __slots__ = ("zone", "views", "peer_loads")
+    __slots__ = ("zone", "views", "peer_loads", "new_parts")
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
         self.views: dict[str, BackendView] = {}
         self.peer_loads: dict[str, tuple[ServerLoad, ...]] = {}
+        self.new_parts: list[PartSent] = []
 
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return what this router has at backend servers, for its peers."""
         return tuple(
-            ServerLoad(id_, view.running, view.work)
+            ServerLoad(id_, view.running, view.work, view.unread)
             for id_, view in self.views.items()
             if view.running
         )
 
-    def hear(self, peer: str, loads: tuple[ServerLoad, ...]) -> None:
-        """Take in what a peer has at backend servers."""
-        self.peer_loads[peer] = loads
+    def take_new_parts(self) -> tuple[PartSent, ...]:
+        """Return what peers are to be told of shared parts, once."""
+        parts = tuple(self.new_parts)
+        self.new_parts.clear()
+        return parts
+
+    def hear(self, now: float, peer: str, notice: LoadNotice) -> None:
+        """Take in what a peer has at backend servers, and has sent there."""
+        self.peer_loads[peer] = notice.loads
         self._add_up()
+        for sent in notice.parts:
+            if sent.server in self.views:
+                self.views[sent.server].note_sent(now, sent.part)
 
     def forget_peer(self, peer: str) -> None:
         """Forget a peer that no longer tells its load."""
@@ -107,12 +74,14 @@
 
     def _add_up(self) -> None:
         for view in self.views.values():
-            view.peers_running = view.peers_work = 0
+            view.peers_running = view.peers_work = view.peers_unread = 0
         told = (load for loads in self.peer_loads.values() for load in loads)
         for load in told:
             if load.server in self.views:
-                self.views[load.server].peers_running += load.running
-                self.views[load.server].peers_work += load.work
+                view = self.views[load.server]
+                view.peers_running += load.running
+                view.peers_work += load.work
+                view.peers_unread += load.unread
 
     def set_servers(self, servers: dict[str, BackendServer]) -> list[BackendView]:
         """Take in the registered backend servers.
@@ -156,28 +125,31 @@
         if not sound:
             return None
         if demand.affinity:
-            return self._by_affinity(sound, demand)
-        return min(sound, key=lambda v: (v.all_running, v.server.zone != self.zone, v.server.id))
-
-    def _by_affinity(self, views: list[BackendView], demand: Demand) -> BackendView:
-        mean = (sum(view.all_work for view in views) + demand.work) / len(views)
-        limit = LOAD_MARGIN * mean + LOAD_SLACK
-        by_id = {view.server.id: view for view in views}
-        light = [view.server.id for view in views if view.all_work + demand.work <= limit]
-        chosen = owner(demand.affinity, light)
-        if chosen is None:
-            return min(views, key=lambda view: view.all_work)
-        return by_id[chosen]
-
-    def begin(self, view: BackendView, demand: Demand) -> None:
+            return place_prompt(now, sound, demand)
+        return place_plain(sound, self.zone)
+
+    def begin(self, now: float, view: BackendView, demand: Demand) -> Run:
         """Count a request as running there."""
+        run = Run(view, demand, tokens_to_read(now, view, demand))
         view.running += 1
         view.work += demand.work
-
-    def end(self, view: BackendView, demand: Demand) -> None:
-        """Count a request as ended there."""
-        view.running -= 1
-        view.work -= demand.work
+        view.unread += run.unread
+        if demand.affinity:
+            if not view.keeps(now, demand.affinity):
+                self.new_parts.append(PartSent(view.server.id, demand.affinity))
+            view.note_sent(now, demand.affinity)
+        return run
+
+    def note_read(self, run: Run) -> None:
+        """Note that the prompt of a request has been read: its first event is here."""
+        run.view.unread -= run.unread
+        run.unread = 0
+
+    def end(self, run: Run) -> None:
+        """Count a request as ended."""
+        self.note_read(run)
+        run.view.running -= 1
+        run.view.work -= run.demand.work
 
     def note_refused(self, now: float, view: BackendView) -> None:
         """Note that no channel could be opened."""
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -167,6 +167,7 @@
             part=job.demand.affinity,
             load=job.load.running,
             work=job.load.work,
+            unread=job.load.unread,
             first_ms=job.first_ms,
             ms=round(took * 1000),
             cause=job.last_failure,
--- a/src/bilberryshed/gateway/_dialect.py
+++ b/src/bilberryshed/gateway/_dialect.py
@@ -16,11 +16,13 @@
     :param tokens: prompt tokens
     :param max_output: most tokens that may be generated
     :param parts: ids of the prompt's parts, in order; all but the last may be shared
+    :param shared: tokens of all parts but the last
     """
 
     tokens: int
     max_output: int
     parts: tuple[str, ...]
+    shared: int
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -12,6 +12,7 @@
 from bilberryshed.coordination import (
     OUTPUT_WEIGHT,
     BackendDemand,
+    BackendRun,
     BackendView,
     EventCutter,
 )
@@ -51,10 +52,12 @@
     """What this gateway has at a backend server.
 
     :param work: tokens, outputs weighted
+    :param unread: tokens of prompts that are still to be read there, those of other gateways too
     """
 
     running: int = 0
     work: int = 0
+    unread: int = 0
 
 
 @dataclass(slots=True)
@@ -66,6 +69,7 @@
     :param runs: sends that may have begun to run
     :param tried: ids of backend servers that it does not go to again
     :param status: status of the answer that the caller gets
+    :param run: its present run
     :param load: requests and work of this gateway at the backend server when it was chosen
     :param first_event_at: monotonic time at which the caller got the first event
     """
@@ -87,6 +91,7 @@
     failed_answer: "tuple[BackendAnswer, bytes] | None" = None
     server: str = ""
     load: Load = Load()
+    run: BackendRun | None = None
     status: int = 0
     first_event_at: float | None = None
 
@@ -110,7 +115,8 @@
             return BackendDemand("", 1)
         shared = prompt.parts[:-1] or prompt.parts
         affinity = shared[-1] if shared else ""
-        return BackendDemand(affinity, prompt.tokens + OUTPUT_WEIGHT * prompt.max_output)
+        work = prompt.tokens + OUTPUT_WEIGHT * prompt.max_output
+        return BackendDemand(affinity, work, prompt.shared, max(0, prompt.tokens - prompt.shared))
 
 
 class Forwarder:
@@ -174,9 +180,8 @@
     # One attempt ----------------------------------------------------------------------------
 
     async def _attempt(self, job: Job, view: BackendView) -> Outcome:
-        demand = job.demand
-        job.load = Load(view.running, view.work)
-        self.pool.begin(view, demand)
+        job.load = Load(view.running, view.work, view.all_unread)
+        job.run = self.pool.begin(self.context.timers.now(), view, job.demand)
         job.server = view.server.id
         try:
             channel = await self._channel(job, view)
@@ -185,7 +190,7 @@
             job.sent += 1
             return await self._exchange(job, view, channel)
         finally:
-            self.pool.end(view, demand)
+            self.pool.end(job.run)
 
     async def _channel(self, job: Job, view: BackendView) -> Channel | None:
         now = self.context.timers.now()
@@ -337,6 +342,8 @@
                 piece = await channel.read_body()
             if not piece:
                 break
+            if job.run is not None:
+                self.pool.note_read(job.run)
             events = cutter.feed(piece)
             if not events:
                 continue
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -12,6 +12,7 @@
 from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
 from bilberryshed.gateway._context import GatewayContext, GatewayPorts
 from bilberryshed.gateway._followers import BackendWatch, RouteTableWatch
+from bilberryshed.gateway._load_sharing import LoadSharing
 from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.gateway._peers import Peers
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
@@ -23,7 +24,6 @@
     RouteTableNotice,
     RouteTableRequest,
     RouteTableVersion,
-    ServerLoad,
 )
 from bilberryshed.state import CallerLimits, GatewaySettings
 from bilberryshed.transport import Link, logger
@@ -31,8 +31,6 @@
 BACKLOG = 1024  # channels waiting to be accepted
 READ_FACTOR = 2  # of the largest body, up to which one is read so as to be refused in words
 PRUNE_INTERVAL = 1.0  # seconds
-LOAD_INTERVAL = 0.1  # seconds between notices of load to a few peers
-LOAD_PEERS = 4  # peers for each further interval between notices, so that their bytes are bounded
 UNREADY_TIME = 2.6  # seconds after SIGTERM until no new channel comes
 DRAIN_MARGIN = 0.9  # seconds before SIGKILL by which the stop is complete
 DRAIN_POLL = 0.05  # seconds
@@ -68,6 +66,7 @@
         self.succession = Succession(self.context, self.funds.pool)
         self.tables = RouteTableWatch(self.context, self._on_table)
         self.servers = BackendWatch(self.context)
+        self.loads = LoadSharing(self.context)
         self.peers = Peers(self.context, self._message_handlers())
         self.peers.greeting = [
             self.tables.announcement,
@@ -76,8 +75,6 @@
         ]
         self.http: HTTPServer | None = None
         self.running = 0
-        self.load_ticks = 0
-        self.told_loads: tuple[ServerLoad, ...] = ()
         self.metrics = GatewayMetrics(self.context)
         self.admission = Admission(self.context, self.funds, self.metrics)
 
@@ -99,7 +96,7 @@
         for follower in (self.tables.follower(), self.servers.follower()):
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
-        self.context.timers.subscribe(LOAD_INTERVAL, self._tell_load)
+        self.loads.start()
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
         finished = await self._drain(http)
@@ -145,19 +142,6 @@
         self.context.channels.prune(now)
         self.context.crashes.prune(now)
 
-    def _tell_load(self, now: float) -> None:
-        """Tell peers what runs where, if that has changed; less often the more they are."""
-        self.load_ticks += 1
-        if self.load_ticks % (1 + len(self.context.peer_links) // LOAD_PEERS):
-            return
-        loads = self.context.backends.loads()
-        if loads != self.told_loads:
-            self.told_loads = loads
-            self.context.broadcast(LoadNotice(loads))
-
-    def _on_loads(self, link: Link, notice: LoadNotice) -> None:
-        self.context.backends.hear(link.peer.name, notice.loads)
-
     def _on_table(self) -> None:
         self.funds.on_table()
         self._apply_limits()
@@ -190,7 +174,7 @@
             RouteTableNotice: self.tables.on_notice,
             BackendsNotice: self.servers.on_notice,
             CrashNotice: self._on_crash_notice,
-            LoadNotice: self._on_loads,
+            LoadNotice: self.loads.on_notice,
         }
 
     def _on_crash_notice(self, link: Link, notice: CrashNotice) -> None:
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -149,10 +149,12 @@
     if TOKENS not in found:
         return None
     tokens, _, most = found[TOKENS].partition(",")
-    parts = tuple(
-        part.strip().partition(":")[0] for part in found.get(PARTS, "").split(",") if part.strip()
-    )
-    return Prompt(_number(tokens, TOKENS), _number(most, TOKENS), parts)
+    parts = [
+        part.strip().partition(":") for part in found.get(PARTS, "").split(",") if part.strip()
+    ]
+    ids = tuple(id_ for id_, _, _ in parts)
+    shared = sum(_number(size, PARTS) for _, _, size in parts[:-1])
+    return Prompt(_number(tokens, TOKENS), _number(most, TOKENS), ids, shared)
 
 
 def _number(text: str, name: str) -> int:
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -165,16 +165,34 @@
 
     :param running: requests
     :param work: their tokens, outputs weighted
+    :param unread: tokens of their prompts that are still to be read
     """
 
     server: str
     running: int
     work: int
+    unread: int
+
+
+@message(77)
+@dataclass(slots=True, frozen=True)
+class PartSent:
+    """Shared parts of prompts that a backend server has begun to keep.
+
+    :param part: identifies the parts
+    """
+
+    server: str
+    part: str
 
 
 @message(76)
 @dataclass(slots=True, frozen=True)
 class LoadNotice:
-    """Tells a peer what the sender has at backend servers; nothing at those left out."""
+    """Tells a peer what the sender has at backend servers; nothing at those left out.
+
+    :param parts: what was sent since the last notice to servers not known to keep it
+    """
 
     loads: tuple[ServerLoad, ...]
+    parts: tuple[PartSent, ...]
--- a/src/bilberryshed_load/program.py
+++ b/src/bilberryshed_load/program.py
@@ -11,6 +11,7 @@
 from bilberryshed_load._overhead import measure_overhead, measure_router_core
 from bilberryshed_load._plans import DEPLOYMENTS
 from bilberryshed_load._policy import run_policies
+from bilberryshed_load._replay import run_replays
 from bilberryshed_load._slopes import measure_slopes
 from bilberryshed_load._soak import run_soak
 
@@ -62,6 +63,15 @@
     measure_router_core(etc, seconds, callers)
 
 
+def replay(*, seed: int = 1, seeds: int = 5) -> None:
+    """Replay load patterns against placement policies, in model time.
+
+    :param seed: first seed
+    :param seeds: seeds to average over
+    """
+    run_replays(seed, seeds)
+
+
 def slopes(*, etc: Path = Path("etc")) -> None:
     """Measure how state, messages, processor time and memory grow; see docs/CAPACITY.md.
 
@@ -117,6 +127,7 @@
             "overhead": overhead,
             "core": core,
             "slopes": slopes,
+            "replay": replay,
             "policy": policy,
             "flood": flood,
             "soak": soak,
