--- a/features/claims.feature
+++ b/features/claims.feature
@@ -16,8 +16,8 @@
     Examples: the store stays away
       | faults                                                 | result    |
       | write down, read down, read down, read down            | Unclaimed |
-      | write lost, read down, read down, read down            | Doubtful  |
-      | write vanished, read down, read down, read down        | Doubtful  |
+      | write lost, read down, read down, read down            | Unconfirmed  |
+      | write vanished, read down, read down, read down        | Unconfirmed  |
 
   Scenario Outline: A second attempt finds the claim of the first, <state>
     Given attempt a1 has claimed key k1 and the claim is <state>
--- a/features/fleet_support.py
+++ b/features/fleet_support.py
@@ -7,7 +7,7 @@
 import urllib.request
 from pathlib import Path
 
-from bilberryshed.runtime import RecordsOffice
+from bilberryshed.runtime import RecordsReader
 from bilberryshed.state import Address
 from bilberryshed_load import DEPLOYMENTS, Fleet, Question, plan_fleet
 
@@ -39,9 +39,9 @@
     subprocess.run([program, *arguments], check=True, capture_output=True)
 
 
-def office(context):
+def records_reader(context):
     """Return read access to what the fleet keeps."""
-    return RecordsOffice(Address.parse(context.fleet.plan.platform))
+    return RecordsReader(Address.parse(context.fleet.plan.platform))
 
 
 def run(context, coroutine_function):
@@ -52,7 +52,7 @@
 def settled_records(context):
     """Return the ledger's records after nothing is on its way any more."""
     assert context.fleet.settle(SETTLE_LIMIT), "records stay undelivered"
-    return run(context, lambda: office(context).records()).unwrap()
+    return run(context, lambda: records_reader(context).records()).unwrap()
 
 
 def service_runs(fleet):
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -37,9 +37,9 @@
       | fault  | reported     | value |
       | ok     | done         | 2     |
       | busy   | not done     | 1     |
-      | silent | in doubt     | 1     |
-      | lost   | in doubt     | 2     |
-      | late   | in doubt     | 2     |
+      | silent | unconfirmed     | 1     |
+      | lost   | unconfirmed     | 2     |
+      | late   | unconfirmed     | 2     |
       | gone   | not done     | 1     |
 
   Scenario: A write on an old version is refused
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -12,7 +12,7 @@
     CRASHING,
     SETTLE_LIMIT,
     SHEET,
-    office,
+    records_reader,
     run,
     service_runs,
     settled_records,
@@ -243,7 +243,7 @@
 
 @then("an audit has no findings")
 def then_audit(context):
-    audit = run(context, lambda: office(context).audit()).unwrap()
+    audit = run(context, lambda: records_reader(context).audit()).unwrap()
     assert not audit.findings, audit.findings
 
 
@@ -318,7 +318,7 @@
     fingerprint = sha256(b'POST /calls\n{"visit": 1}').hexdigest()
     claim = Claim("attempt-of-the-dead", agent, fingerprint)
     put = Put(claim_ref("highland-council", key), 0, claim.to_value())
-    assert run(context, lambda: office(context).tables.write((put,))).unwrap()
+    assert run(context, lambda: records_reader(context).tables.write((put,))).unwrap()
 
 
 @when("highland-council books a visit with key {key} once")
@@ -378,7 +378,7 @@
 @then("the audit balances and nothing is overspent")
 def then_balances(context):
     settled_records(context)
-    audit = run(context, lambda: office(context).audit()).unwrap()
+    audit = run(context, lambda: records_reader(context).audit()).unwrap()
     assert audit.overspend == 0 and not audit.findings, audit.findings
 
 
@@ -405,7 +405,7 @@
 def then_billed(context):
     keys = sorted(record.key for record in settled_records(context))
     assert len(keys) == len(set(keys)) == context.count, (len(keys), len(set(keys)))
-    audit = run(context, lambda: office(context).audit()).unwrap()
+    audit = run(context, lambda: records_reader(context).audit()).unwrap()
     assert audit.overspend == 0 and not audit.findings, audit.findings
     assert all(count == 1 for count in service_runs(context.fleet).values())
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -160,7 +160,7 @@
 @then("the write is {reported}")
 def then_written(context, reported):
     if isinstance(context.written, Failure):
-        found = "in doubt" if context.written.failure().ambiguous else "not done"
+        found = "unconfirmed" if context.written.failure().ambiguous else "not done"
     else:
         found = "done" if context.written.unwrap() else "refused"
     assert found == reported, context.written
--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -37,14 +37,14 @@
     return True
 
 
-def trust_doubt(sync, name, versioned):
+def trust_unconfirmed(sync, name, versioned):
     """Take the amount that was asked for last as granted, whatever the row says."""
     sync.seen[name], sync.versions[name] = versioned.pool, versioned.version
-    doubt = sync.doubts.pop(name, None)
+    pending = sync.unconfirmed.pop(name, None)
     account = sync.book.account(name)
     account.granted = versioned.pool.holders.get(sync.context.boot, 0)
-    if doubt is not None:
-        account.granted = max(account.granted, doubt.granted)
+    if pending is not None:
+        account.granted = max(account.granted, pending.granted)
 
 
 async def change_nothing(requests, changes):
@@ -56,7 +56,7 @@
     "a successor takes nothing as used": (BoundsRecord, "used_at_most", lambda *args: 0),
     "recorded bounds are not obeyed": (SpendingSchedule, "_limit", lambda *args: 10**12),
     "transfers are credited each time they come": (PrepaidBook, "receive", receive_always),
-    "grants whose answer was lost count at once": (PoolSync, "take_in", trust_doubt),
+    "grants whose answer was lost count at once": (PoolSync, "take_in", trust_unconfirmed),
     "each gateway changes pools for itself": (PoolRequests, "change", change_nothing),
 }
 
--- a/features/steps/reclaim_steps.py
+++ b/features/steps/reclaim_steps.py
@@ -3,7 +3,7 @@
 import time
 
 from behave import given, then, when
-from fleet_support import office, run, start_fleet
+from fleet_support import records_reader, run, start_fleet
 
 from bilberryshed.coordination import Present, Reclaim
 from bilberryshed.protocol import Charge, UsageRecord
@@ -119,7 +119,7 @@
 
 def open_grants(context):
     """Return the open grants of the killed router."""
-    rows = run(context, lambda: office(context).tables.scan(GRANTS, "", "", 1000)).unwrap()
+    rows = run(context, lambda: records_reader(context).tables.scan(GRANTS, "", "", 1000)).unwrap()
     grants = [GrantRow.from_value(row.value) for row in rows]
     return [grant for grant in grants if grant.holder == context.first_boot]
 
--- a/src/bilberryshed/coordination/_claims.py
+++ b/src/bilberryshed/coordination/_claims.py
@@ -82,13 +82,13 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Doubtful:
+class Unconfirmed:
     """Result: whether the claim took effect is unknown; nothing was dispatched."""
 
     error: StoreError
 
 
-Action = ReadClaim | WriteClaim | Mine | Existing | Unclaimed | Doubtful
+Action = ReadClaim | WriteClaim | Mine | Existing | Unclaimed | Unconfirmed
 
 
 class ClaimInsert:
@@ -99,13 +99,13 @@
     :param tries: store calls that may fail before it gives up
     """
 
-    __slots__ = ("ref", "claim", "tries", "doubtful", "version")
+    __slots__ = ("ref", "claim", "tries", "unconfirmed", "version")
 
     def __init__(self, ref: RowRef, claim: Claim, tries: int = 4) -> None:
         self.ref = ref
         self.claim = claim
         self.tries = tries
-        self.doubtful = False
+        self.unconfirmed = False
         self.version = 0
 
     def start(self) -> Action:
@@ -115,7 +115,7 @@
     def on_written(self, written: bool | StoreError) -> Action:
         """Handle the answer to :class:`WriteClaim`."""
         if isinstance(written, StoreError):
-            self.doubtful = self.doubtful or written.ambiguous
+            self.unconfirmed = self.unconfirmed or written.ambiguous
             return self._retry(written)
         return Mine() if written else ReadClaim(self.ref)
 
@@ -141,7 +141,7 @@
         self.tries -= 1
         if self.tries > 0:
             return ReadClaim(self.ref)
-        return Doubtful(error) if self.doubtful else Unclaimed(error)
+        return Unconfirmed(error) if self.unconfirmed else Unclaimed(error)
 
 
 def claim_ref(customer: str, key: str) -> RowRef:
--- a/src/bilberryshed/coordination/_grant_store.py
+++ b/src/bilberryshed/coordination/_grant_store.py
@@ -97,7 +97,7 @@
 class GrantBatch:
     """One transaction's worth of changes; drive it with the answer to each action."""
 
-    __slots__ = ("changes", "sizing", "puts", "taken", "budgets", "doubtful", "reading_back")
+    __slots__ = ("changes", "sizing", "puts", "taken", "budgets", "unconfirmed", "reading_back")
 
     def __init__(self, changes: tuple[Change, ...], sizing: GrantSizing) -> None:
         self.changes = changes[:MAX_CHANGES]
@@ -105,7 +105,7 @@
         self.puts: tuple[Put, ...] = ()
         self.taken: dict[Change, int] = {}
         self.budgets: dict[str, BudgetRow] = {}
-        self.doubtful = False
+        self.unconfirmed = False
         self.reading_back = False
 
     def start(self) -> Action:
@@ -117,7 +117,7 @@
     def on_rows(self, rows: tuple[Row, ...] | StoreError) -> Action:
         """Handle the answer to :class:`ReadRows`."""
         if isinstance(rows, StoreError):
-            if self.doubtful:
+            if self.unconfirmed:
                 return self._read_back()
             return Done({}, rows, {})
         if self.reading_back:
@@ -131,13 +131,13 @@
         """Handle the answer to :class:`WriteRows`."""
         if isinstance(written, StoreError):
             if written.ambiguous:
-                self.doubtful = True
-            if self.doubtful:
+                self.unconfirmed = True
+            if self.unconfirmed:
                 return self._read_back()
             return Done({}, written, {})
         if written:
             return Done(self.taken, None, self.budgets)
-        if self.doubtful:
+        if self.unconfirmed:
             return self._read_back()
         return self.start()
 
@@ -151,7 +151,7 @@
             return Done(self.taken, None, self.budgets)
         if all(found[put.ref].version == put.version for put in self.puts):
             return WriteRows(self.puts)
-        self.doubtful = False
+        self.unconfirmed = False
         return self.start()
 
     def _took_effect(self, found: dict[RowRef, Row]) -> bool:
--- a/src/bilberryshed/coordination/_spending_schedule.py
+++ b/src/bilberryshed/coordination/_spending_schedule.py
@@ -97,12 +97,12 @@
     :param book: the router's accounts
     """
 
-    __slots__ = ("book", "stored", "doubtful", "next_number")
+    __slots__ = ("book", "stored", "unconfirmed", "next_number")
 
     def __init__(self, book: PrepaidBook) -> None:
         self.book = book
         self.stored: _Schedule | None = None
-        self.doubtful: list[_Schedule] = []
+        self.unconfirmed: list[_Schedule] = []
         self.next_number = 1
 
     def unlock(self, now: float, customer: str) -> Account:
@@ -114,16 +114,16 @@
     def _limit(self, now: float, customer: str) -> int:
         if self.stored is None:
             return 0
-        possible = (self.stored, *self.doubtful)
+        possible = (self.stored, *self.unconfirmed)
         return min(schedule.limit(now, customer) for schedule in possible)
 
     def is_due(self, now: float) -> bool:
         """Whether the bounds should be recorded anew."""
-        newest = self.doubtful[-1] if self.doubtful else self.stored
+        newest = self.unconfirmed[-1] if self.unconfirmed else self.stored
         return newest is None or now >= newest.composed_at + RENEW_TIME
 
     def compose(self, now: float, store_clock: float, needs: dict[str, int]) -> BoundsRecord:
-        """Compose a record; it is in doubt until one of the other methods tells.
+        """Compose a record; it is unconfirmed until one of the other methods tells.
 
         :param store_clock: the store's clock as last seen, in seconds
         :param needs: tokens that waiting requests ask for, by customer
@@ -137,16 +137,16 @@
             bounds[customer] = Bound(tokens, round(GROWTH * rate + GROWTH_FLOOR, 1))
         schedule = _Schedule(self.next_number, bounds, now)
         self.next_number += 1
-        self.doubtful.append(schedule)
+        self.unconfirmed.append(schedule)
         return BoundsRecord(bounds, store_clock, schedule.number)
 
     def on_stored(self, number: int) -> None:
         """Note that the store keeps a record, and that no other one can be stored any more."""
-        for schedule in self.doubtful:
+        for schedule in self.unconfirmed:
             if schedule.number == number:
                 self.stored = schedule
-        self.doubtful = []
+        self.unconfirmed = []
 
     def on_not_stored(self) -> None:
         """Note that the record composed last is not stored and never will be."""
-        self.doubtful.pop()
+        self.unconfirmed.pop()
--- a/src/bilberryshed/coordination/_submission.py
+++ b/src/bilberryshed/coordination/_submission.py
@@ -78,7 +78,7 @@
         "head",
         "checked",
         "puts",
-        "doubtful",
+        "unconfirmed",
         "tries",
     )
 
@@ -89,7 +89,7 @@
         self.head = head
         self.checked = _to_check(base, old, new)
         self.puts: tuple[Put, ...] = ()
-        self.doubtful = False
+        self.unconfirmed = False
         self.tries = MAX_TRIES
 
     def start(self) -> Action:
@@ -115,7 +115,7 @@
     def on_written(self, written: bool | StoreError) -> Action:
         """Handle the answer to :class:`WriteRows`."""
         if isinstance(written, StoreError):
-            self.doubtful = self.doubtful or written.ambiguous
+            self.unconfirmed = self.unconfirmed or written.ambiguous
             return self._again(written)
         if written:
             return Accepted(self.head.version)
@@ -124,7 +124,7 @@
     def _again(self, error: StoreError) -> Action:
         self.tries -= 1
         if self.tries <= 0:
-            return Undecided(error, self.doubtful)
+            return Undecided(error, self.unconfirmed)
         return self.start()
 
     def _check(self, rows: tuple[Row, ...]) -> tuple[Finding, ...]:
--- a/src/bilberryshed/gateway/_bounds_recorder.py
+++ b/src/bilberryshed/gateway/_bounds_recorder.py
@@ -59,7 +59,7 @@
         :returns: whether the store keeps them
         """
         async with self.lock:
-            if self.closed or (self.schedule.doubtful and not await self._resolve()):
+            if self.closed or (self.schedule.unconfirmed and not await self._resolve()):
                 return False
             tables = self.context.ports.tables
             now = self.context.timers.now()
@@ -80,13 +80,13 @@
         self.store_up = False
         if not ambiguous:
             self.schedule.on_not_stored()
-        logger().warning("bounds_not_stored", detail=detail, in_doubt=ambiguous)
+        logger().warning("bounds_not_stored", detail=detail, ambiguous=ambiguous)
 
     async def _resolve(self) -> bool:
         """Learn which of the records whose answers were lost is stored.
 
         As long as the version is the one that they ask for, any may still be stored later; they
-        are left in doubt, and the next record, on the same version, decides.
+        are left unconfirmed, and the next record, on the same version, decides.
         """
         rows = await self.context.ports.tables.read((self.ref,))
         if isinstance(rows, Failure):
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Doubt:
+class _Unconfirmed:
     """A change whose answer is missing: it may take effect as long as its row keeps the version.
 
     :param version: version of the row that the write asks for
@@ -41,7 +41,7 @@
     """Keeps this gateway's grants in line with its demand, one change at a time.
 
     Grants are changed through the coordinator of the pool, and directly where it does not answer.
-    What is given back is debited here first: until a change in doubt is settled the smaller of both
+    What is given back is debited here first: until a change is confirmed, the smaller of both
     grants counts, and the row is written again even if nothing else changes.
 
     :param seen: rows as seen last, by customer
@@ -56,7 +56,7 @@
         self.requests = PoolRequests(context)
         self.seen: dict[str, PoolRow] = {}
         self.versions: dict[str, int] = {}
-        self.doubts: dict[str, _Doubt] = {}
+        self.unconfirmed: dict[str, _Unconfirmed] = {}
         self.lock = asyncio.Lock()
         self.failed_at = float("-inf")
         self.read_at = float("-inf")
@@ -107,7 +107,7 @@
         direct: list[str] = []
         for name, total in totals.items():
             wish = self._wish(name, total, needs.get(name, 0))
-            if name in self.doubts:
+            if name in self.unconfirmed:
                 direct.append(name)
             elif wish:
                 changes.append(self._request(name, wish))
@@ -157,7 +157,7 @@
         if wish < 0:
             account = self.book.account(name)
             account.granted += wish
-            self.doubts[name] = _Doubt(version, account.granted)
+            self.unconfirmed[name] = _Unconfirmed(version, account.granted)
         return PoolChange(name, self.context.boot, wish, version)
 
     async def _have_changed(self, changes: list[PoolChange], totals: dict[str, int]) -> list[str]:
@@ -191,7 +191,7 @@
         :param granted: the grant without what was to be given back
         """
         name = change.customer
-        if name in self.doubts or self.book.account(name).granted <= granted:
+        if name in self.unconfirmed or self.book.account(name).granted <= granted:
             return []
         wish = self._wish(name, total, 0)
         return [self._request(name, wish)] if wish < 0 else []
@@ -236,11 +236,11 @@
         self.seen[name] = versioned.pool
         self.versions[name] = versioned.version
         granted = versioned.pool.holders.get(self.context.boot, 0)
-        doubt = self.doubts.get(name)
-        if doubt is not None and versioned.version == doubt.version:
-            granted = min(granted, doubt.granted)
+        pending = self.unconfirmed.get(name)
+        if pending is not None and versioned.version == pending.version:
+            granted = min(granted, pending.granted)
         else:
-            self.doubts.pop(name, None)
+            self.unconfirmed.pop(name, None)
         account = self.book.account(name)
         if granted != account.granted:
             logger().info(
@@ -285,7 +285,7 @@
             pool = self._take_in_row(row)
             total, need = totals.get(name, 0), needs.get(name, 0)
             wish = self.book.plan(now, name, pool, total, need, routers)
-            if wish is not pool or name in self.doubts:
+            if wish is not pool or name in self.unconfirmed:
                 puts.append(Put(row.ref, row.version, wish.to_value()))
                 planned[name] = wish
         if not puts:
@@ -301,12 +301,12 @@
         written = await self.context.ports.tables.transact(puts)
         if isinstance(written, Failure):
             error = written.failure()
-            logger().warning("store_write_failed", detail=error.detail, in_doubt=error.ambiguous)
+            logger().warning("store_write_failed", detail=error.detail, ambiguous=error.ambiguous)
             if error.ambiguous:
                 for put in puts:
                     name = put.ref.key
                     granted = planned[name].holders.get(boot, 0)
-                    self.doubts[name] = _Doubt(put.version, granted)
+                    self.unconfirmed[name] = _Unconfirmed(put.version, granted)
             return False
         version = written.unwrap()
         if version is None:
--- a/src/bilberryshed/programs/report.py
+++ b/src/bilberryshed/programs/report.py
@@ -15,7 +15,7 @@
 from bilberryshed import __version__
 from bilberryshed.coordination import burn_rates, request_story
 from bilberryshed.protocol import UsageRecord
-from bilberryshed.runtime import RecordsOffice
+from bilberryshed.runtime import RecordsReader
 from bilberryshed.state import Address, StoreError
 
 EXIT_FINDINGS = 2
@@ -31,7 +31,7 @@
 
     :param platform: IP:PORT of the platform
     """
-    result = _read(platform, lambda office: office.audit())
+    result = _read(platform, lambda reader: reader.audit())
     print(f"{'budget':32} {'paid':>12} {'granted':>12} {'open':>10} {'billed':>12} {'bills':>7}")
     for line in result.lines:
         print(
@@ -52,7 +52,7 @@
     :param platform: IP:PORT of the platform
     :param form: ``text`` or ``csv``
     """
-    records = _read(platform, lambda office: office.records())
+    records = _read(platform, lambda reader: reader.records())
     chosen = sorted((r for r in records if r.customer == customer), key=lambda r: r.finished_at)
     if form == "csv":
         writer = csv.writer(sys.stdout)
@@ -71,7 +71,7 @@
     :param request_id: request id or idempotency key
     :param platform: IP:PORT of the platform
     """
-    records = _read(platform, lambda office: office.records())
+    records = _read(platform, lambda reader: reader.records())
     chosen = [r for r in records if request_id in (r.request, r.key)]
     if not chosen:
         print(f"no bill names {request_id}")
@@ -87,7 +87,7 @@
     :param platform: IP:PORT of the platform
     """
     now = time.time()
-    lines = _read(platform, lambda office: office.tallies(now - max(BURN_WINDOWS)))
+    lines = _read(platform, lambda reader: reader.tallies(now - max(BURN_WINDOWS)))
     rates = burn_rates(lines, now, BURN_WINDOWS)
     print(f"{'service':14} {'customer':24} {'5 min':>8} {'1 h':>8} {'6 h':>8}")
     for (service, customer), values in rates.items():
@@ -101,7 +101,7 @@
 
     :param platform: IP:PORT of the platform
     """
-    for vm in _read(platform, lambda office: office.vms()):
+    for vm in _read(platform, lambda reader: reader.vms()):
         print(f"{vm.name:16} {vm.role:8} {vm.zone:12} {vm.link:22} {vm.state}")
 
 
@@ -138,9 +138,9 @@
     )
 
 
-def _read(platform: str, read: Callable[[RecordsOffice], Awaitable[Result[T, StoreError]]]) -> T:
+def _read(platform: str, read: Callable[[RecordsReader], Awaitable[Result[T, StoreError]]]) -> T:
     async def run() -> Result[T, StoreError]:
-        return await read(RecordsOffice(address))
+        return await read(RecordsReader(address))
 
     try:
         address = Address.parse(platform)
--- a/src/bilberryshed/programs/sheet.py
+++ b/src/bilberryshed/programs/sheet.py
@@ -13,7 +13,7 @@
 from bilberryshed import __version__
 from bilberryshed.coordination import Accepted, Conflict, Rejected
 from bilberryshed.protocol import Finding
-from bilberryshed.runtime import AcceptedSheet, SheetOffice
+from bilberryshed.runtime import AcceptedSheet, SheetStore
 from bilberryshed.state import Address, Sheet, StoreError, diff_sheets, parse_sheet
 
 EXIT_FINDINGS = 2
@@ -81,7 +81,7 @@
     """
 
     async def read() -> Result:
-        return await _office(platform).history()
+        return await _sheet_store_at(platform).history()
 
     for head in _reached(asyncio.run(read())):
         print(f"version={head.version} digest={head.digest[:16]} by={head.submitter}")
@@ -104,16 +104,16 @@
     sys.exit(EXIT_FINDINGS)
 
 
-def _office(platform: str) -> SheetOffice:
+def _sheet_store_at(platform: str) -> SheetStore:
     try:
-        return SheetOffice(Address.parse(platform))
+        return SheetStore(Address.parse(platform))
     except ValueError as error:
         print(f"--platform {platform}: {error}", file=sys.stderr)
         sys.exit(EXIT_FINDINGS)
 
 
 async def _accepted(platform: str) -> Result[AcceptedSheet, StoreError]:
-    return await _office(platform).accepted()
+    return await _sheet_store_at(platform).accepted()
 
 
 def _reached(result: Result[T, StoreError]) -> T:
@@ -124,23 +124,21 @@
 
 
 async def _submit(file: Path, sheet: Sheet, platform: str, base: int, submitter: str) -> None:
-    office = _office(platform)
-    accepted = _reached(await office.accepted())
+    store = _sheet_store_at(platform)
+    accepted = _reached(await store.accepted())
     if accepted.head.version != base:
         _report_conflict(accepted, sheet, base)
-    result = await office.submit(
-        str(file), file.read_bytes(), accepted, uuid.uuid4().hex, submitter
-    )
+    result = await store.submit(str(file), file.read_bytes(), accepted, uuid.uuid4().hex, submitter)
     if isinstance(result, Accepted):
         print(f"accepted as version {result.version}")
     elif isinstance(result, Conflict):
-        _report_conflict(_reached(await office.load(result.head)), sheet, base)
+        _report_conflict(_reached(await store.load(result.head)), sheet, base)
     elif isinstance(result, Rejected):
         _fail(result.findings)
     else:
         print(f"platform: {result.error.detail}", file=sys.stderr)
-        doubt = "; the sheet may be accepted" if result.may_be_accepted else ""
-        print(f"not confirmed{doubt}", file=sys.stderr)
+        caveat = "; the sheet may be accepted" if result.may_be_accepted else ""
+        print(f"not confirmed{caveat}", file=sys.stderr)
         sys.exit(EXIT_UNDECIDED if result.may_be_accepted else EXIT_UNREACHABLE)
 
 
--- a/src/bilberryshed/runtime/__init__.py
+++ b/src/bilberryshed/runtime/__init__.py
@@ -2,18 +2,18 @@
 
 from bilberryshed.runtime._agent import serve_agent
 from bilberryshed.runtime._context import RouterContext
-from bilberryshed.runtime._funding_desk import FundingDesk
+from bilberryshed.runtime._funding_service import FundingService
 from bilberryshed.runtime._process import run_program
-from bilberryshed.runtime._records_office import RecordsOffice
+from bilberryshed.runtime._records_reader import RecordsReader
 from bilberryshed.runtime._router import serve_router
-from bilberryshed.runtime._sheet_office import AcceptedSheet, SheetOffice
+from bilberryshed.runtime._sheet_store import AcceptedSheet, SheetStore
 
 __all__ = [
     "AcceptedSheet",
-    "FundingDesk",
-    "RecordsOffice",
+    "FundingService",
+    "RecordsReader",
     "RouterContext",
-    "SheetOffice",
+    "SheetStore",
     "run_program",
     "serve_agent",
     "serve_router",
--- a/src/bilberryshed/runtime/_attempts.py
+++ b/src/bilberryshed/runtime/_attempts.py
@@ -18,7 +18,7 @@
 )
 from bilberryshed.runtime._context import RouterContext
 from bilberryshed.runtime._execution import Execution
-from bilberryshed.runtime._funding_desk import Reservation
+from bilberryshed.runtime._funding_service import Reservation
 
 DEADLINE_HEADROOM = 1.0  # seconds that an agent gets beyond the deadline to report its end
 
--- a/src/bilberryshed/runtime/_billing.py
+++ b/src/bilberryshed/runtime/_billing.py
@@ -12,11 +12,11 @@
     RecordsKept,
     UsageRecord,
 )
-from bilberryshed.runtime._claim_desk import ClaimDesk
+from bilberryshed.runtime._claim_service import ClaimService
 from bilberryshed.runtime._context import RouterContext
 from bilberryshed.runtime._execution import Call
-from bilberryshed.runtime._funding_desk import Reservation
-from bilberryshed.runtime._ledger_desk import LedgerDesk
+from bilberryshed.runtime._funding_service import Reservation
+from bilberryshed.runtime._ledger_service import LedgerService
 
 ACK_INTERVAL = 0.25  # seconds between acknowledgements to one agent
 INQUIRY_TIMEOUT = 0.5  # seconds that an agent has to say what became of an attempt
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class Doubt:
+class OpenBill:
     """A reservation of which lost attempts may have used something.
 
     :param lost: agent by id of an attempt whose end is not known
@@ -40,11 +40,11 @@
 class Billing:
     """Every reservation of one router from the end of its attempts to the ledger's verdict."""
 
-    def __init__(self, context: RouterContext, ledger: LedgerDesk, claims: ClaimDesk) -> None:
+    def __init__(self, context: RouterContext, ledger: LedgerService, claims: ClaimService) -> None:
         self.context = context
         self.ledger = ledger
         self.claims = claims
-        self.doubts: dict[str, Doubt] = {}
+        self.open_bills: dict[str, OpenBill] = {}
         self.acks: dict[str, list[str]] = {}
         self.inquiries: dict[str, asyncio.Future[NotRun | Failed]] = {}
 
@@ -56,26 +56,26 @@
     @property
     def backlog(self) -> int:
         """Parked reservations and acknowledgements that are not sent."""
-        return len(self.doubts) + sum(len(attempts) for attempts in self.acks.values())
+        return len(self.open_bills) + sum(len(attempts) for attempts in self.acks.values())
 
     def release_claim(self, call: Call, attempt: str) -> None:
         self.context.spawn(self.claims.release(call.customer.name, call.key, attempt))
 
-    def bill(self, doubt: Doubt, agent: str, record: UsageRecord) -> None:
+    def bill(self, open_bill: OpenBill, agent: str, record: UsageRecord) -> None:
         """Settle a reservation by the record that the ledger keeps.
 
         With one attempt the unused rest is free at once. With lost attempts, the ledger may keep
         another attempt's record, so that the whole reservation is held until its verdict.
         """
-        if doubt.billed:
+        if open_bill.billed:
             return
-        doubt.billed = True
-        self.doubts.pop(doubt.call.bill_id, None)
-        if doubt.lost:
-            self.ledger.offer(record, lambda kept: self._settle_doubt(doubt, agent, kept))
+        open_bill.billed = True
+        self.open_bills.pop(open_bill.call.bill_id, None)
+        if open_bill.lost:
+            self.ledger.offer(record, lambda kept: self._settle_open(open_bill, agent, kept))
             return
-        budget, charges = doubt.reservation.budget, record.charges
-        self.context.book.spend(budget, doubt.reservation.parts, charges)
+        budget, charges = open_bill.reservation.budget, record.charges
+        self.context.book.spend(budget, open_bill.reservation.parts, charges)
 
         def on_kept(kept: UsageRecord) -> None:
             self.context.book.settle(budget, charges, kept)
@@ -83,12 +83,12 @@
 
         self.ledger.offer(record, on_kept)
 
-    def _settle_doubt(self, doubt: Doubt, agent: str, kept: UsageRecord) -> None:
-        reservation = doubt.reservation
+    def _settle_open(self, open_bill: OpenBill, agent: str, kept: UsageRecord) -> None:
+        reservation = open_bill.reservation
         self.context.book.release(reservation.budget, reservation.parts)
         self.context.book.settle(reservation.budget, (), kept)
         self._acknowledge(agent, kept.attempt)
-        for attempt, name in doubt.lost.items():
+        for attempt, name in open_bill.lost.items():
             self._acknowledge(name, attempt)
 
     def _acknowledge(self, agent: str, attempt: str) -> None:
@@ -102,20 +102,20 @@
             if link is not None:
                 link.send(RecordsKept(tuple(attempts)))
 
-    def conclude_unanswered(self, doubt: Doubt) -> None:
+    def conclude_unanswered(self, open_bill: OpenBill) -> None:
         """Release a reservation, or park it if a lost attempt may still be billed to it."""
-        if doubt.lost:
-            self.doubts[doubt.call.bill_id] = doubt
+        if open_bill.lost:
+            self.open_bills[open_bill.call.bill_id] = open_bill
         else:
-            self.context.book.release(doubt.reservation.budget, doubt.reservation.parts)
+            self.context.book.release(open_bill.reservation.budget, open_bill.reservation.parts)
 
     # Messages of agents ---------------------------------------------------------------------
 
     def _query_lost(self, now: float) -> None:
         """Ask agents about parked attempts."""
         lost: dict[str, list[str]] = {}
-        for doubt in self.doubts.values():
-            for attempt, agent in doubt.lost.items():
+        for open_bill in self.open_bills.values():
+            for attempt, agent in open_bill.lost.items():
                 lost.setdefault(agent, []).append(attempt)
         for agent, attempts in lost.items():
             link = self.context.agent_links.get(agent)
@@ -146,31 +146,31 @@
         inquiry = self.inquiries.get(result.attempt)
         if inquiry is not None and not inquiry.done():
             inquiry.set_result(result)
-        for bill, doubt in list(self.doubts.items()):
-            if result.attempt in doubt.lost:
-                del doubt.lost[result.attempt]
-                del self.doubts[bill]
-                if isinstance(result, NotRun) and not doubt.call.service.idempotent:
-                    self.release_claim(doubt.call, result.attempt)
-                self.conclude_unanswered(doubt)
+        for bill, open_bill in list(self.open_bills.items()):
+            if result.attempt in open_bill.lost:
+                del open_bill.lost[result.attempt]
+                del self.open_bills[bill]
+                if isinstance(result, NotRun) and not open_bill.call.service.idempotent:
+                    self.release_claim(open_bill.call, result.attempt)
+                self.conclude_unanswered(open_bill)
 
     def on_recorded(self, agent: str, recorded: Recorded) -> None:
         """Fetch the ledger's record of a parked reservation by offering an empty one."""
-        for doubt in list(self.doubts.values()):
-            if recorded.attempt in doubt.lost:
-                empty = _empty_record(doubt.call, recorded.attempt, self.context.timers.wall())
-                self.bill(doubt, agent, empty)
+        for open_bill in list(self.open_bills.values()):
+            if recorded.attempt in open_bill.lost:
+                empty = _empty_record(open_bill.call, recorded.attempt, self.context.timers.wall())
+                self.bill(open_bill, agent, empty)
 
     def on_journal(self, agent: str, entry: JournalEntry) -> None:
         """Deliver a record that only the agent witnessed."""
-        doubt = self.doubts.get(entry.record.bill_id)
-        self.context.spawn(self._deliver(agent, entry, doubt))
+        open_bill = self.open_bills.get(entry.record.bill_id)
+        self.context.spawn(self._deliver(agent, entry, open_bill))
 
-    async def _deliver(self, agent: str, entry: JournalEntry, doubt: Doubt | None) -> None:
+    async def _deliver(self, agent: str, entry: JournalEntry, open_bill: OpenBill | None) -> None:
         if not entry.idempotent:
             await self.claims.record_answer(entry)
-        if doubt is not None:
-            self.bill(doubt, agent, entry.record)
+        if open_bill is not None:
+            self.bill(open_bill, agent, entry.record)
             return
         attempt = entry.record.attempt
         self.ledger.offer(entry.record, lambda kept: self._acknowledge(agent, attempt))
--- a/src/bilberryshed/runtime/_claim_desk.py
+++ b/src/bilberryshed/runtime/_claim_service.py
@@ -11,11 +11,11 @@
     Claim,
     ClaimInsert,
     ClaimState,
-    Doubtful,
     Existing,
     Mine,
     ReadClaim,
     Unclaimed,
+    Unconfirmed,
     WriteClaim,
     claim_ref,
 )
@@ -27,10 +27,10 @@
 ERROR_PAUSE = 0.1  # seconds between tries
 
 ClaimChange = Callable[[Claim], Claim]
-ClaimResult = Mine | Existing | Unclaimed | Doubtful
+ClaimResult = Mine | Existing | Unclaimed | Unconfirmed
 
 
-class ClaimDesk:
+class ClaimService:
     """Inserts claims, records answers on them, releases those that never started."""
 
     def __init__(self, context: RouterContext) -> None:
--- a/src/bilberryshed/runtime/_funding_desk.py
+++ b/src/bilberryshed/runtime/_funding_service.py
@@ -51,7 +51,7 @@
     parts: tuple[Charge, ...]
 
 
-class FundingDesk:
+class FundingService:
     """The router's side of :class:`GrantBook` and :class:`Funding`."""
 
     def __init__(self, context: RouterContext) -> None:
--- a/src/bilberryshed/runtime/_grant_worker.py
+++ b/src/bilberryshed/runtime/_grant_worker.py
@@ -19,7 +19,7 @@
 from bilberryshed.state import BudgetRow, Row, StoreError
 from bilberryshed.transport import logger
 
-ERROR_PAUSE = 0.1  # seconds before the store is tried again while a write is in doubt
+ERROR_PAUSE = 0.1  # seconds before the store is tried again while a write is unconfirmed
 
 Change = Take | Close | Adopt
 Callback = Callable[[int, bool], None]
@@ -77,5 +77,5 @@
     ) -> None:
         if isinstance(answer, StoreError):
             self.context.metrics.count("store_errors")
-            logger().warning("store_error", detail=answer.detail, in_doubt=batch.doubtful)
+            logger().warning("store_error", detail=answer.detail, ambiguous=batch.unconfirmed)
             await asyncio.sleep(ERROR_PAUSE)
--- a/src/bilberryshed/runtime/_ledger_desk.py
+++ b/src/bilberryshed/runtime/_ledger_service.py
@@ -41,7 +41,7 @@
     kept: dict[str, UsageRecord] = field(default_factory=dict)
 
 
-class LedgerDesk:
+class LedgerService:
     """Records on their way into the ledger."""
 
     def __init__(self, context: RouterContext) -> None:
--- a/src/bilberryshed/runtime/_placement_desk.py
+++ b/src/bilberryshed/runtime/_placement_service.py
@@ -23,7 +23,7 @@
     at: float
 
 
-class PlacementDesk:
+class PlacementService:
     """Lease, plan and orders under way."""
 
     def __init__(self, context: RouterContext) -> None:
--- a/src/bilberryshed/runtime/_quarantine_desk.py
+++ b/src/bilberryshed/runtime/_quarantine_service.py
@@ -13,7 +13,7 @@
 WRITE_TRIES = 5
 
 
-class QuarantineDesk:
+class QuarantineService:
     """This router's suspicions and their way to others."""
 
     def __init__(self, context: RouterContext) -> None:
--- a/src/bilberryshed/runtime/_reclaim_desk.py
+++ b/src/bilberryshed/runtime/_reclaim_service.py
@@ -5,8 +5,8 @@
 from bilberryshed.coordination import Close, Present, Reclaim, boot_of_grant
 from bilberryshed.protocol import Revoke, RevokeAck
 from bilberryshed.runtime._context import RouterContext
-from bilberryshed.runtime._funding_desk import FundingDesk
-from bilberryshed.runtime._ledger_desk import LedgerDesk
+from bilberryshed.runtime._funding_service import FundingService
+from bilberryshed.runtime._ledger_service import LedgerService
 from bilberryshed.runtime._results import scan_all
 from bilberryshed.state import GRANTS, GrantRow, Vm
 from bilberryshed.transport import Link, logger
@@ -14,10 +14,12 @@
 DUTY = "reclaim"
 
 
-class ReclaimDesk:
+class ReclaimService:
     """Drives :class:`Reclaim` and answers revocations of others."""
 
-    def __init__(self, context: RouterContext, funding: FundingDesk, ledger: LedgerDesk) -> None:
+    def __init__(
+        self, context: RouterContext, funding: FundingService, ledger: LedgerService
+    ) -> None:
         self.context = context
         self.funding = funding
         self.ledger = ledger
--- a/src/bilberryshed/runtime/_records_office.py
+++ b/src/bilberryshed/runtime/_records_reader.py
@@ -7,8 +7,8 @@
 from bilberryshed.coordination import Audit, Segment, TallyLine, audit
 from bilberryshed.protocol import FrameError, UsageRecord, decode
 from bilberryshed.runtime._results import scan_all
-from bilberryshed.runtime._sheet_office import SheetOffice
-from bilberryshed.runtime._slo_desk import SLO_PREFIX
+from bilberryshed.runtime._sheet_store import SheetStore
+from bilberryshed.runtime._slo_monitor import SLO_PREFIX
 from bilberryshed.state import (
     BUDGETS,
     GRANTS,
@@ -24,7 +24,7 @@
 LEDGER_PREFIX = "ledger/"
 
 
-class RecordsOffice:
+class RecordsReader:
     """Read access to ledger, rows and tallies.
 
     :param platform: address of the platform
@@ -35,7 +35,7 @@
         self.tables = HttpTableService(platform, timeout)
         self.objects = HttpObjectStore(platform, timeout)
         self.vm_list = HttpVmList(platform, timeout)
-        self.sheets = SheetOffice(platform, timeout)
+        self.sheets = SheetStore(platform, timeout)
 
     async def records(self) -> Result[tuple[UsageRecord, ...], StoreError]:
         """Read every record of the ledger, by shard and segment."""
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -39,17 +39,17 @@
     UnknownPathHandler,
 )
 from bilberryshed.runtime._billing import Billing
-from bilberryshed.runtime._claim_desk import ClaimDesk
+from bilberryshed.runtime._claim_service import ClaimService
 from bilberryshed.runtime._context import RouterContext
-from bilberryshed.runtime._funding_desk import FundingDesk
-from bilberryshed.runtime._ledger_desk import LedgerDesk
-from bilberryshed.runtime._placement_desk import PlacementDesk
+from bilberryshed.runtime._funding_service import FundingService
+from bilberryshed.runtime._ledger_service import LedgerService
+from bilberryshed.runtime._placement_service import PlacementService
 from bilberryshed.runtime._process import hello
-from bilberryshed.runtime._quarantine_desk import QuarantineDesk
-from bilberryshed.runtime._reclaim_desk import ReclaimDesk
+from bilberryshed.runtime._quarantine_service import QuarantineService
+from bilberryshed.runtime._reclaim_service import ReclaimService
 from bilberryshed.runtime._runner import Runner
-from bilberryshed.runtime._sheet_keeper import SheetKeeper
-from bilberryshed.runtime._slo_desk import SloDesk
+from bilberryshed.runtime._sheet_replica import SheetReplica
+from bilberryshed.runtime._slo_monitor import SloMonitor
 from bilberryshed.runtime._status import LiveHandler, ReadyHandler, StatusHandler
 from bilberryshed.state import Address, RouterSettings, Vm
 from bilberryshed.transport import (
@@ -82,11 +82,11 @@
         self.max_body = settings.max_body
         platform = http_platform(settings.platform, settings.platform_timeout)
         self.context = RouterContext(settings, platform)
-        self.funding = FundingDesk(self.context)
-        self.ledger = LedgerDesk(self.context)
-        self.claims = ClaimDesk(self.context)
-        self.slo = SloDesk(self.context)
-        self.quarantine = QuarantineDesk(self.context)
+        self.funding = FundingService(self.context)
+        self.ledger = LedgerService(self.context)
+        self.claims = ClaimService(self.context)
+        self.slo = SloMonitor(self.context)
+        self.quarantine = QuarantineService(self.context)
         self.billing = Billing(self.context, self.ledger, self.claims)
         self.agents = AgentQueue(self.context)
         self.runner = Runner(
@@ -98,13 +98,13 @@
             self.quarantine,
             self.agents,
         )
-        self.sheets = SheetKeeper(self.context)
-        self.reclaim = ReclaimDesk(self.context, self.funding, self.ledger)
+        self.sheets = SheetReplica(self.context)
+        self.reclaim = ReclaimService(self.context, self.funding, self.ledger)
         self.hello = hello(settings, "router", self.context.boot)
         self.server_tls = server_context(settings.certificate, settings.certificate_key)
         self.client_tls = client_context(settings.link_ca)
         self.clients: dict[str, LinkClient] = {}
-        self.placement = PlacementDesk(self.context)
+        self.placement = PlacementService(self.context)
         messages = MessageTable(self._message_handlers())
         self.handlers = LinkHandlers(self._on_up, messages.handle, self._on_down)
         self.server = LinkServer(self.hello, self.handlers, self.server_tls)
@@ -274,7 +274,7 @@
                 "drain_limit",
                 running=len(self.runner.running),
                 unbilled=self.ledger.backlog,
-                parked=len(self.billing.doubts),
+                parked=len(self.billing.open_bills),
                 grants=len(self.context.book.grants()),
             )
         await self._close(http)
@@ -339,8 +339,8 @@
             "queued": len(self.agents.waiters),
             "unbilled": self.ledger.backlog,
             "parked": [
-                {"bill": bill, "tokens": sum(part.tokens for part in doubt.reservation.parts)}
-                for bill, doubt in self.billing.doubts.items()
+                {"bill": bill, "tokens": sum(part.tokens for part in open_bill.reservation.parts)}
+                for bill, open_bill in self.billing.open_bills.items()
             ],
             "revoked": {boot: len(acks) for boot, acks in self.reclaim.reclaim.acks.items()},
             "held": {budget: book.held(budget) for budget in book.budgets},
--- a/src/bilberryshed/runtime/_runner.py
+++ b/src/bilberryshed/runtime/_runner.py
@@ -17,13 +17,13 @@
 )
 from bilberryshed.runtime._agent_queue import AgentQueue
 from bilberryshed.runtime._attempts import AttemptResult, Attempts, Damaged
-from bilberryshed.runtime._billing import Billing, Doubt
-from bilberryshed.runtime._claim_desk import ClaimDesk, journal_entry, recorded_answer
+from bilberryshed.runtime._billing import Billing, OpenBill
+from bilberryshed.runtime._claim_service import ClaimService, journal_entry, recorded_answer
 from bilberryshed.runtime._context import RouterContext
 from bilberryshed.runtime._execution import Call, Execution, Usage
-from bilberryshed.runtime._funding_desk import FundingDesk
-from bilberryshed.runtime._quarantine_desk import QuarantineDesk
-from bilberryshed.runtime._slo_desk import SloDesk
+from bilberryshed.runtime._funding_service import FundingService
+from bilberryshed.runtime._quarantine_service import QuarantineService
+from bilberryshed.runtime._slo_monitor import SloMonitor
 from bilberryshed.transport import logger
 
 MAX_KEPT_ANSWERS = 2_000  # finished executions kept for retries
@@ -37,11 +37,11 @@
     def __init__(
         self,
         context: RouterContext,
-        funding: FundingDesk,
+        funding: FundingService,
         billing: Billing,
-        claims: ClaimDesk,
-        slo: SloDesk,
-        quarantine: QuarantineDesk,
+        claims: ClaimService,
+        slo: SloMonitor,
+        quarantine: QuarantineService,
         agents: AgentQueue,
     ) -> None:
         self.context = context
@@ -98,36 +98,36 @@
         call = execution.call
         if self.quarantine.standing(call.content) is Standing.CONVICTED:
             return _quarantined(Outcome.NOT_RUN)
-        doubt = self.billing.doubts.pop(call.bill_id, None)
-        if doubt is None:
+        open_bill = self.billing.open_bills.pop(call.bill_id, None)
+        if open_bill is None:
             reserved = await self.funding.reserve(
                 call.budget, call.bound, self.context.settings.funding_wait
             )
             if isinstance(reserved, Failure):
                 return reserved.failure()
-            doubt = Doubt(call, reserved.unwrap())
+            open_bill = OpenBill(call, reserved.unwrap())
         if call.service.idempotent:
-            return await self._run_idempotent(execution, doubt)
-        return await self._run_once(execution, doubt)
+            return await self._run_idempotent(execution, open_bill)
+        return await self._run_once(execution, open_bill)
 
     # Idempotent requests --------------------------------------------------------------------
 
-    async def _run_idempotent(self, execution: Execution, doubt: Doubt) -> Refusal | None:
+    async def _run_idempotent(self, execution: Execution, open_bill: OpenBill) -> Refusal | None:
         excluded: set[str] = set()
         result: AttemptResult | None = None
-        started = bool(doubt.lost)
+        started = bool(open_bill.lost)
         tries = self.context.settings.attempts
         patience = self.context.timers.now() + self.context.settings.queue_wait
         while tries > 0:
             if self.quarantine.standing(execution.call.content) is Standing.CONVICTED:
-                self.billing.conclude_unanswered(doubt)
+                self.billing.conclude_unanswered(open_bill)
                 return _quarantined(Outcome.UNKNOWN if started else Outcome.NOT_RUN)
             agent = await self.agents.find(execution.call, excluded)
             if agent is None:
                 break
-            result = await self._attempt(execution, agent, uuid.uuid4().hex, doubt)
+            result = await self._attempt(execution, agent, uuid.uuid4().hex, open_bill)
             if isinstance(result, Ended):
-                self._complete(execution, doubt, agent, result)
+                self._complete(execution, open_bill, agent, result)
                 return None
             self.context.metrics.count("retries")
             if isinstance(result, NotRun):
@@ -138,15 +138,15 @@
             started = True
             tries -= 1
             excluded.add(agent)
-        self.billing.conclude_unanswered(doubt)
+        self.billing.conclude_unanswered(open_bill)
         return _give_up(execution.call, result, started)
 
     async def _attempt(
-        self, execution: Execution, agent: str, attempt: str, doubt: Doubt
+        self, execution: Execution, agent: str, attempt: str, open_bill: OpenBill
     ) -> AttemptResult:
         content = execution.call.content
         alone = self.quarantine.standing(content) is Standing.SUSPECT
-        result = await self.attempts.run(execution, agent, attempt, doubt.reservation, alone)
+        result = await self.attempts.run(execution, agent, attempt, open_bill.reservation, alone)
         now = self.context.timers.now()
         if isinstance(result, Failed) and result.crashed and execution.call.model:
             self.quarantine.on_crash(content, alone)
@@ -157,7 +157,7 @@
         else:
             self.context.routing.finished(now, agent, isinstance(result, Ended))
         if not isinstance(result, Ended | NotRun | Failed):
-            doubt.lost[attempt] = agent
+            open_bill.lost[attempt] = agent
         if not isinstance(result, Ended):
             logger().warning(
                 "attempt_lost",
@@ -169,7 +169,9 @@
             )
         return result
 
-    def _complete(self, execution: Execution, doubt: Doubt, agent: str, ended: Ended) -> None:
+    def _complete(
+        self, execution: Execution, open_bill: OpenBill, agent: str, ended: Ended
+    ) -> None:
         execution.complete(Usage(ended.prompt_tokens, ended.completion_tokens, ended.finish))
         self.context.metrics.count("answered")
         logger().info(
@@ -180,24 +182,24 @@
             tokens=ended.record.tokens,
             sheet=self.context.rollout.version,
         )
-        self.billing.bill(doubt, agent, ended.record)
+        self.billing.bill(open_bill, agent, ended.record)
 
     # Non-idempotent requests ----------------------------------------------------------------
 
-    async def _run_once(self, execution: Execution, doubt: Doubt) -> Refusal | None:
+    async def _run_once(self, execution: Execution, open_bill: OpenBill) -> Refusal | None:
         call, attempt = execution.call, uuid.uuid4().hex
         agent = await self.agents.find(call, set())
         if agent is None:
-            self.billing.conclude_unanswered(doubt)
+            self.billing.conclude_unanswered(open_bill)
             return _no_capacity(call)
         claim = Claim(attempt, agent, call.fingerprint)
         claimed = await self.claims.insert(call.customer.name, call.key, claim)
         if isinstance(claimed, Existing) and await self._never_started(call, claimed.claim):
             claimed = await self.claims.insert(call.customer.name, call.key, claim)
         if isinstance(claimed, Mine):
-            return await self._run_claimed(execution, doubt, agent, attempt)
+            return await self._run_claimed(execution, open_bill, agent, attempt)
         self.context.routing.released(agent)
-        self.billing.conclude_unanswered(doubt)
+        self.billing.conclude_unanswered(open_bill)
         if isinstance(claimed, Existing):
             return _replay(execution, claimed.claim)
         self.billing.release_claim(call, attempt)
@@ -219,22 +221,22 @@
         return True
 
     async def _run_claimed(
-        self, execution: Execution, doubt: Doubt, agent: str | None, attempt: str
+        self, execution: Execution, open_bill: OpenBill, agent: str | None, attempt: str
     ) -> Refusal | None:
         """Run the claimed attempt; only agents that certainly did not start it are passed over."""
         call, excluded = execution.call, set[str]()
         for _ in range(self.context.settings.attempts):
             if agent is None:
                 break
-            result = await self._attempt(execution, agent, attempt, doubt)
+            result = await self._attempt(execution, agent, attempt, open_bill)
             if isinstance(result, Ended):
-                self._complete(execution, doubt, agent, result)
+                self._complete(execution, open_bill, agent, result)
                 body = b"".join(execution.pieces)
                 entry = journal_entry(result.record, execution.status, execution.content_type, body)
                 self.context.spawn(self.claims.record_answer(entry))
                 return None
             if not isinstance(result, NotRun):
-                self.billing.conclude_unanswered(doubt)
+                self.billing.conclude_unanswered(open_bill)
                 reason = "the call was started and its outcome is not known yet"
                 return Refusal(RefusalCode.OUTCOME_UNKNOWN, reason, Outcome.UNKNOWN, RETRY_SOON)
             excluded.add(agent)
@@ -242,7 +244,7 @@
             if agent is not None and not await self._move_claim(call, attempt, agent):
                 break
         self.billing.release_claim(call, attempt)
-        self.billing.conclude_unanswered(doubt)
+        self.billing.conclude_unanswered(open_bill)
         return _no_capacity(call)
 
     async def _move_claim(self, call: Call, attempt: str, agent: str) -> bool:
--- a/src/bilberryshed/runtime/_sheet_keeper.py
+++ b/src/bilberryshed/runtime/_sheet_replica.py
@@ -14,7 +14,7 @@
 BACKUP_TURNS = 10  # a router without the duty polls at every tenth turn
 
 
-class SheetKeeper:
+class SheetReplica:
     """Polls the head row, fetches new sheets, tells peers."""
 
     def __init__(self, context: RouterContext) -> None:
--- a/src/bilberryshed/runtime/_sheet_office.py
+++ b/src/bilberryshed/runtime/_sheet_store.py
@@ -39,7 +39,7 @@
     sheet: Sheet
 
 
-class SheetOffice:
+class SheetStore:
     """Reads and submits sheets.
 
     :param platform: address of the platform
--- a/src/bilberryshed/runtime/_slo_desk.py
+++ b/src/bilberryshed/runtime/_slo_monitor.py
@@ -14,7 +14,7 @@
 )
 
 
-class SloDesk:
+class SloMonitor:
     """Counts answered and refused requests, and writes the counts now and then."""
 
     def __init__(self, context: RouterContext) -> None:
--- a/src/bilberryshed_load/_demo.py
+++ b/src/bilberryshed_load/_demo.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from bilberryshed.coordination import Audit
-from bilberryshed.runtime import RecordsOffice
+from bilberryshed.runtime import RecordsReader
 from bilberryshed.state import Address, parse_sheet
 from bilberryshed_load._callers import CallerPool
 from bilberryshed_load._fleet import Fleet
@@ -120,4 +120,4 @@
 
 
 async def _audit(platform: str) -> Audit:
-    return (await RecordsOffice(Address.parse(platform)).audit()).unwrap()
+    return (await RecordsReader(Address.parse(platform)).audit()).unwrap()
--- a/src/bilberryshed_load/_policy.py
+++ b/src/bilberryshed_load/_policy.py
@@ -1,8 +1,8 @@
 """Budgets running dry, in model time: overspend and false refusals of each admission policy.
 
-The routers' real :class:`FundingDesk` runs against fakes of the store and of links. An oracle that
-knows every balance sees the same requests. A refusal is false if the whole balance, wherever its
-parts were, covered the request at that moment; requests that the oracle's own run admits and a
+The routers' real :class:`FundingService` runs against fakes of the store and of links. An oracle
+that knows every balance sees the same requests. A refusal is false if the whole balance, wherever
+its parts were, covered the request at that moment; requests that the oracle's own run admits and a
 policy refuses are counted beside it, since after one difference the two histories part.
 """
 
--- a/src/bilberryshed_load/_policy_escrow.py
+++ b/src/bilberryshed_load/_policy_escrow.py
@@ -1,4 +1,4 @@
-"""The fleet's admission in model time: real funding desks against fakes of store and links."""
+"""The fleet's admission in model time: real funding services against fakes of store and links."""
 
 import asyncio
 from pathlib import Path
@@ -16,7 +16,7 @@
     UsageRecord,
     split_tokens,
 )
-from bilberryshed.runtime import FundingDesk, RouterContext
+from bilberryshed.runtime import FundingService, RouterContext
 from bilberryshed.state import (
     BUDGETS,
     Address,
@@ -133,12 +133,12 @@
 
 @admission("escrow")
 class Escrow(AdmissionPolicy):
-    """The fleet's own decisions: one :class:`FundingDesk` for each router."""
+    """The fleet's own decisions: one :class:`FundingService` for each router."""
 
     def __init__(self, scenario: Scenario, paid: dict[str, int]) -> None:
         super().__init__(scenario, paid)
         self.tables = MemoryTables()
-        self.desks: dict[str, FundingDesk] = {}
+        self.services: dict[str, FundingService] = {}
         self.dead: set[str] = set()
         self.finished = 0
 
@@ -149,19 +149,19 @@
             self.tables.write([(BUDGETS, f"{CUSTOMER}/{budget}", 0, row)])
         names = [(f"r{z}{n}", z) for z in range(len(ZONES)) for n in range(ROUTERS_PER_ZONE)]
         for name, zone in names:
-            self.desks[name] = self._desk(name, zone)
-        for name, desk in self.desks.items():
+            self.services[name] = self._desk(name, zone)
+        for name, service in self.services.items():
             for other, zone in names:
                 if other != name:
                     hello = Hello(other, f"{other}.1", "router", ZONES[zone], "")
-                    desk.context.members.on_link_up(hello)
+                    service.context.members.on_link_up(hello)
                     link: Any = _ModelLink(self, name, other)
-                    desk.context.peer_links[other] = link
-            desk.start()
+                    service.context.peer_links[other] = link
+            service.start()
         if self.scenario.killed_at:
             asyncio.get_running_loop().call_later(self.scenario.killed_at, self._kill, "r00")
 
-    def _desk(self, name: str, zone: int) -> FundingDesk:
+    def _desk(self, name: str, zone: int) -> FundingService:
         platform = Platform(_ModelTables(self, zone), _NoObjects(), _NoList())
         context = RouterContext(_settings(name, ZONES[zone]), platform)
         context.boot = context.book.boot = f"{name}.1"
@@ -170,7 +170,7 @@
             for budget, paid in self.paid.items()
         }
         context.rollout.apply(SheetInForce(1, "", b"", Sheet(budgets=budgets)))
-        return FundingDesk(context)
+        return FundingService(context)
 
     def is_open(self, source: str, target: str) -> bool:
         """Whether messages pass between two routers now."""
@@ -181,31 +181,31 @@
         return not (crosses and is_within(self.scenario.zone_cut))
 
     def deliver(self, source: str, target: str, message: Any) -> None:
-        """Hand a message to a router's desk."""
-        desk = self.desks[target]
+        """Hand a message to a router's service."""
+        service = self.services[target]
         if isinstance(message, FundsRequest):
-            desk.on_request(source, message)
+            service.on_request(source, message)
         elif isinstance(message, FundsAnswer):
-            desk.on_answer(source, message)
+            service.on_answer(source, message)
         elif isinstance(message, Transfer):
-            desk.on_transfer(source, message)
+            service.on_transfer(source, message)
         elif isinstance(message, TransferAck):
-            desk.on_ack(message)
+            service.on_ack(message)
 
     async def reserve(self, ask: Ask) -> Any:
         """Reserve at the router that the balancer picked."""
         name = f"r{ask.zone}{ask.router}"
         if name in self.dead:
             name = f"r{ask.zone}{1 - ask.router}"
-        desk = self.desks[name]
+        service = self.services[name]
         budget = Budget(CUSTOMER, ask.budget, self.paid[ask.budget])
-        reserved = await desk.reserve(budget, ask.bound, PATIENCE)
+        reserved = await service.reserve(budget, ask.bound, PATIENCE)
         return (name, reserved.unwrap()) if isinstance(reserved, Success) else None
 
     def finish(self, ask: Ask, token: Any) -> None:
         """Spend what was used and settle it a little later."""
         name, reservation = token
-        book = self.desks[name].book
+        book = self.services[name].book
         charges = split_tokens(reservation.parts, ask.used)
         book.spend(reservation.budget, reservation.parts, charges)
         self.finished += 1
@@ -217,18 +217,18 @@
     def _kill(self, name: str) -> None:
         """Stop a router; the others lose their links to it."""
         self.dead.add(name)
-        dead = self.desks[name]
+        dead = self.services[name]
         dead.context.timers.close()
-        for other, desk in self.desks.items():
+        for other, service in self.services.items():
             if other != name:
-                desk.context.members.on_link_down(name)
-                desk.context.peer_links.pop(name, None)
+                service.context.members.on_link_down(name)
+                service.context.peer_links.pop(name, None)
         loop = asyncio.get_running_loop()
         loop.call_later(RECLAIM_DELAY, self._reclaim, dead)
 
-    def _reclaim(self, dead: FundingDesk) -> None:
+    def _reclaim(self, dead: FundingService) -> None:
         """Close what the dead router held; requests that still run count as fully used."""
-        survivor = next(desk for name, desk in self.desks.items() if name not in self.dead)
+        survivor = next(service for name, service in self.services.items() if name not in self.dead)
         for grant in dead.book.grants():
             if grant.adopted:
                 settled = grant.settled + grant.spent + grant.reserved
