--- a/src/bilberryshed/coordination/_spending_schedule.py
+++ b/src/bilberryshed/coordination/_spending_schedule.py
@@ -16,8 +16,8 @@
 LEAD_TOKENS = 1_500  # tokens that it is ahead beside at least
 LEAD_SHARE = 0.03  # of the tokens in hand that it is ahead beside
 GROWTH_DELAY = 0.5  # seconds after which a bound that was not recorded anew begins to grow
-GROWTH = 1.3  # times the demand, by which a bound grows
-GROWTH_FLOOR = 1_500.0  # tokens a second by which it grows beside
+GROWTH = 1.15  # times the demand, by which a bound grows
+GROWTH_FLOOR = 700.0  # tokens a second by which it grows beside
 RENEW_TIME = 0.3  # seconds after which bounds are recorded anew
 CLOCK_DRIFT = 0.02  # share by which two steady clocks may differ in speed
 
