Each attempt is logged when it is sent; a request is followed by its id; what a gateway adds

A killed process left no trace of the requests under way: they were told of at their end only. Now one line tells where an attempt goes and what decided it (work here, tokens to be read there, parts, time left). Tests follow a request by its id through a resumption, and up to a kill and the start after it.

--- a/features/gateway_program.feature
+++ b/features/gateway_program.feature
@@ -41,6 +41,22 @@
     When the process is sent SIGTERM
     Then the report explains that request: attempt_broken, then request
 
+  Scenario: A request is followed by its id through a resumption at another backend server
+    Given the model engines' next answers are: cut 2
+    When a caller calls POST /chat/1 with its key
+    Then the status is 200
+    When the process is sent SIGTERM
+    Then the report explains that request: attempt_broken, then request
+    And the report tells that it was sent 2 times, the second time after 2 events
+
+  Scenario: A request is followed by its id up to a kill of its process, which starts again
+    Given the model engines' next answers are: hang
+    When a caller streams /chat/1, the process is killed, and it starts again
+    And a caller calls GET /look/1 with its key
+    Then the status is 200
+    When the process is sent SIGTERM
+    Then the report tells where the killed request was sent, and that its end is not known
+
   Scenario: Settings that change are applied, and bad ones leave the last in force
     When the settings change to a retry slack of 7 before a hangup
     And the settings change to a retry slack of none before a hangup
--- a/features/steps/gateway_program_steps.py
+++ b/features/steps/gateway_program_steps.py
@@ -193,15 +193,50 @@
     assert place.lower() in text.lower(), text
 
 
-@then("the report explains that request: {first}, then {second}")
-def then_explained(context, first, second):
+def explain(context, id_):
+    """Return what the report tells of a request, from the log of this scenario's processes."""
     path = Path(mkdtemp()) / "gate-1.log"
     path.write_text("\n".join(read_log(context)))
-    id_ = f"{context.rig.next_id:016x}"
     command = [BIN / "bilberryshed-report", "explain", id_, str(path)]
     found = subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
     assert found.returncode == 0, found.stderr
-    assert 0 <= found.stdout.index(first) < found.stdout.index(f"{second} "), found.stdout
+    return found.stdout
+
+
+@then("the report explains that request: {first}, then {second}")
+def then_explained(context, first, second):
+    context.story = explain(context, f"{context.rig.next_id:016x}")
+    assert 0 <= context.story.index(first) < context.story.index(f" {second} "), context.story
+
+
+@then("the report tells that it was sent {times:d} times, the second time after {events:d} events")
+def then_sent_again(context, times, events):
+    sent = [line for line in context.story.splitlines() if " sent " in line]
+    assert len(sent) == times and f"events={events}" in sent[1], context.story
+
+
+@when("a caller streams {path}, the process is killed, and it starts again")
+def when_killed(context, path):
+    async def stream_and_kill():
+        context.killed = context.rig.request_id()
+        call = asyncio.ensure_future(context.rig.call(path, id=context.killed))
+        await asyncio.sleep(0.5)
+        context.process.kill()
+        await asyncio.gather(call, return_exceptions=True)
+
+    run(context, stream_and_kill())
+    before = context.process.stdout.read().decode().splitlines()
+    context.process = start(context.process.args[1])
+    run(context, wait_ready(context))
+    context.earlier_log = before
+
+
+@then("the report tells where the killed request was sent, and that its end is not known")
+def then_unknown_end(context):
+    context.log = context.earlier_log + read_log(context)
+    story = explain(context, context.killed)
+    assert " sent " in story and "server=i-model" in story, story
+    assert "no line tells how the request ended" in story, story
 
 
 @when("the settings change to a retry slack of {slack} before a hangup")
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -188,10 +188,29 @@
             if channel is None:
                 return Outcome.NOT_RUN
             job.sent += 1
+            self._log_sent(job)
             return await self._exchange(job, view, channel)
         finally:
             self.pool.end(job.run)
 
+    def _log_sent(self, job: Job) -> None:
+        """Log where an attempt goes and what decided it; a killed process tells no more of it."""
+        logger().info(
+            "sent",
+            request=job.request.id,
+            route=job.route.name,
+            customer=job.customer.name if job.customer else None,
+            table=self.context.table_version(),
+            server=job.server,
+            sent=job.sent,
+            events=job.cutter.events,
+            part=job.demand.affinity,
+            load=job.load.running,
+            work=job.load.work,
+            unread=job.load.unread,
+            left_ms=_milliseconds(job.deadline - self.context.timers.now()),
+        )
+
     async def _channel(self, job: Job, view: BackendView) -> Channel | None:
         now = self.context.timers.now()
         freshness = 1.0 if job.route.repeatable else FRESH_SHARE
--- a/src/bilberryshed_load/_soak.py
+++ b/src/bilberryshed_load/_soak.py
@@ -106,7 +106,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         server, port = serve_row_store(self.store)
         try:
-            await self._set_up(port)
+            await self.set_up(port)
             loop = asyncio.get_running_loop()
             end = loop.time() + seconds
             traffic = asyncio.ensure_future(self._traffic(end))
@@ -116,7 +116,7 @@
             await traffic
             await self._finish()
         finally:
-            self._kill_all()
+            self.kill_all()
             server.stop()
         for backend in self.backends.values():
             for id_ in backend.ran:
@@ -126,7 +126,8 @@
 
     # Set-up ---------------------------------------------------------------------------------
 
-    async def _set_up(self, store_port: int) -> None:
+    async def set_up(self, store_port: int) -> None:
+        """Start backend servers and gateways, and wait until they serve."""
         for number in range(1, 4):
             await self._add_backend(f"i-model-{number}", "model", True)
             await self._add_backend(f"i-desk-{number}", "desk", False)
@@ -309,7 +310,7 @@
             gateway.signal(signal.SIGTERM)
         await asyncio.sleep(DRAIN_TIME + 0.5)
 
-    def _kill_all(self) -> None:
+    def kill_all(self) -> None:
         """End the processes that this soak started."""
         for gateway in self.gateways.values():
             if gateway.process is not None and gateway.alive:
--- a/src/bilberryshed_load/program.py
+++ b/src/bilberryshed_load/program.py
@@ -6,6 +6,7 @@
 import defopt
 
 from bilberryshed import __version__
+from bilberryshed_load._added import measure_added
 from bilberryshed_load._demo import run_demo
 from bilberryshed_load._flood import measure_flood
 from bilberryshed_load._overhead import measure_overhead, measure_router_core
@@ -63,6 +64,15 @@
     measure_router_core(etc, seconds, callers)
 
 
+def added(*, requests: int = 400, seed: int = 1) -> None:
+    """Measure what a gateway adds to the first event, side by side with direct calls.
+
+    :param requests: requests of each kind
+    :param seed: seed of all random choices
+    """
+    measure_added(requests, seed)
+
+
 def replay(*, seed: int = 1, seeds: int = 5) -> None:
     """Replay load patterns against placement policies, in model time.
 
@@ -128,6 +138,7 @@
             "core": core,
             "slopes": slopes,
             "replay": replay,
+            "added": added,
             "policy": policy,
             "flood": flood,
             "soak": soak,
