--- a/features/prepaid.feature
+++ b/features/prepaid.feature
@@ -29,6 +29,10 @@
     Then all predecessors are closed within 1.5 s
     And of the requests that follow at most 2 in 100 are refused
 
+  Scenario: Pools of many customers are changed in transactions that the store takes
+    When 2 gateways with 90 customers lose power and start again, at 150 requests a second
+    Then all predecessors are closed within 1.5 s
+
   Scenario: A gateway that starts in an outage counts what its predecessor used, not the outage
     When a gateway dies 1 s into an outage of the store and starts in it, at 25 requests a second
     Then its predecessor is closed after the outage
--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -33,6 +33,7 @@
 NAMES = ("gate-1", "gate-2", "gate-3", "gate-4")
 CALL = 0.004  # seconds of a call to the store
 TRANSACTION = 0.003  # seconds of a transaction
+MOST_PUTS = 50  # rows that a transaction may write on a condition each
 TIMEOUT = 1.0  # seconds
 LINK = 0.002  # seconds of a message
 LINK_LOSS = 0.05  # share of messages that are lost with their link
@@ -79,7 +80,11 @@
         await asyncio.sleep(self.busy_until - now)
 
     def apply(self, puts):
-        """Write all rows or none."""
+        """Write all rows or none; the store takes no larger transaction.
+
+        :raises AssertionError: if it is too large
+        """
+        assert len(puts) <= MOST_PUTS, f"{len(puts)} rows in one transaction"
         for put in puts:
             if self.rows.get(put.ref, (0, None))[0] != put.version:
                 return False
