Placement computes its limit once a choice; one rule for what many peers slow down

Found on reading the change again. The limit of light backend servers was summed anew for each of them on every prompt, and each was then looked up in a list: quadratic in the servers, on the hot path. Three modules computed the same factor from the number of linked peers; it is one method of the context now. Behaviour is as it was.

--- a/src/bilberryshed/coordination/_placement.py
+++ b/src/bilberryshed/coordination/_placement.py
@@ -27,17 +27,18 @@
     several times, as all prompts behind them wait too. So a part stays on one backend server until
     prompts queue there, then spreads to a second one, and both share its prompts.
     """
-    light = [view.server.id for view in views if _is_light(view, views, demand)]
+    light = _light(views, demand)
     if not light:
         return min(views, key=lambda view: view.all_work)
-    home = owner(demand.affinity, light)
-    chosen = [view for view in views if view.server.id in light]
-    return min(chosen, key=lambda view: (_cost(now, view, demand, home), view.server.id != home))
+    home = owner(demand.affinity, (view.server.id for view in light))
+    return min(light, key=lambda view: (_cost(now, view, demand, home), view.server.id != home))
 
 
-def _is_light(view: BackendView, views: Sequence[BackendView], demand: Demand) -> bool:
+def _light(views: Sequence[BackendView], demand: Demand) -> list[BackendView]:
+    """Return those that do not have clearly more work than the mean."""
     mean = (sum(view.all_work for view in views) + demand.work) / len(views)
-    return view.all_work + demand.work <= LOAD_MARGIN * mean + LOAD_SLACK
+    limit = LOAD_MARGIN * mean + LOAD_SLACK
+    return [view for view in views if view.all_work + demand.work <= limit]
 
 
 def _cost(now: float, view: BackendView, demand: Demand, home: str | None) -> int:
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -105,6 +105,13 @@
         """Return the gateways of the deployment, this one included, as far as known."""
         return len(self.known_routers | {self.settings.name})
 
+    def slowness(self, few: int) -> int:
+        """Return how many times less often something is done for the peers that are linked.
+
+        :param few: peers for each further time
+        """
+        return 1 + len(self.peer_links) // few
+
     def broadcast(self, message: Any) -> None:
         """Send to every linked gateway."""
         for link in self.peer_links.values():
--- a/src/bilberryshed/gateway/_load_sharing.py
+++ b/src/bilberryshed/gateway/_load_sharing.py
@@ -27,7 +27,7 @@
     def _look(self) -> None:
         """Tell peers what has changed, less often the more they are."""
         self.looks += 1
-        slowness = 1 + len(self.context.peer_links) // FEW_PEERS
+        slowness = self.context.slowness(FEW_PEERS)
         if self.looks % slowness:
             return
         pool = self.context.backends
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -132,7 +132,7 @@
         return self.book.wish(now, name, self.seen[name], total, need, routers)
 
     def _must_read(self, totals: dict[str, int]) -> bool:
-        interval = READ_INTERVAL * (1 + len(self.context.peer_links) // READ_PEERS)
+        interval = READ_INTERVAL * self.context.slowness(READ_PEERS)
         stale = self.context.timers.now() >= self.read_at + interval
         return stale or not self.recorder.store_up or not totals.keys() <= self.seen.keys()
 
--- a/src/bilberryshed/gateway/_token_peers.py
+++ b/src/bilberryshed/gateway/_token_peers.py
@@ -96,7 +96,7 @@
     def _notify(self) -> None:
         """Tell peers what is in hand, less often the more they are."""
         self.ticks += 1
-        if self.ticks % (1 + len(self.context.peer_links) // NOTICE_PEERS):
+        if self.ticks % self.context.slowness(NOTICE_PEERS):
             return
         self.context.broadcast(self.notice())
 
