One event loop in model time, for the load tool and the tests

Found on reading the change again: the tests of prepaid tokens had a loop of their own that overrode a private method of asyncio's, beside the load tool's loop that skips through its selector. They use that one now, which takes a start time and lets what cancelled tasks wait for end.

--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -29,6 +29,7 @@
     RowRef,
     StoreError,
 )
+from bilberryshed_load._model_time import run_in_model_time
 
 NAMES = ("gate-1", "gate-2", "gate-3", "gate-4")
 CALL = 0.004  # seconds of a call to the store
@@ -40,28 +41,11 @@
 RATE = 25.0  # requests a second
 LONGEST_DOWN = 4.0  # seconds from a kill to the next start
 LONGEST_LATE = 6.0  # seconds by which a write is done late
-LAST_TURNS = 4  # turns of the loop in which cancelled tasks, and what they wait for, end
+BEGAN = 1000.0  # seconds of model time at the start of a play
 DOWN = StoreError(False, "down")
 LOST = StoreError(True, "lost")
 
 
-class ModelTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time jumps to the next timer when nothing is ready."""
-
-    def __init__(self):
-        super().__init__()
-        self.model_time = 1000.0
-
-    def time(self):
-        """Return the model's time."""
-        return self.model_time
-
-    def _run_once(self):
-        if not self._ready and self._scheduled:
-            self.model_time = max(self.model_time, self._scheduled[0]._when)
-        super()._run_once()
-
-
 @dataclass
 class ModelStore:
     """Rows, with the store's clock."""
@@ -463,26 +447,18 @@
     :raises AssertionError: if a customer got more than it has paid for
     """
     world = World(seed, loss)
-    run_in_model_time(world, lambda: world.play(seconds))
+    play_world(world, lambda: world.play(seconds))
     return world
 
 
-def run_in_model_time(world, play_world):
-    """Run a world's play on a loop of its own."""
+def play_world(world, play_whole):
+    """Run a world's play in model time, with ids that its dice give.
+
+    :param play_whole: returns the coroutine to run
+    """
     began = time.monotonic()
-    loop = ModelTimeLoop()
-    asyncio.set_event_loop(loop)
-    names = mock.patch("uuid.uuid4", lambda: uuid.UUID(int=world.dice.getrandbits(128)))
-    try:
-        names.start()
-        loop.run_until_complete(play_world())
-    finally:
-        names.stop()
-        for _ in range(LAST_TURNS):
-            for task in asyncio.all_tasks(loop):
-                task.cancel()
-            loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+    with mock.patch("uuid.uuid4", lambda: uuid.UUID(int=world.dice.getrandbits(128))):
+        run_in_model_time(play_whole(), BEGAN)
     world.took = time.monotonic() - began
 
 
@@ -548,7 +524,7 @@
     :returns: its world, with tokens ``counted`` and ``used_before`` by customer
     """
     world = PartialWorld(seed, 0.0, ("gate-1",))
-    run_in_model_time(world, lambda: world.play_partial(rate))
+    play_world(world, lambda: world.play_partial(rate))
     return world
 
 
@@ -558,7 +534,7 @@
     :returns: its world, with ``lost`` tokens and ``holders_after``
     """
     world = OutageWorld(seed, 0.0, ("gate-1",))
-    run_in_model_time(world, lambda: world.play_outage(rate))
+    play_world(world, lambda: world.play_outage(rate))
     return world
 
 
@@ -625,5 +601,5 @@
     :returns: its world, with ``closed_after`` in seconds and ``refused_after`` as a share
     """
     world = RestartWorld(seed, gateways, customers)
-    run_in_model_time(world, lambda: world.play_restart(rate))
+    play_world(world, lambda: world.play_restart(rate))
     return world
