Timers share wake-ups; messages are packed without a call for each plain field; hubs pace urgent reports

Change: periodic callbacks run at multiples of their interval after a phase that depends on the boot id; plain fields are not passed through _pack; a hub's urgent reports are 0.02 s apart for every four receivers; logs are flushed each 0.1 s.

--- a/features/hubs.feature
+++ b/features/hubs.feature
@@ -79,3 +79,18 @@
     Given a process with 5 links, one of them primary
     When the peer of that link replies to each probe for 30 s
     Then the link is open
+
+  Scenario Outline: A callback every <interval> s that ran at <now> s runs again at <next> s
+    Given a timer of <interval> s
+    Then after a run at <now> s it is due at <next> s
+
+    Examples:
+      | interval | now   | next |
+      | 0.5      | 10.0  | 10.5 |
+      | 0.5      | 10.01 | 10.5 |
+      | 0.5      | 9.99  | 10.5 |
+      | 0.5      | 10.3  | 11.0 |
+      | 0.1      | 10.02 | 10.1 |
+
+  Scenario: A notice to peers with an absent field is encoded as before
+    Then a message with a number, a text, nothing and a nested message survives a round trip
--- a/features/steps/hub_steps.py
+++ b/features/steps/hub_steps.py
@@ -6,9 +6,20 @@
 from behave import given, then, when
 
 from bilberryshed.coordination import BackendDemand, BackendPool, Hubs, LoadRelay
-from bilberryshed.protocol import Hello, LinkProbe, LoadNotice, LoadSummary, ServerLoad
+from bilberryshed.protocol import (
+    Hello,
+    LinkProbe,
+    LoadNotice,
+    LoadSummary,
+    LoanResponse,
+    PoolChange,
+    ServerLoad,
+    Transfer,
+    decode,
+    encode,
+)
 from bilberryshed.state import BackendServer
-from bilberryshed.transport import LinkMonitor
+from bilberryshed.transport import LinkMonitor, next_multiple
 
 NOW = 100.0  # seconds
 CHECK_STEP = 0.5  # seconds between checks of the link monitor
@@ -218,3 +229,23 @@
 @then("the link is closed")
 def then_closed(context):
     assert context.link.closed
+
+
+@given("a timer of {interval:g} s")
+def given_timer(context, interval):
+    context.interval = interval
+
+
+@then("after a run at {now:g} s it is due at {due:g} s")
+def then_due(context, now, due):
+    assert abs(next_multiple(now, context.interval) - due) < 1e-9
+
+
+@then("a message with a number, a text, nothing and a nested message survives a round trip")
+def then_round_trip(context):
+    for message in (
+        LoanResponse("a", None, "spent"),
+        LoanResponse("a", Transfer("t", "gate.1", "harbour", "prepaid", 7), ""),
+        PoolChange("harbour", "gate.1", -3, 8, None),
+    ):
+        assert decode(encode(message)) == message
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -16,6 +16,7 @@
     RetryBudget,
     RouteIndex,
     SpendingBounds,
+    shard_of,
 )
 from bilberryshed.gateway._dialect import Dialect
 from bilberryshed.protocol import CrashNotice, Finding, encode
@@ -36,6 +37,8 @@
     new_boot_id,
 )
 
+PHASES = 1000  # different phases of periodic work, spread over one second
+
 
 @dataclass(slots=True, frozen=True)
 class GatewayPorts:
@@ -78,7 +81,7 @@
         self.started_at = PROCESS_STARTED_AT if started_at is None else started_at
         self.dialect = ports.dialect
         self.boot = new_boot_id(settings.name)
-        self.timers = TimerService()
+        self.timers = TimerService(phase=shard_of(self.boot, PHASES) / PHASES)
         self.metrics = Metrics(settings.statsd, "bilberryshed.gateway")
         self.backends = BackendPool(settings.zone)
         self.connections = ConnectionPool()
--- a/src/bilberryshed/gateway/_load_sharing.py
+++ b/src/bilberryshed/gateway/_load_sharing.py
@@ -8,6 +8,7 @@
 URGENT_INTERVAL = 0.02  # seconds between reports of long prompts, which are announced soon
 REPORT_INTERVAL = 0.1  # seconds between reports of other changes
 RECEIVERS_PER_STEP = 8  # receivers per additional interval, which bounds a hub's traffic
+URGENT_RECEIVERS_PER_STEP = 4  # the same for the interval between urgent reports
 REFRESH_INTERVAL = 2.0  # seconds after which an unchanged load is reported again
 
 
@@ -43,7 +44,7 @@
         """Schedule a report, as this gateway's load or that of its group has changed."""
         self.changed = True
         if not self.scheduled:
-            self._schedule(URGENT_INTERVAL * self._interval_factor())
+            self._schedule(URGENT_INTERVAL * self._interval_factor(URGENT_RECEIVERS_PER_STEP))
 
     def remove_peer(self, name: str) -> None:
         """Drop the load of a gateway whose link is closed."""
@@ -70,10 +71,10 @@
 
     # Reports --------------------------------------------------------------------------------
 
-    def _interval_factor(self) -> int:
+    def _interval_factor(self, receivers_per_step: int) -> int:
         hubs = self.context.hubs
         receivers = len(self.relay.members) + len(hubs.names) if hubs.is_hub else 1
-        return 1 + receivers // RECEIVERS_PER_STEP
+        return 1 + receivers // receivers_per_step
 
     def _schedule(self, delay: float) -> None:
         self.scheduled = True
@@ -84,7 +85,8 @@
         self.scheduled = False
         if not self.changed or self.context.closing:
             return
-        due_in = self.sent_at + REPORT_INTERVAL * self._interval_factor() - now
+        interval = REPORT_INTERVAL * self._interval_factor(RECEIVERS_PER_STEP)
+        due_in = self.sent_at + interval - now
         if due_in <= 0 or is_report_urgent(self._group(), self.last_group):
             self._report(now)
         else:
--- a/src/bilberryshed/gateway/_loans.py
+++ b/src/bilberryshed/gateway/_loans.py
@@ -16,7 +16,7 @@
 from bilberryshed.protocol import LoanRequest, LoanResponse
 from bilberryshed.transport import Link, logger
 
-RETURN_INTERVAL = 0.25  # seconds between returns of unused tokens
+RETURN_INTERVAL = 0.2  # seconds between returns of unused tokens
 LOAN_TIMEOUT = 0.6  # seconds that a hub has to respond
 SUSPECT_TIME = 2.0  # seconds for which a hub that did not respond is not used
 
--- a/src/bilberryshed/gateway/_token_peers.py
+++ b/src/bilberryshed/gateway/_token_peers.py
@@ -20,7 +20,7 @@
 from bilberryshed.transport import Link, logger
 
 BUDGET_NAME = "prepaid"  # the one budget that each customer has
-NOTICE_INTERVAL = 0.25  # seconds between notices, for a few peers
+NOTICE_INTERVAL = 0.2  # seconds between notices, for a few peers
 NOTICE_PEERS_PER_STEP = 6  # hubs per additional NOTICE_INTERVAL, which bounds the traffic
 MEMBER_NOTICE_STEP = 4  # notices to other hubs for each notice to the members of the group
 PREFERRED_PEERS = 6  # peers with the largest holdings, which are queried first
--- a/src/bilberryshed/protocol/_codec.py
+++ b/src/bilberryshed/protocol/_codec.py
@@ -13,6 +13,7 @@
 import cbor2
 
 _SCALARS = frozenset({int, str, bytes, bool, float})
+_UNPACKED = _SCALARS | {type(None)}  # types that are encoded as they are
 MESSAGE_TAG = 40_600  # unassigned CBOR tag that wraps every registered message
 
 _classes_by_tag: dict[int, type] = {}
@@ -69,10 +70,15 @@
 
 
 def _pack(value: Any) -> Any:
+    if type(value) in _UNPACKED:
+        return value
     tag = _tags_by_class.get(type(value))
     if tag is not None:
-        names = value.__slots__
-        return cbor2.CBORTag(MESSAGE_TAG, [tag, *(_pack(getattr(value, name)) for name in names)])
+        fields = [tag]
+        for name in value.__slots__:
+            item = getattr(value, name)
+            fields.append(item if type(item) in _UNPACKED else _pack(item))
+        return cbor2.CBORTag(MESSAGE_TAG, fields)
     if dataclasses.is_dataclass(value):
         raise KeyError(f"{type(value).__name__} is not a registered message class")
     if isinstance(value, tuple | list):
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -27,7 +27,7 @@
     http_platform,
 )
 from bilberryshed.transport._tasks import BackgroundTasks, new_boot_id
-from bilberryshed.transport._timers import Subscription, TimerService
+from bilberryshed.transport._timers import Subscription, TimerService, next_multiple
 from bilberryshed.transport._tls import client_tls_context, server_tls_context
 
 __all__ = [
@@ -62,5 +62,6 @@
     "http_platform",
     "logger",
     "new_boot_id",
+    "next_multiple",
     "server_tls_context",
 ]
--- a/src/bilberryshed/transport/_log_pipe.py
+++ b/src/bilberryshed/transport/_log_pipe.py
@@ -12,7 +12,7 @@
 
 MAX_PENDING_BYTES = 1_000_000  # bytes buffered for a slow reader
 WRITE_SIZE = 4096  # bytes; a writable pipe accepts a write of this size without blocking
-FLUSH_INTERVAL = 0.05  # seconds between writes
+FLUSH_INTERVAL = 0.1  # seconds between writes
 MAX_FINAL_WRITES = 1_000  # writes attempted at the end of the process
 MAX_LINES_PER_SECOND = 200  # per event; above this, only lines of failed requests are logged
 REPORT_INTERVAL = 1.0  # seconds between reports of suppressed and dropped lines
--- a/src/bilberryshed/transport/_timers.py
+++ b/src/bilberryshed/transport/_timers.py
@@ -1,6 +1,7 @@
 """Timer service of a process: periodic callbacks, monotonic time and wall-clock time."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -26,12 +27,20 @@
 
 
 class TimerService:
-    """Runs periodic callbacks on the event loop and returns the time."""
+    """Runs periodic callbacks on the event loop and returns the time.
 
-    __slots__ = ("subscriptions",)
+    Callbacks run at multiples of their interval, so that intervals which are multiples of each
+    other share wake-ups.
 
-    def __init__(self) -> None:
+    :param phase: monotonic time in seconds from which the intervals count; processes with different
+        phases do not act together
+    """
+
+    __slots__ = ("subscriptions", "phase")
+
+    def __init__(self, phase: float = 0.0) -> None:
         self.subscriptions: list[Subscription] = []
+        self.phase = phase
 
     def now(self) -> float:
         """Return the loop's monotonic time in seconds."""
@@ -42,7 +51,7 @@
         return time.time()
 
     def subscribe(self, interval: float, callback: Callback) -> Subscription:
-        """Call ``callback`` every ``interval`` seconds, first after one interval.
+        """Call ``callback`` every ``interval`` seconds, first within one and a half.
 
         :param callback: receives the monotonic time in seconds
         """
@@ -63,10 +72,19 @@
 
     def _arm(self, subscription: Subscription) -> None:
         loop = asyncio.get_running_loop()
-        subscription.handle = loop.call_later(subscription.interval, self._fire, subscription)
+        due = next_multiple(loop.time() - self.phase, subscription.interval) + self.phase
+        subscription.handle = loop.call_at(due, self._fire, subscription)
 
     def _fire(self, subscription: Subscription) -> None:
         if subscription.cancelled:
             return
         self._arm(subscription)
         subscription.callback(self.now())
+
+
+def next_multiple(now: float, interval: float) -> float:
+    """Return the next multiple of an interval, at least half an interval after ``now``.
+
+    A callback that runs slightly early or late so keeps its pace.
+    """
+    return interval * (math.floor(now / interval + 0.5) + 1)
