--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -54,10 +54,12 @@
       | unframed     | GET    | /look/1 | 200    | 1        |
       | foreign      | GET    | /look/1 | 200    | 1        |
       | reset, full  | GET    | /look/1 | 502    | 1        |
+      | full cut     | GET    | /look/1 | 200    | 1        |
 
     Examples: a non-idempotent request
       | fault        | method | path    | status | executed |
       | full         | POST   | /book/1 | 200    | 1        |
+      | full cut     | POST   | /book/1 | 200    | 1        |
       | other        | POST   | /book/1 | 200    | 1        |
       | full, full   | POST   | /book/1 | 503    | 0        |
       | reset        | POST   | /book/1 | 502    | 1        |
@@ -68,6 +70,32 @@
       | hang         | POST   | /book/1 | 504    | 1        |
       | foreign      | POST   | /book/1 | 200    | 1        |
 
+  Scenario Outline: A response without end in its <part> is broken off, and the next server responds
+    Given the next responses of the plain servers are: endless <part>
+    When a caller sends GET /look/1 with its key
+    Then the status is 200
+    And at most <bytes> bytes of it were sent
+    And the response took less than 1.5 s
+
+    Examples: a head of 64 KiB or a body of 8 MB is accepted; the rest is in buffers of the connection
+      | part   | bytes    |
+      | status | 12000000 |
+      | head   | 12000000 |
+      | size   | 12000000 |
+      | body   | 20000000 |
+
+  Scenario Outline: An event without end on a stream, in its <part>
+    Given the next responses of the model engines are: endless <part>
+    When a caller sends a prompt of 30 tokens for 20 output tokens to /chat/1
+    Then the status is 200
+    And the caller received events 1 to 5 once each, and a complete response
+    And at most 12000000 bytes of it were sent
+
+    Examples:
+      | part |
+      | body |
+      | size |
+
   Scenario: An unexpected second response on a persistent connection is discarded
     Given the next responses of the plain servers are: extra, extra
     When a caller sends 6 requests GET /look/1 with its key
@@ -87,6 +115,7 @@
       | cut 1 | 2        |
       | cut 4 | 2        |
       | reset | 2        |
+      | trickle | 2      |
 
   Scenario Outline: A stream with the fault <fault> on a route that is not resumable
     Given the next responses of the model engines are: <fault>
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -47,6 +47,16 @@
     When 60 prompts of one conversation of 9000 tokens reach the routers in turn, load notices sent: never
     Then the most loaded backend server has at least 20 of them in flight
 
+  Scenario Outline: A backend server at whose address another one responded gets no more prompts
+    Given 2 backend servers
+    When another server responds at the address of i-1, and its entry has sequence <sequence> then
+    Then i-1 gets new requests: <used>
+
+    Examples: only a live server renews its entry
+      | sequence | used |
+      | 1        | no   |
+      | 2        | yes  |
+
   Scenario Outline: A load of <unread> tokens awaiting prefill after <reported> were reported
     Then the change is reported immediately: <urgent>
 
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -1,6 +1,7 @@
 """Steps for the gateway's decisions on retries, placement, crashes and event streams."""
 
 import collections
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -264,3 +265,17 @@
         splitter = EventSplitter()
         complete = splitter.feed(data[:split_at]) + splitter.feed(data[split_at:])
         assert (complete, splitter.last_id, splitter.events) == (data, str(last), count), split_at
+
+
+@when("another server responds at the address of i-1, and its entry has sequence {sequence:d} then")
+def when_wrong_server(context, sequence):
+    entries = {id_: replace(server, sequence=1) for id_, server in context.entries.items()}
+    context.pool.set_servers(entries)
+    context.pool.views["i-1"].mark_wrong_server()
+    context.pool.set_servers({**entries, "i-1": replace(entries["i-1"], sequence=sequence)})
+
+
+@then("i-1 gets new requests: {used}")
+def then_used(context, used):
+    ids = {view.server.id for view in context.pool.usable("model")}
+    assert ("i-1" in ids) is (used == "yes"), ids
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -562,3 +562,9 @@
     context.responses = run(
         context, send_prompts(context, ("gate-2",), count, f"{size},{max_output}")
     )
+
+
+@then("at most {most:d} bytes of it were sent")
+def then_bytes_sent(context, most):
+    sent = max(backend.endless_bytes for backend in context.harness.backends.values())
+    assert 0 < sent <= most, sent
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -110,8 +110,7 @@
             if server.sequence != view.server.sequence and view.refused_connections:
                 view.refused_connections = 0
                 view.backoff_until = 0.0
-            view.server = server
-            view.is_leaving = server.draining
+            view.update(server)
         if removed or self.views.keys() != known:
             self._sum_peer_loads()
         return removed
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -40,6 +40,8 @@
     :param backoff_until: monotonic time before which it is sent no new work
     :param failure_rate: moving average of the share of failed requests, from 0 to 1
     :param ejected_until: monotonic time before which it is used only if no other is available
+    :param wrong_sequence: sequence number of the entry when another backend server responded at its
+        address; the mark lasts until the entry is renewed, which only a live server does
     :param is_leaving: whether it gets no more requests, as its entry was removed or is marked as
         draining, or as its address belongs to another backend server
     """
@@ -57,6 +59,7 @@
     failure_rate: float = 0.0
     ejected_until: float = 0.0
     is_leaving: bool = False
+    wrong_sequence: int | None = None
 
     @property
     def total_running(self) -> int:
@@ -73,6 +76,16 @@
         """Prompt tokens of the requests of all routers that are not yet prefilled."""
         return self.unread + self.peers_unread
 
+    def mark_wrong_server(self) -> None:
+        """Record that another backend server responded at the address of this one."""
+        self.wrong_sequence = self.server.sequence
+        self.is_leaving = True
+
+    def update(self, server: BackendServer) -> None:
+        """Replace the registered entry."""
+        self.server = server
+        self.is_leaving = server.draining or server.sequence == self.wrong_sequence
+
     def has_cached(self, now: float, affinity: str) -> bool:
         """Whether a shared prefix was sent there within ``PREFIX_CACHE_TIME``."""
         return now - self.sent_prefixes.get(affinity, -math.inf) < PREFIX_CACHE_TIME
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -35,6 +35,8 @@
 CHOICE_WAIT_FRACTION = 0.25  # of the latency target; longest wait for a usable backend server
 MIN_TIME_LEFT = 0.02  # seconds; with less time left a request is not sent
 MAX_REFUSED_CONNECTIONS = 6  # refused connections that one request tolerates
+MAX_BODY_BYTES = 8_000_000  # bytes of a response that is not a stream; longer ones are broken off
+MAX_EVENT_BYTES = 1_000_000  # bytes of one event of a stream
 
 
 class AttemptOutcome(StrEnum):
@@ -314,9 +316,18 @@
         return min(job.deadline, silence_deadline)
 
     async def _discard_body(self, connection: BackendConnection, response: BackendResponse) -> bool:
-        async with asyncio.timeout(CONNECT_TIMEOUT):
-            while await connection.read_body():
-                pass
+        """Read the rest of a response that proves that the request was not run.
+
+        A broken body does not weaken the proof, which is in the head.
+
+        :returns: whether the connection was released for reuse
+        """
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                while await connection.read_body():
+                    pass
+        except (TimeoutError, ResponseError):
+            return False
         return self._release_connection(connection, response)
 
     def _on_not_run(self, job: Job, view: BackendView, response: BackendResponse) -> AttemptOutcome:
@@ -324,7 +335,7 @@
         job.excluded.add(view.server.id)
         job.last_failure = f"backend server answered {response.status}: not run"
         if response.wrong_server:
-            view.is_leaving = True
+            view.mark_wrong_server()
             self.connections.close_idle(view.server.id)
         else:
             self.pool.on_overloaded(now, view)
@@ -365,21 +376,33 @@
         job.exchange.respond(response.status, response.headers, body)
 
     async def _read_body(self, job: Job, connection: BackendConnection) -> bytes:
+        """Read a whole body.
+
+        :raises ResponseError: if it is longer than ``MAX_BODY_BYTES``
+        """
         chunks: list[bytes] = []
-        async with asyncio.timeout_at(job.deadline):
+        size = 0
+        async with asyncio.timeout_at(self._read_deadline(job, FIRST_BYTE_FACTOR)):
             while chunk := await connection.read_body():
                 chunks.append(chunk)
+                size += len(chunk)
+                if size > MAX_BODY_BYTES:
+                    raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
         return b"".join(chunks)
 
     async def _relay_stream(
         self, job: Job, connection: BackendConnection, response: BackendResponse
     ) -> None:
-        """Relay complete events as they arrive."""
+        """Relay complete events as they arrive.
+
+        Only complete events show progress: bytes now and then do not keep a stalled stream open.
+        """
         exchange, event_splitter = job.exchange, job.event_splitter
         job.status = response.status
         event_splitter.discard_partial()
+        deadline = self._read_deadline(job, STALL_FACTOR)
         while True:
-            async with asyncio.timeout_at(self._read_deadline(job, STALL_FACTOR)):
+            async with asyncio.timeout_at(deadline):
                 chunk = await connection.read_body()
             if not chunk:
                 break
@@ -387,8 +410,11 @@
                 self.pool.on_prefill_done(job.run)
                 self.context.on_load_change()
             events = event_splitter.feed(chunk)
+            if len(event_splitter.buffer) > MAX_EVENT_BYTES:
+                raise ResponseError(f"an event has more than {MAX_EVENT_BYTES} bytes")
             if not events:
                 continue
+            deadline = self._read_deadline(job, STALL_FACTOR)
             if not exchange.started:
                 exchange.begin(response.status, response.headers)
                 job.first_event_at = self.context.timers.now()
--- a/src/bilberryshed/state/_gateway_settings.py
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -7,6 +7,7 @@
     parse_count,
     parse_name,
     parse_optional_address,
+    parse_ratio,
     parse_seconds,
     setting,
 )
@@ -39,7 +40,7 @@
     store: Address = setting("store", Address.parse)
     store_timeout: float = setting("store", parse_seconds, "1")
     drain_time: float = setting("stop", parse_seconds, "8")
-    retry_ratio: float = setting("retries", parse_seconds, "0.2")
+    retry_ratio: float = setting("retries", parse_ratio, "0.2")
     retry_window: float = setting("retries", parse_seconds, "10")
-    retry_slack: float = setting("retries", parse_seconds, "50")
+    retry_slack: float = setting("retries", parse_ratio, "50")
     grant_horizon: float = setting("prepaid", parse_seconds, "25")
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -51,6 +51,14 @@
     return value
 
 
+def parse_ratio(text: str) -> float:
+    """Parse a finite number that is not negative, such as a share or a number of retries."""
+    value = float(text)
+    if not 0 <= value < float("inf"):
+        raise ValueError(f"{text} is not a number from 0 up")
+    return value
+
+
 def parse_count(text: str) -> int:
     """Parse a positive whole number."""
     value = int(text)
--- a/src/bilberryshed/transport/_timers.py
+++ b/src/bilberryshed/transport/_timers.py
@@ -56,6 +56,7 @@
         :param callback: receives the monotonic time in seconds
         """
         subscription = Subscription(interval, callback)
+        self.subscriptions = [s for s in self.subscriptions if not s.cancelled]
         self.subscriptions.append(subscription)
         self._arm(subscription)
         return subscription
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -6,7 +6,9 @@
 response; ``extra`` sends a second response after the first, unless that is a stream; ``unsigned``
 omits the signature; ``garbage`` sends bytes that are not HTTP; ``unframed`` sends a body without
 length or chunks; ``error`` is a signed 500; ``hang`` delays the response by a minute; ``early``
-responds before it has read the body; ``foreign`` sends the response of another request first.
+responds before it has read the body; ``foreign`` sends the response of another request first;
+``full cut`` is ``full`` with a body that breaks off; ``trickle`` sends a byte of the second event
+now and then; ``endless PART`` sends a status, head, size (of a chunk) or body without end.
 """
 
 import asyncio
@@ -17,6 +19,9 @@
 
 EVENTS = 5  # events of a complete stream
 READ_SIZE = 65_536  # bytes, at most, in one read
+TRICKLE_INTERVAL = 0.1  # seconds between the bytes of a stalled stream
+ENDLESS_BLOCK = b"7" * 65_536  # repeated until the client closes the connection
+ENDLESS_LIMIT = 64_000_000  # bytes after which the stand-in gives up
 PARTIAL_EVENT_BYTES = 12  # bytes sent of an event at which a stream is cut
 
 
@@ -38,6 +43,7 @@
     :param executed: ids of requests that it executed, in order
     :param disconnected: ids of requests whose client disconnected during the stream
     :param delay: seconds between events
+    :param endless_bytes: bytes sent of responses without end
     """
 
     id: str
@@ -47,6 +53,7 @@
     executed: list[str] = field(default_factory=list)
     disconnected: list[str] = field(default_factory=list)
     delay: float = 0.0
+    endless_bytes: int = 0
     server: asyncio.Server | None = None
     tasks: set["asyncio.Task[None] | None"] = field(default_factory=set)
     address: str = ""
@@ -114,6 +121,9 @@
         if fault == "full":
             writer.write(_response_head(503, id_, "X-Not-Executed: 1\r\nContent-Length: 0"))
             return True
+        if fault == "full cut":
+            writer.write(_response_head(503, id_, "X-Not-Executed: 1\r\nContent-Length: 9") + b"fu")
+            return False
         if fault == "other" or received.headers.get("x-target-instance", self.id) != self.id:
             writer.write(_response_head(421, id_, "X-Instance-Id: i-other\r\nContent-Length: 0"))
             return True
@@ -122,6 +132,8 @@
         if fault == "reset":
             writer.transport.abort()
             return False
+        if fault.startswith("endless"):
+            return await self._send_endless(id_, fault.removeprefix("endless "), writer)
         if fault == "garbage":
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             return False
@@ -133,6 +145,21 @@
             return await self._send_stream(received, fault, reader, writer)
         return self._send_plain(id_, fault, writer)
 
+    async def _send_endless(self, id_: str, part: str, writer: asyncio.StreamWriter) -> bool:
+        """Send a response without end in one of its parts until the client closes."""
+        starts = {
+            "status": b"HTTP/1.1 200 ",
+            "head": b"HTTP/1.1 200 X\r\nX-Padding: ",
+            "size": _response_head(200, id_, "Transfer-Encoding: chunked"),
+            "body": _response_head(200, id_, "Connection: close"),
+        }
+        writer.write(starts[part])
+        while self.endless_bytes < ENDLESS_LIMIT:
+            writer.write(ENDLESS_BLOCK)
+            self.endless_bytes += len(ENDLESS_BLOCK)
+            await writer.drain()
+        return False
+
     def _send_plain(self, id_: str, fault: str, writer: asyncio.StreamWriter) -> bool:
         body = f"answer to {id_}".encode()
         if fault == "error":
@@ -176,6 +203,8 @@
             await writer.drain()
             if self.delay:
                 await self._wait_between_events(id_, reader)
+            if kind == "trickle":
+                await self._trickle(id_, number + 1, reader, writer)
         if kind == "cut":
             writer.write(_chunk(f"id: {last + 1}\ndata: piece".encode()[:PARTIAL_EVENT_BYTES]))
             await writer.drain()
@@ -184,6 +213,17 @@
             writer.write(b"0\r\n\r\n")
         return kind != "unframed"
 
+    async def _trickle(
+        self, id_: str, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send a byte now and then of an event that never ends."""
+        writer.write(_chunk(f"id: {number}\ndata: ".encode()))
+        while not reader.at_eof():
+            writer.write(_chunk(b"."))
+            await asyncio.sleep(TRICKLE_INTERVAL)
+        self.disconnected.append(id_)
+        raise ConnectionResetError("the client disconnected")
+
     async def _wait_between_events(self, id_: str, reader: asyncio.StreamReader) -> None:
         await asyncio.sleep(self.delay)
         if reader.at_eof():
