Hubs are on a zone's larger machines; a hub that does not respond is replaced for its own members only

Change: gateways publish the capacity of their VM (new settings cpu, cpu_speed, bandwidth) in their row; hubs are chosen among those of at least half of the zone's largest capacity. A timeout changes only which hub this member uses, another zone's if need be, not the set of hubs.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -240,6 +240,7 @@
     And the customer has paid for 1000 tokens
     When 20 prompts of 30 tokens for 20 output tokens are sent to both gateways in turn
     Then 20 of them return 200
+    And each of them has 5 events and is complete
     When 1 prompts of 30 tokens for 20 output tokens are sent to both gateways in turn
     Then 0 of them return 200
 
--- a/features/hubs.feature
+++ b/features/hubs.feature
@@ -25,6 +25,19 @@
     When it becomes available again
     Then all routers agree on the hubs, and each has a hub in its zone
 
+  Scenario: Hubs are on the larger machines of a zone
+    Given 29 routers in 3 zones
+    When the machines of gate-3, gate-13 and gate-20 have 2.0 cores and all others 0.387
+    Then the hubs are gate-3, gate-13 and gate-20
+
+  Scenario: A hub that does not respond to one router is replaced for this one only
+    Given 29 routers in 3 zones
+    When the hub of gate-7 does not respond to it
+    Then gate-7 uses a hub of another zone
+    And the other routers use their hubs as before
+    When no hub responds to gate-7
+    Then gate-7 uses a hub of its zone
+
   Scenario: A zone whose routers are all unavailable has routers that serve themselves
     Given 4 routers in 1 zones
     When all of them become unavailable
--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -263,8 +263,8 @@
     """Return settings of a gateway; its addresses are placeholders."""
     address = Address("127.0.0.1", 1)
     return GatewaySettings(
-        name, zone, address, address, address, None, None, 300, address, 1.0, 8.0, 0.2, 10.0,
-        50.0, 25.0,
+        name, zone, address, address, address, None, None, 300, 1.0, 1.0, 1000.0,
+        address, 1.0, 8.0, 0.2, 10.0, 50.0, 25.0,
     )  # fmt: skip
 
 
@@ -382,6 +382,7 @@
                 if other is not gateway and not {other.name, gateway.name} & self.isolated
             }
             gateway.context.known_gateways = set(self.names)
+            gateway.context.listed = True
             hubs = gateway.context.hubs
             for name in before.keys() - gateway.context.peer_links.keys():
                 hubs.remove(name)
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -480,6 +480,14 @@
     assert actual.count(status) == count, actual
 
 
+@then("each of them has {count:d} events and is complete")
+def then_each_complete(context, count):
+    """An incomplete response uses fewer tokens, so that more requests fit than expected."""
+    for response in context.responses:
+        events = len(re.findall(rb"^id: ", response.body, re.MULTILINE))
+        assert events == count and response.complete, (response.status, response.body)
+
+
 @then("at least {count:d} of them return {status:d}")
 def then_min_status_count(context, count, status):
     actual = [response.status for response in context.responses]
--- a/features/steps/hub_steps.py
+++ b/features/steps/hub_steps.py
@@ -249,3 +249,42 @@
         PoolChange("harbour", "gate.1", -3, 8, None),
     ):
         assert decode(encode(message)) == message
+
+
+@when("the machines of {large} have {cores:g} cores and all others {others:g}")
+def when_capacities(context, large, cores, others):
+    names = large.replace(" and ", ", ").split(", ")
+    for hubs, name in itertools.product(context.hubs.values(), context.zones):
+        hubs.set_capacity(name, cores if name in names else others)
+
+
+@then("the hubs are {names}")
+def then_hubs_are(context, names):
+    expected = set(names.replace(" and ", ", ").split(", "))
+    assert all(hubs.names == expected for hubs in context.hubs.values())
+
+
+@when("the hub of {name} does not respond to it")
+def when_suspected(context, name):
+    context.before = {other: hubs.own for other, hubs in context.hubs.items()}
+    hubs = context.hubs[name]
+    hubs.set_suspected(hubs.own, True)
+
+
+@when("no hub responds to {name}")
+def when_all_suspected(context, name):
+    for hub in context.hubs[name].names:
+        context.hubs[name].set_suspected(hub, True)
+
+
+@then("{name} uses a hub of {place} zone")
+def then_uses_hub(context, name, place):
+    hub = context.hubs[name].own
+    assert hub in context.hubs[name].names and hub != name
+    assert (context.zones[hub] == context.zones[name]) is (place == "its"), hub
+
+
+@then("the other routers use their hubs as before")
+def then_others_unchanged(context):
+    changed = [n for n, hubs in context.hubs.items() if hubs.own != context.before[n]]
+    assert changed == ["gate-7"], changed
--- a/src/bilberryshed/coordination/_hubs.py
+++ b/src/bilberryshed/coordination/_hubs.py
@@ -2,9 +2,10 @@
 
 With one link in use between every two routers, the control traffic of each router grows with the
 fleet, and a customer's tokens are split into more and more small holdings. So routers of an
-availability zone form groups. The hub of a group holds prepaid tokens for its members and relays
-their loads. Every router computes the groups from the routers that it is linked to; views that
-differ for a moment are harmless, since a hub serves every router that asks it.
+availability zone form groups. The hub of a group, on one of the zone's larger VMs, holds prepaid
+tokens for its members and relays their loads. Every router computes the groups from the routers
+that it is linked to; views that differ for a moment are harmless, since a hub serves every router
+that asks it.
 """
 
 import math
@@ -14,6 +15,7 @@
 
 MIN_GROUPED = 4  # routers in a zone below which each is its own hub
 MAX_GROUP = 16  # routers in one group
+LARGE_SHARE = 0.5  # of the capacity of the largest VM in a zone; smaller ones are no hubs
 
 
 class Hubs:
@@ -22,16 +24,30 @@
     :param name: this router
     :param zone: its availability zone
     :param zones: availability zones of the routers that it is linked to, by name
-    :param unavailable: routers that are draining or did not respond, which cannot be hubs
+    :param capacities: capacities of their VMs, in comparable units; 0 for one that is not listed
+    :param unavailable: routers that are draining, which cannot be hubs
+    :param suspected: hubs that did not respond recently, which this router does not use
     """
 
-    __slots__ = ("name", "zone", "zones", "unavailable", "_names", "_own", "_outdated")
+    __slots__ = (
+        "name",
+        "zone",
+        "zones",
+        "capacities",
+        "unavailable",
+        "suspected",
+        "_names",
+        "_own",
+        "_outdated",
+    )
 
     def __init__(self, name: str, zone: str) -> None:
         self.name = name
         self.zone = zone
         self.zones: dict[str, str] = {}
+        self.capacities: dict[str, float] = {}
         self.unavailable: set[str] = set()
+        self.suspected: set[str] = set()
         self._names: frozenset[str] = frozenset()
         self._own = name
         self._outdated = True
@@ -45,6 +61,21 @@
         """Remove a router whose link is closed."""
         self.zones.pop(name, None)
         self.unavailable.discard(name)
+        self.suspected.discard(name)
+        self._outdated = True
+
+    def set_capacity(self, name: str, capacity: float) -> None:
+        """Record the capacity of a router's VM; this router itself can be named, too."""
+        if self.capacities.get(name) != capacity:
+            self.capacities[name] = capacity
+            self._outdated = True
+
+    def set_suspected(self, name: str, suspected: bool) -> None:
+        """Record whether a hub did not respond; while it is suspected, another one is used."""
+        if suspected:
+            self.suspected.add(name)
+        else:
+            self.suspected.discard(name)
         self._outdated = True
 
     def set_available(self, name: str, available: bool) -> None:
@@ -84,14 +115,17 @@
             return
         self._outdated = False
         zones = {**self.zones, self.name: self.zone}
-        self._names = all_hubs(zones, self.unavailable)
-        self._own = hub_of(self.name, self.zone, zones, self._names)
+        self._names = all_hubs(zones, self.capacities, self.unavailable)
+        self._own = hub_of(self.name, zones, self._names, self.suspected)
 
 
-def all_hubs(zones: Mapping[str, str], unavailable: Iterable[str] = ()) -> frozenset[str]:
+def all_hubs(
+    zones: Mapping[str, str], capacities: Mapping[str, float], unavailable: Iterable[str] = ()
+) -> frozenset[str]:
     """Return the hubs of all zones.
 
     :param zones: availability zone by router
+    :param capacities: capacity of the VM by router, 0 if it is missing
     :param unavailable: routers that cannot be hubs
     """
     members: dict[str, list[str]] = {}
@@ -104,15 +138,34 @@
         if len(names) < MIN_GROUPED:
             hubs.update(candidates)
         else:
-            hubs.update(rank(f"hub {zone}", candidates)[: math.ceil(len(names) / MAX_GROUP)])
+            count = math.ceil(len(names) / MAX_GROUP)
+            hubs.update(_by_rank(f"hub {zone}", candidates, capacities)[:count])
     return frozenset(hubs)
 
 
-def hub_of(name: str, zone: str, zones: Mapping[str, str], hubs: Iterable[str]) -> str:
-    """Return the hub of a router: one of its zone; without any there, itself.
+def _by_rank(key: str, names: list[str], capacities: Mapping[str, float]) -> list[str]:
+    """Return the names, those of large VMs first, each part by its weight for a key."""
+    largest = max((capacities.get(name, 0.0) for name in names), default=0.0)
+    large = [name for name in names if capacities.get(name, 0.0) >= LARGE_SHARE * largest]
+    return rank(key, large) + rank(key, set(names) - set(large))
+
+
+def hub_of(
+    name: str, zones: Mapping[str, str], hubs: Iterable[str], suspected: Iterable[str] = ()
+) -> str:
+    """Return the hub of a router: one of its zone, or else any other; without any, itself.
 
     :param zones: availability zone by router
+    :param suspected: hubs that are used only if there is no other
     """
     if name in hubs:
         return name
-    return owner(name, [hub for hub in hubs if zones[hub] == zone]) or name
+    in_zone = [hub for hub in hubs if zones[hub] == zones[name]]
+    if not in_zone:
+        return name
+    excluded = set(suspected)
+    for choices in (in_zone, list(hubs)):
+        trusted = [hub for hub in choices if hub not in excluded]
+        if trusted:
+            return owner(name, trusted) or name
+    return owner(name, in_zone) or name
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -37,6 +37,7 @@
     new_boot_id,
 )
 
+SETTLE_TIME = 2.0  # seconds after the start in which most links are established
 PHASES = 1000  # different phases of periodic work, spread over one second
 
 
@@ -68,9 +69,10 @@
         predecessor had ended; by default the start of the process
 
     ``peers_with_store`` are the gateways that last reported that they reach the store and are not
-    draining, ``draining_peers`` those that reported that they are. ``draining`` is set on SIGTERM,
-    ``closing`` when new requests start to be refused. ``on_load_change`` is called after each
-    change of this gateway's load at backend servers.
+    draining, ``draining_peers`` those that reported that they are. ``listed`` is whether the store
+    has delivered the list of gateways. ``draining`` is set on SIGTERM, ``closing`` when new
+    requests start to be refused. ``on_load_change`` is called after each change of this gateway's
+    load at backend servers.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self.peers_with_store: set[str] = set()
         self.draining_peers: set[str] = set()
         self.known_gateways: set[str] = set()
+        self.listed = False
         self.draining = False
         self.closing = False
         self.tasks = BackgroundTasks()
@@ -142,6 +145,18 @@
             if name in self.peer_links:
                 self.peer_links[name].send_encoded(data)
 
+    def is_holder(self) -> bool:
+        """Whether this gateway holds prepaid tokens ahead of demand.
+
+        Just after its start it does not know yet whether it is a hub. If all gateways of a large
+        fleet then held tokens, a common restart would scatter them, and they would all change the
+        pools at the same time.
+        """
+        uptime = self.timers.now() - self.started_at
+        linked = 1 + len(self.peer_links)
+        is_settled = self.listed and linked * 2 >= self.gateway_count()
+        return self.hubs.is_hub and (is_settled or uptime >= SETTLE_TIME)
+
     def holder_count(self) -> int:
         """Return the number of gateways that hold prepaid tokens, including this one."""
         return len(self.hubs.names | {self.settings.name})
--- a/src/bilberryshed/gateway/_loans.py
+++ b/src/bilberryshed/gateway/_loans.py
@@ -86,12 +86,10 @@
     def _suspect(self, hub: str) -> None:
         """Use another hub for some time, as this one did not respond."""
         logger().warning("hub_timeout", hub=hub)
-        self.context.hubs.set_available(hub, False)
-        self.context.timers.call_once(SUSPECT_TIME, lambda now: self._trust(hub))
-
-    def _trust(self, hub: str) -> None:
-        if hub in self.context.peer_links and hub not in self.context.draining_peers:
-            self.context.hubs.set_available(hub, True)
+        self.context.hubs.set_suspected(hub, True)
+        self.context.timers.call_once(
+            SUSPECT_TIME, lambda now: self.context.hubs.set_suspected(hub, False)
+        )
 
     def on_response(self, link: Link, response: LoanResponse) -> None:
         """Credit the tokens, also of a late response, and complete the pending request."""
--- a/src/bilberryshed/gateway/_peers.py
+++ b/src/bilberryshed/gateway/_peers.py
@@ -84,8 +84,12 @@
             rows = await self.context.ports.tables.scan(GATEWAY_TABLE, "", "", PAGE_SIZE)
             if isinstance(rows, Failure):
                 return
+            self.context.listed = True
             for row in rows.unwrap():
                 self.context.known_gateways.add(row.ref.key)
+                capacity = row.value.get("capacity", 0.0)
+                if isinstance(capacity, int | float):
+                    self.context.hubs.set_capacity(row.ref.key, float(capacity))
                 self._connect(row.ref.key, str(row.value.get("link", "")))
         finally:
             self.polling = False
@@ -96,7 +100,11 @@
         rows = await self.context.ports.tables.read((ref,))
         if isinstance(rows, Failure):
             return False
-        value = {"link": str(settings.link_listen), "boot": self.context.boot}
+        value = {
+            "link": str(settings.link_listen),
+            "boot": self.context.boot,
+            "capacity": settings.capacity,
+        }
         put = Put(ref, rows.unwrap()[0].version, value)
         written = await self.context.ports.tables.write((put,))
         return not isinstance(written, Failure) and written.unwrap()
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -85,14 +85,13 @@
         return task in done and task.result()
 
     def _sync_soon(self) -> None:
-        self.book.is_holder = self.context.hubs.is_hub
         if not self.lock.locked() and not self.closed and self._is_sync_due():
             self.context.spawn(self.sync({}))
 
     def _is_sync_due(self) -> bool:
         """Whether this gateway holds tokens, or has not read the rows for a long time."""
         accounts = self.book.accounts.values()
-        if self.book.is_holder or self.unconfirmed or any(a.granted for a in accounts):
+        if self.context.is_holder() or self.unconfirmed or any(a.granted for a in accounts):
             return True
         return self.context.timers.now() >= self.read_at + MEMBER_READ_INTERVAL
 
@@ -111,6 +110,7 @@
             return done
 
     async def _sync(self, needs: dict[str, int]) -> bool:
+        self.book.is_holder = self.context.is_holder()
         totals = self.context.prepaid_totals()
         if not totals:
             return True
--- a/src/bilberryshed/state/_gateway_settings.py
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -12,6 +12,8 @@
     setting,
 )
 
+MBITS_PER_CORE = 100.0  # Mbit/s that the requests handled by one core need at most
+
 
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
@@ -21,6 +23,9 @@
     :param link_listen: address for links from other gateways
     :param metrics_listen: address of the metrics page, if it is served
     :param memory: memory of the process
+    :param cpu: processor of the VM, in cores
+    :param cpu_speed: speed of that processor, as a multiple of a usual core
+    :param bandwidth: bandwidth of the VM's network link, in Mbit/s
     :param drain_time: time from SIGTERM to SIGKILL
     :param retry_ratio: retries allowed per request, over all gateways
     :param retry_window: length of the sliding window in which retries are counted
@@ -37,6 +42,9 @@
     metrics_listen: Address | None = setting("vm", parse_optional_address, "")
     statsd: Address | None = setting("vm", parse_optional_address, "")
     memory: int = setting("vm", parse_count, "300")
+    cpu: float = setting("vm", parse_ratio, "1")
+    cpu_speed: float = setting("vm", parse_ratio, "1")
+    bandwidth: float = setting("vm", parse_ratio, "1000")
     store: Address = setting("store", Address.parse)
     store_timeout: float = setting("store", parse_seconds, "1")
     drain_time: float = setting("stop", parse_seconds, "8")
@@ -44,3 +52,8 @@
     retry_window: float = setting("retries", parse_seconds, "10")
     retry_slack: float = setting("retries", parse_ratio, "50")
     grant_horizon: float = setting("prepaid", parse_seconds, "25")
+
+    @property
+    def capacity(self) -> float:
+        """Capacity of the VM in cores that its network link can keep busy."""
+        return round(min(self.cpu * self.cpu_speed, self.bandwidth / MBITS_PER_CORE), 3)
