--- a/src/bilberryshed/gateway/_loans.py
+++ b/src/bilberryshed/gateway/_loans.py
@@ -17,7 +17,8 @@
 from bilberryshed.transport import Link, logger
 
 RETURN_INTERVAL = 0.2  # seconds between returns of unused tokens
-LOAN_TIMEOUT = 0.6  # seconds that a hub has to respond
+LOAN_TIMEOUT = 0.5  # seconds that a hub has to respond
+MAX_HUBS = 2  # hubs that are asked for the tokens of one request
 SUSPECT_TIME = 2.0  # seconds for which a hub that did not respond is not used
 
 Reserve = Callable[[str, int], Awaitable[Result[int, Shortage]]]
@@ -58,15 +59,29 @@
     # As a member ----------------------------------------------------------------------------
 
     async def borrow(self, customer: str, tokens: int) -> Result[int, Shortage] | None:
-        """Borrow the tokens of one request from the hub.
+        """Borrow the tokens of one request from the hub, or from another one if it is silent.
 
-        :returns: the tokens, now free in this gateway's account, or the hub's reason for lending
-            none; ``None`` if there is no hub that responds
+        :returns: the tokens, now free in this gateway's account, or the reason for lending none;
+            ``None`` if this gateway is a hub itself or is linked to none
         """
-        hub = self.context.hubs.own
-        link = self.context.peer_links.get(hub)
-        if self.context.hubs.is_hub or link is None:
-            return None
+        asked: set[str] = set()
+        while len(asked) < MAX_HUBS:
+            hub = self.context.hubs.own
+            link = self.context.peer_links.get(hub)
+            if self.context.hubs.is_hub or link is None or hub in asked:
+                break
+            asked.add(hub)
+            lent = await self._borrow_from(link, customer, tokens)
+            if lent is not None:
+                return lent
+            self._suspect(hub)
+        # A slow hub is busy: a search of this gateway's own would only add to the load.
+        return Failure(Shortage.UNREACHABLE) if asked else None
+
+    async def _borrow_from(
+        self, link: Link, customer: str, tokens: int
+    ) -> Result[int, Shortage] | None:
+        """Borrow from one hub; ``None`` if it does not respond in time."""
         request_id = f"{self.context.boot}.l{self.next_id}"
         self.next_id += 1
         future = self.pending[request_id] = asyncio.get_running_loop().create_future()
@@ -75,7 +90,6 @@
         try:
             response = await asyncio.wait_for(future, LOAN_TIMEOUT)
         except TimeoutError:
-            self._suspect(hub)
             return None
         finally:
             del self.pending[request_id]
@@ -104,8 +118,8 @@
         link = self.context.peer_links.get(self.context.hubs.own)
         if self.context.hubs.is_hub or link is None:
             return
-        for customer in self.context.book.accounts:
-            if not self.is_acquiring(customer):
+        for customer, account in self.context.book.accounts.items():
+            if account.held > 0 and not self.is_acquiring(customer):
                 self.peers.give(link, customer)
 
     # As a hub -------------------------------------------------------------------------------
--- a/src/bilberryshed/gateway/_peers.py
+++ b/src/bilberryshed/gateway/_peers.py
@@ -20,6 +20,7 @@
 
 GATEWAY_TABLE = "gateways"
 POLL_INTERVAL = 1.0  # seconds between reads of the list of gateways
+LINKED_POLL_STEP = 3  # intervals between reads while all listed gateways are linked
 PAGE_SIZE = 500  # gateways per read
 
 
@@ -53,6 +54,7 @@
         self.clients: dict[str, tuple[str, LinkClient]] = {}
         self.registered = False
         self.polling = False
+        self.ticks = 0
         self.initial_message_factories: list[Any] = []
 
     async def start(self) -> None:
@@ -72,8 +74,11 @@
         await self.server.close()
 
     def poll_soon(self) -> None:
-        """Start a read of the list of gateways unless one is in progress."""
-        if not self.polling:
+        """Start a read of the list of gateways unless one is in progress or none is due."""
+        self.ticks += 1
+        missing = len(self.context.peer_links) + 1 < self.context.gateway_count()
+        due = missing or not self.registered or self.ticks % LINKED_POLL_STEP == 0
+        if due and not self.polling:
             self.polling = True
             self.context.spawn(self._poll())
 
