--- a/features/hubs.feature
+++ b/features/hubs.feature
@@ -59,6 +59,11 @@
       | 29      | 3     |
       | 68      | 5     |
 
+  Scenario: The age of a router's figures is that of its oldest report
+    Given 5 routers in 3 zones with 2 backend servers
+    When loads are relayed, and one of the others again after 0.4 s
+    Then the figures of the first router are 0.4 s old
+
   Scenario: A member that stops reporting is dropped
     Given a hub with the load of a member reported at 10 s
     Then the member is expired at 17 s but not at 15 s
--- a/features/steps/hub_steps.py
+++ b/features/steps/hub_steps.py
@@ -170,6 +170,20 @@
         assert seen == dict(context.in_flight), (name, seen, context.in_flight)
 
 
+@when("loads are relayed, and one of the others again after {seconds:g} s")
+def when_relayed_again(context, seconds):
+    relay_loads(context)
+    context.now = NOW + seconds
+    pool = next(iter(context.pools.values()))
+    pool.on_load_notice(context.now, next(iter(pool.peer_loads)), LoadNotice((), ()))
+
+
+@then("the figures of the first router are {seconds:g} s old")
+def then_age(context, seconds):
+    pool = next(iter(context.pools.values()))
+    assert abs(pool.report_age(context.now) - seconds) < 1e-6
+
+
 @given("a hub with the load of a member reported at {seconds:g} s")
 def given_hub_with_member(context, seconds):
     context.relay = LoadRelay()
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -39,14 +39,16 @@
     """One router's views of the backend servers, by id.
 
     :param zone: availability zone of this router, preferred for plain requests
+    :param reported_at: monotonic time of each peer's last report, in seconds
     """
 
-    __slots__ = ("zone", "views", "peer_loads", "new_prefixes")
+    __slots__ = ("zone", "views", "peer_loads", "reported_at", "new_prefixes")
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
         self.views: dict[str, BackendView] = {}
         self.peer_loads: dict[str, tuple[ServerLoad, ...]] = {}
+        self.reported_at: dict[str, float] = {}
         self.new_prefixes: list[PrefixSent] = []
 
     def loads(self) -> tuple[ServerLoad, ...]:
@@ -67,6 +69,7 @@
         """Record a peer's load at backend servers and the shared prefixes that it sent there."""
         self._add_peer_loads(self.peer_loads.pop(peer, ()), -1)
         self.peer_loads[peer] = notice.loads
+        self.reported_at[peer] = now
         self._add_peer_loads(notice.loads, 1)
         for sent in notice.parts:
             if sent.server in self.views:
@@ -74,8 +77,16 @@
 
     def remove_peer(self, peer: str) -> None:
         """Drop the load of a peer that no longer reports it."""
+        self.reported_at.pop(peer, None)
         self._add_peer_loads(self.peer_loads.pop(peer, ()), -1)
 
+    def report_age(self, now: float) -> float:
+        """Return the age of the oldest report in seconds, 0 without any.
+
+        A load that has not changed is reported again after a fixed time only.
+        """
+        return max((now - at for at in self.reported_at.values()), default=0.0)
+
     def _sum_peer_loads(self) -> None:
         """Add up the reported loads anew, as the set of backend servers has changed."""
         for view in self.views.values():
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -147,6 +147,7 @@
             free=account.free,
             holders=row.holders if row else None,
             closed=row.closed if row else None,
+            hub=self.context.hubs.own,
             peers=sorted(self.context.peer_links),
         )
 
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -223,6 +223,7 @@
             load=job.load.running,
             work=job.load.work,
             unread=job.load.unread,
+            age_ms=_milliseconds(self.pool.report_age(self.context.timers.now())),
             left_ms=_milliseconds(job.deadline - self.context.timers.now()),
         )
 
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -49,12 +49,20 @@
         self.tokens = Gauge(
             f"{PREFIX}_tokens", "Prepaid tokens", ["customer", "state"], registry=registry
         )
+        self.load_age = Gauge(
+            f"{PREFIX}_load_report_age_seconds",
+            "Age of the oldest report of other gateways' loads",
+            registry=registry,
+        )
+        self.hubs = Gauge(f"{PREFIX}_hubs", "Hubs known to this gateway", registry=registry)
         self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         self.table_version.set(self.context.table_version())
         now = self.context.timers.now()
+        self.load_age.set(self.context.backends.report_age(now))
+        self.hubs.set(len(self.context.hubs.names))
         views = self.context.backends.views.values()
         self.backends.labels("leaving").set(sum(view.is_leaving for view in views))
         self.backends.labels("avoided").set(sum(view.ejected_until > now for view in views))
