Holdings of gateways that are no hubs any more are dropped; a loan is not returned before it is reserved

Change: PrepaidBook.retain_peers, called with the hubs at each sync. - a member with a grant of its own returned the tokens of a loan to the store before its request reserved them. Change: nothing is returned while a request of that customer acquires tokens (PrepaidBook.waiting). - a stopping member returns its free tokens and waits for the acknowledgement.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -244,6 +244,23 @@
     When 1 prompts of 30 tokens for 20 output tokens are sent to both gateways in turn
     Then 0 of them return 200
 
+  Scenario: Four gateways of a zone use one hub, and a stop returns what its requests did not use
+    Given the customer has paid for 10000 tokens
+    And four gateways in one zone
+    When 24 prompts of 30 tokens for 100 output tokens are sent to the four gateways in turn
+    Then 24 of them return 200
+    And only the hub holds tokens
+    When a gateway that is not the hub stops just after a prompt
+    Then 1250 tokens are counted as used by all together within 2 s
+
+  Scenario: A hub that dies is replaced, and the pool funds the next one
+    Given the customer has paid for 100000 tokens
+    And four gateways in one zone
+    When 8 prompts of 30 tokens for 20 output tokens are sent to the four gateways in turn
+    And the pool has at least 10000 tokens that no gateway holds
+    And the hub is killed and 8 prompts of 30 tokens for 20 output tokens reach the others
+    Then 8 of them return 200
+
   Scenario: Tokens that a peer holds and cannot transfer yet are not spent
     Given a second gateway
     And the customer has paid for 1000 tokens
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -576,3 +576,102 @@
 def then_bytes_sent(context, most):
     sent = max(backend.endless_bytes for backend in context.harness.backends.values())
     assert 0 < sent <= most, sent
+
+
+@given("four gateways in one zone")
+def given_four_gateways(context):
+    async def start():
+        for number in (2, 3, 4):
+            await context.harness.add_gateway(f"gate-{number}")
+        gateways = context.harness.gateways.values()
+        await context.harness.wait_until(
+            lambda: all(len(g.context.peer_links) == 3 and g.context.listed for g in gateways)
+        )
+
+    run(context, start())
+
+
+def hub_name(context):
+    """Return the name of the only hub, on which all gateways agree."""
+    names = {name for g in context.harness.gateways.values() for name in g.context.hubs.names}
+    assert len(names) == 1, names
+    return names.pop()
+
+
+@when(
+    "{count:d} prompts of {size:d} tokens for {max_output:d} output tokens are sent to the four "
+    "gateways in turn"
+)
+def when_prompts_to_four(context, count, size, max_output):
+    names = sorted(context.harness.gateways)
+    context.responses = run(context, send_prompts(context, names, count, f"{size},{max_output}"))
+
+
+@then("only the hub holds tokens")
+def then_hub_holds(context):
+    async def wait():
+        members = [g for n, g in context.harness.gateways.items() if n != hub_name(context)]
+        await context.harness.wait_until(
+            lambda: all(g.context.book.account(CUSTOMER).held == 0 for g in members)
+        )
+
+    run(context, wait())
+
+
+@when("the pool has at least {tokens:d} tokens that no gateway holds")
+def when_pool_has(context, tokens):
+    def free(total=100_000):
+        row = context.harness.store.values("prepaid")[CUSTOMER]
+        return total - row["closed"] - sum(row["holders"].values())
+
+    run(context, context.harness.wait_until(lambda: free() >= tokens))
+
+
+@when("a gateway that is not the hub stops just after a prompt")
+def when_member_stops(context):
+    async def stop():
+        name = min(context.harness.gateways.keys() - {hub_name(context)})
+        gateway = context.harness.gateways[name]
+        gateway.context.timers.close()  # so that it ends before the next return of unused tokens
+        assert (await context.harness.call("/chat/1", name, tokens="30,100")).status == 200
+        await gateway.funds.loans.close()
+        context.stopped = gateway
+
+    run(context, stop())
+
+
+@then("{tokens:d} tokens are counted as used by all together within {seconds:g} s")
+def then_counted(context, tokens, seconds):
+    def counted():
+        closed = context.harness.store.values("prepaid")[CUSTOMER]["closed"]
+        gateways = context.harness.gateways.values()
+        return closed + sum(g.context.book.account(CUSTOMER).used for g in gateways)
+
+    async def wait():
+        await context.harness.wait_until(lambda: counted() == tokens, seconds)
+
+    assert context.stopped.context.book.account(CUSTOMER).held == 0
+    run(context, wait())
+
+
+@when(
+    "the hub is killed and {count:d} prompts of {size:d} tokens for {max_output:d} output tokens "
+    "reach the others"
+)
+def when_hub_killed(context, count, size, max_output):
+    async def kill():
+        name = hub_name(context)
+        gateway = context.harness.gateways.pop(name)
+        context.harness.tasks.pop(name).cancel()
+        gateway.context.timers.close()
+        for task in tuple(gateway.context.tasks.tasks):
+            task.cancel()
+        await gateway.peers.close()
+        others = context.harness.gateways.values()
+        await context.harness.wait_until(
+            lambda: all(len(g.context.peer_links) == 2 for g in others)
+        )
+
+    run(context, kill())
+    names = sorted(context.harness.gateways)
+    context.responses = run(context, send_prompts(context, names, count, f"{size},{max_output}"))
--- a/src/bilberryshed/coordination/_prepaid.py
+++ b/src/bilberryshed/coordination/_prepaid.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
@@ -150,15 +151,27 @@
     :param horizon: seconds of demand for which tokens should be held
     :param received: ids of the transfers credited
     :param is_holder: whether it holds tokens ahead of demand; other routers borrow from a holder
+    :param waiting: customers for which a request acquires tokens, which must not be returned before
+        the request has reserved them
     """
 
-    __slots__ = ("boot", "horizon", "draining", "is_holder", "accounts", "peers", "received")
+    __slots__ = (
+        "boot",
+        "horizon",
+        "draining",
+        "is_holder",
+        "waiting",
+        "accounts",
+        "peers",
+        "received",
+    )
 
     def __init__(self, boot: str, horizon: float) -> None:
         self.boot = boot
         self.horizon = horizon
         self.draining = False
         self.is_holder = True
+        self.waiting: set[str] = set()
         self.accounts: dict[str, Account] = {}
         self.peers: dict[str, dict[str, PeerHolding]] = {}
         self.received: set[str] = set()
@@ -221,6 +234,10 @@
         """Replace the reported holdings of a peer."""
         self.peers[peer] = holdings
 
+    def retain_peers(self, names: Collection[str]) -> None:
+        """Drop the holdings of all peers but those named, as the others report them no longer."""
+        self.peers = {peer: held for peer, held in self.peers.items() if peer in names}
+
     def remove_peer(self, peer: str) -> None:
         """Drop the holdings of a peer whose connection is closed."""
         self.peers.pop(peer, None)
@@ -265,7 +282,8 @@
         """
         account = self.account(customer)
         if not self.is_holder and not need:
-            return -max(0, min(account.held, account.granted))
+            surplus = max(0, min(account.held, account.granted))
+            return 0 if customer in self.waiting else -surplus
         pool_free = row.free(prepaid)
         if pool_free < 0 < account.held:
             return -self._deficit_share(customer, row, -pool_free)
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -138,6 +138,7 @@
         while self.running and self.context.timers.now() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         remaining = self.running
+        await self.funds.loans.close()
         settled = await self.funds.pool_sync.close()
         if settled:
             await self.recorder.delete_record()
--- a/src/bilberryshed/gateway/_loans.py
+++ b/src/bilberryshed/gateway/_loans.py
@@ -19,6 +19,8 @@
 RETURN_INTERVAL = 0.2  # seconds between returns of unused tokens
 LOAN_TIMEOUT = 0.5  # seconds that a hub has to respond
 MAX_HUBS = 2  # hubs that are asked for the tokens of one request
+CLOSE_TIMEOUT = 0.3  # seconds to wait for acknowledgements before the process ends
+CLOSE_POLL_INTERVAL = 0.02  # seconds between checks for them
 SUSPECT_TIME = 2.0  # seconds for which a hub that did not respond is not used
 
 Reserve = Callable[[str, int], Awaitable[Result[int, Shortage]]]
@@ -28,23 +30,20 @@
     """Borrows tokens as a member of a group, and lends them as a hub.
 
     :param reserve: reserves tokens of a customer at this gateway
-    :param is_acquiring: whether a request waits for tokens of a customer
     :param pending: futures of the responses, by request id
     """
 
-    __slots__ = ("context", "peers", "reserve", "is_acquiring", "pending", "next_id")
+    __slots__ = ("context", "peers", "reserve", "pending", "next_id")
 
     def __init__(
         self,
         context: GatewayContext,
         peers: TokenPeers,
         reserve: Reserve,
-        is_acquiring: Callable[[str], bool],
     ) -> None:
         self.context = context
         self.peers = peers
         self.reserve = reserve
-        self.is_acquiring = is_acquiring
         self.pending: dict[str, asyncio.Future[LoanResponse]] = {}
         self.next_id = 1
 
@@ -93,9 +92,10 @@
             return None
         finally:
             del self.pending[request_id]
-        if response.transfer is None:
-            return Failure(Shortage(response.shortage))
-        return Success(response.transfer.tokens)
+        if response.transfer is not None:
+            return Success(response.transfer.tokens)
+        spent = response.shortage == Shortage.EXHAUSTED
+        return Failure(Shortage.EXHAUSTED if spent else Shortage.UNREACHABLE)
 
     def _suspect(self, hub: str) -> None:
         """Use another hub for some time, as this one did not respond."""
@@ -113,13 +113,21 @@
         if future is not None and not future.done():
             future.set_result(response)
 
+    async def close(self) -> None:
+        """Return the free tokens after the last request, and wait until they are acknowledged."""
+        self.return_unused()
+        deadline = self.context.timers.now() + CLOSE_TIMEOUT
+        while self.peers.unacknowledged and self.context.timers.now() < deadline:
+            await asyncio.sleep(CLOSE_POLL_INTERVAL)
+
     def return_unused(self) -> None:
         """Return free tokens to the hub."""
         link = self.context.peer_links.get(self.context.hubs.own)
         if self.context.hubs.is_hub or link is None:
             return
-        for customer, account in self.context.book.accounts.items():
-            if account.held > 0 and not self.is_acquiring(customer):
+        book = self.context.book
+        for customer, account in book.accounts.items():
+            if account.held > 0 and customer not in book.waiting:
                 self.peers.give(link, customer)
 
     # As a hub -------------------------------------------------------------------------------
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -111,6 +111,7 @@
 
     async def _sync(self, needs: dict[str, int]) -> bool:
         self.book.is_holder = self.context.is_holder()
+        self.book.retain_peers(self.context.hubs.names)
         totals = self.context.prepaid_totals()
         if not totals:
             return True
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -46,7 +46,7 @@
         self.peers = TokenPeers(
             context, recorder, self.pool_sync, self._acquire_from_store, self._on_credit
         )
-        self.loans = Loans(context, self.peers, self.reserve, self._is_acquiring)
+        self.loans = Loans(context, self.peers, self.reserve)
         self.locks: dict[str, asyncio.Lock] = {}
         self.cached_shortages: dict[str, _CachedShortage] = {}
 
@@ -83,18 +83,18 @@
             shortage = self._cached_shortage(customer, tokens)
             if shortage is not None:
                 return Failure(shortage)
-            shortage = await self._acquire(customer, tokens)
-            if self._reserve(customer, tokens):
-                return Success(tokens)
+            self.book.waiting.add(customer)
+            try:
+                shortage = await self._acquire(customer, tokens)
+                if self._reserve(customer, tokens):
+                    return Success(tokens)
+            finally:
+                self.book.waiting.discard(customer)
         cache_time = SHORTAGE_CACHE_TIME * (1 + self.context.holder_count() / PREFERRED_PEERS)
         until = self.context.timers.now() + cache_time
         self.cached_shortages[customer] = _CachedShortage(until, tokens, shortage)
         return Failure(shortage)
 
-    def _is_acquiring(self, customer: str) -> bool:
-        lock = self.locks.get(customer)
-        return lock is not None and lock.locked()
-
     def _reserve(self, customer: str, tokens: int) -> bool:
         self.context.spending_bounds.refresh_account(self.context.timers.now(), customer)
         return self.book.reserve(customer, tokens)
