A gateway asks a peer for the backend servers only if the store delivers none

Change: entries go only to a peer that asks, which it does after a failed call to the store, one peer at a time.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -235,6 +235,10 @@
     Given the store lists the gateways and refuses connections of a second gateway
     Then the second gateway serves GET /look/1 within 3 s
 
+  Scenario: Gateways that reach the store are not sent the backend servers by their peers
+    Given a second gateway
+    Then no gateway has been sent the backend servers by a peer
+
   Scenario: Two gateways share the remaining tokens
     Given a second gateway
     And the customer has paid for 1000 tokens
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -675,3 +675,11 @@
     run(context, kill())
     names = sorted(context.harness.gateways)
     context.responses = run(context, send_prompts(context, names, count, f"{size},{max_output}"))
+
+
+@then("no gateway has been sent the backend servers by a peer")
+def then_no_notice(context):
+    for gateway in context.harness.gateways.values():
+        assert gateway.backend_updater.snapshot_received
+        assert gateway.backend_updater.requests == 0
+        assert gateway.backend_updater.notice not in gateway.peers.initial_message_factories
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -10,6 +10,7 @@
 from bilberryshed.protocol import (
     BackendEntry,
     BackendsNotice,
+    BackendsRequest,
     RouteTableRequest,
     RouteTableResponse,
     RouteTableVersion,
@@ -181,6 +182,7 @@
 
     :param entries: encoded entries by backend server id
     :param snapshot_received: whether the store has delivered the entries
+    :param requests: number of requests sent to peers so far
     """
 
     def __init__(self, context: GatewayContext) -> None:
@@ -188,15 +190,39 @@
         self.registry = BackendRegistry()
         self.entries: dict[str, bytes] = {}
         self.snapshot_received = False
+        self.requests = 0
 
     def follower(self) -> TableFollower:
         """Return a follower of the backend servers' entries in the store."""
         self.context.timers.subscribe(EXPIRY_CHECK_INTERVAL, self._expire)
         name = self.context.ports.server_table
         return TableFollower(
-            self.context, name, 0.0, SERVER_POLL_INTERVAL, self._on_changes, self.registry.on_outage
+            self.context, name, 0.0, SERVER_POLL_INTERVAL, self._on_changes, self._on_outage
         )
 
+    def _on_outage(self) -> None:
+        """Ask a peer for the entries if neither the store nor a peer has delivered any."""
+        self.registry.on_outage()
+        request, links = self.request(), list(self.context.peer_links.values())
+        if request is not None and links:
+            self.requests += 1
+            links[self.requests % len(links)].send(request)
+
+    def request(self) -> BackendsRequest | None:
+        """Return a request to a peer, ``None`` if entries are known or the store may deliver them.
+
+        Peers do not send their entries unasked, as the entries times the links of a large fleet
+        would fill the network after a common restart.
+        """
+        missing = not self.snapshot_received and not self.entries
+        return BackendsRequest() if missing and self.registry.outage else None
+
+    def on_request(self, link: Link, request: BackendsRequest) -> None:
+        """Send the current entries to a peer that cannot reach the store."""
+        notice = self.notice()
+        if notice is not None:
+            link.send(notice)
+
     def _on_changes(self, changes: ChangeBatch) -> None:
         now = self.context.timers.now()
         self.snapshot_received = True
@@ -222,7 +248,7 @@
             self.registry.put(decoded.unwrap())
 
     def notice(self) -> BackendsNotice | None:
-        """Return the current entries for a peer that has just linked."""
+        """Return the current entries, ``None`` if the store has not delivered them."""
         if not self.snapshot_received:
             return None
         known = self.registry.servers
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
 from bilberryshed.protocol import (
     BackendsNotice,
+    BackendsRequest,
     CrashNotice,
     LoadNotice,
     LoadSummary,
@@ -74,7 +75,7 @@
         self.peers = Peers(self.context, self._message_handlers(), self.load_sharing.remove_peer)
         self.peers.initial_message_factories = [
             self.route_table_updater.announcement,
-            self.backend_updater.notice,
+            self.backend_updater.request,
             self.funds.peers.notice,
         ]
         self.http: HTTPServer | None = None
@@ -183,6 +184,7 @@
             RouteTableRequest: self.route_table_updater.on_request,
             RouteTableResponse: self.route_table_updater.on_response,
             BackendsNotice: self.backend_updater.on_notice,
+            BackendsRequest: self.backend_updater.on_request,
             CrashNotice: self._on_crash_notice,
             LoadNotice: self.load_sharing.on_notice,
             LoadSummary: self.load_sharing.on_summary,
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -40,6 +40,7 @@
 from bilberryshed.protocol._peer_messages import (
     BackendEntry,
     BackendsNotice,
+    BackendsRequest,
     CrashNotice,
     Holding,
     HoldingsNotice,
@@ -65,6 +66,7 @@
     "AttemptQuery",
     "BackendEntry",
     "BackendsNotice",
+    "BackendsRequest",
     "Cancel",
     "Charge",
     "Chunk",
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -88,10 +88,16 @@
     data: bytes
 
 
+@register_message(84)
+@dataclass(slots=True, frozen=True)
+class BackendsRequest:
+    """Request of a gateway that cannot reach the store for a :class:`BackendsNotice`."""
+
+
 @register_message(55)
 @dataclass(slots=True, frozen=True)
 class BackendsNotice:
-    """Report of the backend servers that the sender knows, sent to a newly connected peer."""
+    """Report of the backend servers that the sender knows."""
 
     entries: tuple[BackendEntry, ...]
 
