Transfers that their sender never sends again are forgotten

Cause: with a loan and a return for most prompts, a hub would keep the id of every transfer for ever (about 100 a second). Change: ids are kept by sender and number; each 10 s a sender reports the lowest number that it may still send, and the receiver forgets those below. A transfer on a closed link is not credited; its sender sends it again. Removed: draining_peers, which nothing read.

--- a/features/prepaid.feature
+++ b/features/prepaid.feature
@@ -34,6 +34,17 @@
       | duplicate transfers are credited     |
       | unconfirmed grants count immediately |
 
+  Scenario: A transfer is credited once, and forgotten when its sender sends it no more
+    A hub receives a transfer for most prompts of its group, so their ids must not be kept for ever.
+
+    Given transfers 1 to 1000 of 5 tokens each are credited
+    When they all are sent again
+    Then the account holds 5000 tokens
+    When the sender reports that it sends no transfer below 1000 again
+    Then 1 received transfer is kept
+    When transfer 1000 is sent again
+    Then the account holds 5000 tokens
+
   Scenario: Many gateways that start together promptly release their predecessors' unused tokens
     When 28 gateways with 24 customers lose power and restart, at 150 requests per second
     Then all predecessors are closed within 1.5 s
--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -23,6 +23,7 @@
     PoolRow,
     PrepaidBook,
     SpendingBounds,
+    transfer_id,
 )
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._context import GatewayContext
@@ -255,3 +256,42 @@
 def then_granted_tokens(context, tokens):
     granted = context.sync.book.account("harbour").granted
     assert granted == tokens, granted
+
+
+def credit_transfers(context, first, last):
+    """Credit transfers of one sender to an account."""
+    for number in range(first, last + 1):
+        context.book.receive("harbour", transfer_id("gate-2.a", number), 5)
+
+
+@given("transfers 1 to {last:d} of 5 tokens each are credited")
+def given_transfers(context, last):
+    context.book = PrepaidBook("gate-1.a", 25.0)
+    context.last = last
+    credit_transfers(context, 1, last)
+
+
+@when("they all are sent again")
+def when_sent_again(context):
+    credit_transfers(context, 1, context.last)
+
+
+@when("transfer {number:d} is sent again")
+def when_one_sent_again(context, number):
+    credit_transfers(context, number, number)
+
+
+@when("the sender reports that it sends no transfer below {below:d} again")
+def when_settled(context, below):
+    context.book.forget_received("gate-2.a", below)
+
+
+@then("the account holds {tokens:d} tokens")
+def then_holds(context, tokens):
+    assert context.book.account("harbour").held == tokens, context.book.account("harbour").held
+
+
+@then("{count:d} received transfer is kept")
+def then_kept(context, count):
+    kept = sum(len(numbers) for numbers in context.book.received.values())
+    assert kept == count, kept
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -62,6 +62,8 @@
     PoolRow,
     PrepaidBook,
     Shortage,
+    transfer_id,
+    transfer_number,
 )
 from bilberryshed.coordination._quarantine import Quarantine, QuarantineEntry, QuarantineState
 from bilberryshed.coordination._reclaim import (
@@ -199,5 +201,7 @@
     "prompt_prefixes",
     "shard_of",
     "trace_request",
+    "transfer_id",
+    "transfer_number",
     "vm_of_boot",
 ]
--- a/src/bilberryshed/coordination/_prepaid.py
+++ b/src/bilberryshed/coordination/_prepaid.py
@@ -20,6 +20,7 @@
 RETURN_THRESHOLD = 1.5  # multiple of the target above which the excess is returned
 ALLOCATED_SHARE = 0.9  # of the balance that all routers together hold; the rest stays in the store
 DRAIN_HORIZON = 1.0  # seconds of demand that a draining router holds
+TRANSFER_MARK = ".t"  # between boot id and number in the id of a transfer
 EQUAL_SHARE = 0.2  # of the balance that is split equally, as recent demand may be unrepresentative
 
 
@@ -30,6 +31,23 @@
     UNREACHABLE = "out_of_reach"
 
 
+def transfer_id(boot: str, number: int) -> str:
+    """Return the id of a transfer.
+
+    :param boot: boot id of the sender
+    :param number: increases with each transfer of the sender
+    """
+    return f"{boot}{TRANSFER_MARK}{number}"
+
+
+def transfer_number(transfer: str) -> int:
+    """Return the number in the id of a transfer.
+
+    :raises ValueError: if it has none
+    """
+    return int(transfer.rpartition(TRANSFER_MARK)[2])
+
+
 @dataclass(slots=True, frozen=True)
 class PoolRow:
     """One customer's pool of tokens in the store.
@@ -149,7 +167,7 @@
 
     :param boot: boot id of the router
     :param horizon: seconds of demand for which tokens should be held
-    :param received: ids of the transfers credited
+    :param received: numbers of the transfers credited that may be sent again, by sender's boot id
     :param is_holder: whether it holds tokens ahead of demand; other routers borrow from a holder
     :param waiting: customers for which a request acquires tokens, which must not be returned before
         the request has reserved them
@@ -174,7 +192,7 @@
         self.waiting: set[str] = set()
         self.accounts: dict[str, Account] = {}
         self.peers: dict[str, dict[str, PeerHolding]] = {}
-        self.received: set[str] = set()
+        self.received: dict[str, set[int]] = {}
 
     def account(self, customer: str) -> Account:
         """Return the account of a customer, which is created empty."""
@@ -224,12 +242,19 @@
 
         :returns: whether it was credited now
         """
-        if transfer in self.received:
+        sender, number = transfer.rpartition(TRANSFER_MARK)[0], transfer_number(transfer)
+        credited = self.received.setdefault(sender, set())
+        if number in credited:
             return False
-        self.received.add(transfer)
+        credited.add(number)
         self.account(customer).used -= tokens
         return True
 
+    def forget_received(self, sender: str, below: int) -> None:
+        """Forget transfers with numbers below a limit, which their sender never sends again."""
+        if sender in self.received:
+            self.received[sender] = {n for n in self.received[sender] if n >= below}
+
     def update_peer(self, peer: str, holdings: dict[str, PeerHolding]) -> None:
         """Replace the reported holdings of a peer."""
         self.peers[peer] = holdings
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -69,7 +69,7 @@
         predecessor had ended; by default the start of the process
 
     ``peers_with_store`` are the gateways that last reported that they reach the store and are not
-    draining, ``draining_peers`` those that reported that they are. ``listed`` is whether the store
+    draining. ``listed`` is whether the store
     has delivered the list of gateways. ``draining`` is set on SIGTERM, ``closing`` when new
     requests start to be refused. ``on_load_change`` is called after each change of this gateway's
     load at backend servers.
@@ -99,7 +99,6 @@
         self.hubs = Hubs(settings.name, settings.zone)
         self.on_load_change: Callable[[], None] = lambda: None
         self.peers_with_store: set[str] = set()
-        self.draining_peers: set[str] = set()
         self.known_gateways: set[str] = set()
         self.listed = False
         self.draining = False
--- a/src/bilberryshed/gateway/_peers.py
+++ b/src/bilberryshed/gateway/_peers.py
@@ -157,7 +157,6 @@
             return
         del self.context.peer_links[name]
         self.context.peers_with_store.discard(name)
-        self.context.draining_peers.discard(name)
         self.context.book.remove_peer(name)
         self.context.hubs.remove(name)
         self.on_peer_lost(name)
--- a/src/bilberryshed/gateway/_token_peers.py
+++ b/src/bilberryshed/gateway/_token_peers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bilberryshed.coordination import PeerHolding, PoolRow, owner
+from bilberryshed.coordination import PeerHolding, PoolRow, owner, transfer_id, transfer_number
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._pool_sync import PoolSync
@@ -16,6 +16,7 @@
     HoldingsNotice,
     Transfer,
     TransferAck,
+    TransfersSettled,
 )
 from bilberryshed.transport import Link, logger
 
@@ -25,6 +26,7 @@
 MEMBER_NOTICE_STEP = 4  # notices to other hubs for each notice to the members of the group
 PREFERRED_PEERS = 6  # peers with the largest holdings, which are queried first
 RESEND_INTERVAL = 0.5  # seconds between sends of an unacknowledged transfer
+SETTLED_INTERVAL = 10.0  # seconds between reports of acknowledged transfers to their receivers
 PEER_TIMEOUT = 0.25  # seconds that peers have to respond
 PROXY_TIMEOUT = 0.5  # seconds for a peer that calls the store before it responds
 PROXY_HORIZON = 4.0  # seconds of demand that are requested from such a peer
@@ -55,6 +57,7 @@
     :param on_credit: called with the customer of each transfer that is credited
     :param ticks: number of notice intervals so far
     :param unacknowledged: transfers sent, with the name of the peer, by transfer id
+    :param receivers: names of the peers that were sent transfers since the last report
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         self.ticks = 0
         self.pending_requests: dict[str, _PendingRequest] = {}
         self.unacknowledged: dict[str, tuple[str, Transfer]] = {}
+        self.receivers: set[str] = set()
         self.next_id = 1
 
     def start(self) -> None:
@@ -81,6 +85,7 @@
         timers = self.context.timers
         timers.subscribe(NOTICE_INTERVAL, lambda now: self._notify())
         timers.subscribe(RESEND_INTERVAL, lambda now: self._resend())
+        timers.subscribe(SETTLED_INTERVAL, lambda now: self._report_settled())
 
     def handlers(self) -> dict[type, Callable[[Link, Any], None]]:
         """Return the message handlers by message class."""
@@ -90,6 +95,7 @@
             FundsResponse: self.on_response,
             Transfer: self.on_transfer,
             TransferAck: self.on_ack,
+            TransfersSettled: self.on_settled,
             **self.pool_sync.requests.handlers(),
         }
 
@@ -138,7 +144,6 @@
         else:
             self.context.peers_with_store.discard(name)
         if notice.draining:
-            self.context.draining_peers.add(name)
             self.context.hubs.set_available(name, False)
 
     async def request_through_proxy(self, customer: str, tokens: int) -> None:
@@ -253,10 +258,11 @@
             link.send(self._record_transfer(link, customer, moved))
 
     def _record_transfer(self, link: Link, customer: str, tokens: int) -> Transfer:
-        id_ = f"{self.context.boot}.t{self.next_id}"
+        id_ = transfer_id(self.context.boot, self.next_id)
         self.next_id += 1
         transfer = Transfer(id_, link.peer.boot, customer, BUDGET_NAME, tokens)
         self.unacknowledged[id_] = (link.peer.name, transfer)
+        self.receivers.add(link.peer.name)
         return transfer
 
     def on_response(self, link: Link, response: FundsResponse) -> None:
@@ -274,7 +280,7 @@
 
     def on_transfer(self, link: Link, transfer: Transfer) -> None:
         """Credit a transfer to this incarnation once, and acknowledge it."""
-        if transfer.source != self.context.boot or self.pool_sync.closed:
+        if transfer.source != self.context.boot or self.pool_sync.closed or link.closed:
             return
         if self.book.receive(transfer.customer, transfer.transfer, transfer.tokens):
             self.on_credit(transfer.customer)
@@ -285,6 +291,17 @@
         for transfer in ack.transfers:
             self.unacknowledged.pop(transfer, None)
 
+    def _report_settled(self) -> None:
+        """Tell the receivers which transfers are not sent again, so that they forget them."""
+        open_numbers = [transfer_number(id_) for id_ in self.unacknowledged]
+        message = TransfersSettled(min(open_numbers, default=self.next_id))
+        self.context.send_to(sorted(self.receivers), message)
+        self.receivers = {name for name, _ in self.unacknowledged.values()}
+
+    def on_settled(self, link: Link, message: TransfersSettled) -> None:
+        """Forget the transfers that a peer does not send again."""
+        self.book.forget_received(link.peer.boot, message.below)
+
     def _resend(self) -> None:
         for id_, (name, transfer) in list(self.unacknowledged.items()):
             link = self.context.peer_links.get(name)
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -60,6 +60,7 @@
     RouteTableResponse,
     RouteTableVersion,
     ServerLoad,
+    TransfersSettled,
 )
 
 __all__ = [
@@ -117,6 +118,7 @@
     "Started",
     "Transfer",
     "TransferAck",
+    "TransfersSettled",
     "UsageRecord",
     "allocate_tokens",
     "bill_id",
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -237,6 +237,17 @@
     """Reply to :class:`LinkProbe`: the link and its peer work."""
 
 
+@register_message(85)
+@dataclass(slots=True, frozen=True)
+class TransfersSettled:
+    """Report that the sender never again sends certain transfers to the receiver.
+
+    :param below: lowest number of a transfer that it may still send
+    """
+
+    below: int
+
+
 @register_message(82)
 @dataclass(slots=True, frozen=True)
 class LoanRequest:
