--- a/features/prepaid.feature
+++ b/features/prepaid.feature
@@ -34,6 +34,17 @@
       | duplicate transfers are credited     |
       | unconfirmed grants count immediately |
 
+  Scenario Outline: Random histories of a group detect a fleet where <fault>
+    Given a fleet where <fault>
+    When random histories of 25 s of one group with seeds 1 to 12 are run until one fails
+    Then a customer spent more tokens than it has paid for
+
+    Examples:
+      | fault                                    |
+      | a hub lends tokens without a debit       |
+      | duplicate transfers are credited         |
+      | a successor counts nothing as used       |
+
   Scenario: A transfer is credited once, and forgotten when its sender sends it no more
     A hub receives a transfer for most prompts of its group, so their ids must not be kept for ever.
 
--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -66,6 +66,11 @@
     return {}
 
 
+def lend_without_debit(book, customer, tokens):
+    """Release the reservation of a loan instead of keeping its tokens debited."""
+    book.settle(customer, tokens, 0)
+
+
 class UnresponsiveTables:
     """Tables whose transactions never return a response."""
 
@@ -77,6 +82,7 @@
 FAULTS = {
     "a successor counts nothing as used": (BoundsRecord, "used_at_most", lambda *args: 0),
     "recorded bounds are not enforced": (SpendingBounds, "_limit", lambda *args: 10**12),
+    "a hub lends tokens without a debit": (PrepaidBook, "lend", lend_without_debit),
     "duplicate transfers are credited": (PrepaidBook, "receive", credit_duplicates),
     "unconfirmed grants count immediately": (PoolSync, "update_pool", trust_unconfirmed),
     "each gateway updates the pools itself": (PoolRequests, "change", skip_coordinator),
@@ -118,6 +124,22 @@
             return
 
 
+@when(
+    "random histories of {seconds:d} s of one group with seeds {first:d} to {last:d} are run until "
+    "one fails"
+)
+def when_group_histories_run_until_failure(context, seconds, first, last):
+    context.failure = None
+    for seed in range(first, last + 1):
+        try:
+            run_without_logs(
+                lambda seed=seed: run_random_history(seed, float(seconds), 0.3, zones=1)
+            )
+        except AssertionError as error:
+            context.failure = error
+            return
+
+
 @then("no customer spent more tokens than it has paid for")
 def then_no_overspend(context):
     for simulation in context.simulations:
