--- a/features/prepaid.feature
+++ b/features/prepaid.feature
@@ -45,6 +45,18 @@
       | duplicate transfers are credited         |
       | a successor counts nothing as used       |
 
+  Scenario Outline: Bounds composed <age> s ago, which is 2 ms less than <checks> checks
+    Bounds are checked each 0.1 s and are to be renewed at every third check. They are composed just
+    after a check, and an older record counts more tokens as used when its gateway dies.
+
+    Given bounds that were composed <age> s ago
+    Then they are due: <due>
+
+    Examples:
+      | age   | checks | due |
+      | 0.198 | 2      | no  |
+      | 0.298 | 3      | yes |
+
   Scenario: A transfer is credited once, and forgotten when its sender sends it no more
     A hub receives a transfer for most prompts of its group, so their ids must not be kept for ever.
 
--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -317,3 +317,14 @@
 def then_kept(context, count):
     kept = sum(len(numbers) for numbers in context.book.received.values())
     assert kept == count, kept
+
+
+@given("bounds that were composed {age:g} s ago")
+def given_composed_bounds(context, age):
+    context.bounds = SpendingBounds(PrepaidBook("gate-1.a", 25.0))
+    context.bounds.compose(NOW - age, NOW, {})
+
+
+@then("they are due: {due}")
+def then_due(context, due):
+    assert context.bounds.is_due(NOW) is (due == "yes")
--- a/src/bilberryshed/coordination/_spending_bounds.py
+++ b/src/bilberryshed/coordination/_spending_bounds.py
@@ -18,7 +18,7 @@
 GROWTH_DELAY = 0.5  # seconds after which a bound that was not renewed begins to grow
 GROWTH_FACTOR = 1.15  # multiple of the demand at which a bound grows
 BASE_GROWTH = 700.0  # tokens per second by which a bound grows in addition
-RENEW_TIME = 0.3  # seconds after which bounds are renewed
+RENEW_TIME = 0.25  # seconds after which bounds are renewed, by checks that are 0.1 s apart
 CLOCK_DRIFT = 0.02  # fraction by which the rates of two monotonic clocks may differ
 
 
