A late return of an incarnation that is closed in the same transaction is dropped; a killed gateway is dead in the histories

Traced: the killed gateway-3 went on in the simulation, as a sync under way was no task of its context: after its successor had closed it (closed -2113), it returned tokens of peers four times and stood in the row again with -1704. In the field a killed process sends nothing, so the simulation now fails its store calls from the kill on. The trace also showed a way that is real: a late return in the same batch as the close was applied after it, as both name the same version of the row. Change: apply_changes drops it.

--- a/features/prepaid.feature
+++ b/features/prepaid.feature
@@ -57,6 +57,16 @@
       | 0.198 | 2      | no  |
       | 0.298 | 3      | yes |
 
+  Scenario Outline: A late return of an incarnation that is closed in the same transaction, <order>
+    Given a pool of which an ended gateway holds 0 tokens after it returned some of a peer
+    When it is closed with -2113 tokens used and a late return of 1704 tokens is applied, <order>
+    Then the pool counts -2113 tokens as used and has no holder
+
+    Examples:
+      | order        |
+      | close first  |
+      | return first |
+
   Scenario: A transfer is credited once, and forgotten when its sender sends it no more
     A hub receives a transfer for most prompts of its group, so their ids must not be kept for ever.
 
--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -222,6 +222,7 @@
     def kill(self):
         """Stop immediately; the reservations of requests in flight count as fully spent."""
         self.alive = False
+        self.store.availability = "silent"  # a sync under way has ended with the process
         self.context.timers.close()
         for task in tuple(self.context.tasks.tasks):
             task.cancel()
@@ -426,7 +427,8 @@
     def _clear_faults(self):
         self.isolated = set()
         for gateway in self.gateways.values():
-            gateway.store.availability = "up"
+            if gateway.alive:
+                gateway.store.availability = "up"
 
     async def _generate_traffic(self, deadline, rate):
         weights = (5, 2, 1, 1)
--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -23,6 +23,7 @@
     PoolRow,
     PrepaidBook,
     SpendingBounds,
+    apply_changes,
     transfer_id,
 )
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
@@ -30,6 +31,7 @@
 from bilberryshed.gateway._pool_requests import PoolRequests
 from bilberryshed.gateway._pool_sync import PoolSync
 from bilberryshed.gateway._pool_table import VersionedPool
+from bilberryshed.protocol import PoolChange
 from bilberryshed.state import Put, RowRef
 
 NOW = 1000.0  # seconds
@@ -328,3 +330,27 @@
 @then("they are due: {due}")
 def then_due(context, due):
     assert context.bounds.is_due(NOW) is (due == "yes")
+
+
+@given("a pool of which an ended gateway holds 0 tokens after it returned some of a peer")
+def given_ended_holder(context):
+    context.pool = PoolRow(0, {"gate-3.a": 0})
+
+
+@when(
+    "it is closed with {used:d} tokens used and a late return of {tokens:d} tokens is applied, "
+    "{order}"
+)
+def when_closed_and_returned(context, used, tokens, order):
+    changes = [
+        PoolChange("harbour", "gate-3.a", 0, used=used),
+        PoolChange("harbour", "gate-3.a", -tokens, version=7),
+    ]
+    if order == "return first":
+        changes.reverse()
+    context.pool = apply_changes(context.pool, 7, 100_000, changes)
+
+
+@then("the pool counts {used:d} tokens as used and has no holder")
+def then_pool_closed(context, used):
+    assert context.pool == PoolRow(used, {}), context.pool
--- a/src/bilberryshed/coordination/_pool_changes.py
+++ b/src/bilberryshed/coordination/_pool_changes.py
@@ -18,11 +18,17 @@
 ) -> PoolRow:
     """Return the row with all changes: closed accounts and returns first, then grants in order.
 
+    A late return of an incarnation that another change closes is dropped: its tokens were counted
+    when the account was closed.
+
     :param version: version of the row
     :param prepaid: total of the tokens paid for
     """
-    for change in sorted(changes, key=lambda change: change.used is None and change.take > 0):
-        row = _apply(row, version, prepaid, change)
+    requested = tuple(changes)
+    closed = {change.boot for change in requested if change.used is not None}
+    for change in sorted(requested, key=lambda change: change.used is None and change.take > 0):
+        if change.take >= 0 or change.boot not in closed:
+            row = _apply(row, version, prepaid, change)
     return row
 
 
