A hub sums its group once for all members; one check frees held tokens; hub_of without nesting

Found in a second reading, behaviour as before: the sum of the group was made anew for each member on every report; the check whether held tokens need a raised bound stood three times; all_hubs, hub_of and LoadSum were exported without a user.

--- a/features/steps/hub_steps.py
+++ b/features/steps/hub_steps.py
@@ -142,8 +142,7 @@
     for name, hubs in context.hubs.items():
         if hubs.is_hub:
             parts = relays[name].pop_parts_for_members()
-            for member in relays[name].members:
-                loads = relays[name].for_member(member, pools[name].loads())
+            for member, loads in relays[name].for_members(pools[name].loads()):
                 pools[member].on_load_notice(NOW, name, LoadSummary(False, loads, parts))
 
 
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -41,10 +41,10 @@
     PersistTransfer,
     demand_for,
 )
-from bilberryshed.coordination._hubs import Hubs, all_hubs, hub_of
+from bilberryshed.coordination._hubs import Hubs
 from bilberryshed.coordination._lease import Lease, LeaseRow
 from bilberryshed.coordination._ledger import GetSegment, PutSegment, Segment, ShardWriter
-from bilberryshed.coordination._load_relay import LoadRelay, LoadSum
+from bilberryshed.coordination._load_relay import LoadRelay
 from bilberryshed.coordination._membership import ListChange, Member, Members
 from bilberryshed.coordination._orders import (
     Admission,
@@ -95,9 +95,6 @@
 __all__ = [
     "Hubs",
     "LoadRelay",
-    "LoadSum",
-    "all_hubs",
-    "hub_of",
     "MAX_CHANGES",
     "OUTPUT_WEIGHT",
     "Accepted",
--- a/src/bilberryshed/coordination/_hubs.py
+++ b/src/bilberryshed/coordination/_hubs.py
@@ -163,9 +163,5 @@
     in_zone = [hub for hub in hubs if zones[hub] == zones[name]]
     if not in_zone:
         return name
-    excluded = set(suspected)
-    for choices in (in_zone, list(hubs)):
-        trusted = [hub for hub in choices if hub not in excluded]
-        if trusted:
-            return owner(name, trusted) or name
-    return owner(name, in_zone) or name
+    trusted = set(hubs) - set(suspected)
+    return owner(name, trusted & set(in_zone) or trusted or in_zone) or name
--- a/src/bilberryshed/coordination/_load_relay.py
+++ b/src/bilberryshed/coordination/_load_relay.py
@@ -1,7 +1,7 @@
 """Sums of the loads of many routers, which a hub relays in place of a mesh of reports."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from bilberryshed.protocol import PrefixSent, ServerLoad
 
@@ -94,12 +94,14 @@
             return own
         return self._group_sum(own).loads()
 
-    def for_member(self, name: str, own: Loads) -> Loads:
-        """Return the load of all routers but one member."""
+    def for_members(self, own: Loads) -> Iterator[tuple[str, Loads]]:
+        """Yield each member and the load of all routers but that one."""
         total = self._group_sum(own)
         for loads in self.groups.values():
             total.add(loads)
-        return total.add(self.members.get(name, ()), -1).loads()
+        for name, loads in self.members.items():
+            yield name, total.add(loads, -1).loads()
+            total.add(loads)
 
     def _group_sum(self, own: Loads) -> LoadSum:
         total = LoadSum().add(own)
--- a/src/bilberryshed/gateway/_load_sharing.py
+++ b/src/bilberryshed/gateway/_load_sharing.py
@@ -23,6 +23,7 @@
     :param scheduled: whether a check for changes is scheduled
     :param sent_at: monotonic time of the last report, in seconds
     :param last_group: load of this gateway or its group in the last report
+    :param changed: whether the load has changed since the last report
     """
 
     __slots__ = ("context", "relay", "hub", "scheduled", "sent_at", "last_group", "changed")
@@ -140,6 +141,6 @@
         for name in self.context.hubs.others():
             links[name].send_encoded(summary)
         parts = self.relay.pop_parts_for_members()
-        for name in self.relay.members:
+        for name, loads in self.relay.for_members(own):
             if name in links:
-                links[name].send(LoadSummary(False, self.relay.for_member(name, own), parts))
+                links[name].send(LoadSummary(False, loads, parts))
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -17,7 +17,7 @@
 
 SYNC_INTERVAL = 0.5  # seconds between syncs without a waiting request
 READ_INTERVAL = 0.45  # seconds between routine reads of the rows, for a few holders
-READ_PEERS_PER_STEP = 6  # peers per additional READ_INTERVAL, which bounds the store's load
+READ_PEERS_PER_STEP = 6  # hubs per additional READ_INTERVAL, which bounds the store's load
 MEMBER_READ_INTERVAL = 5.0  # seconds between reads by a gateway that borrows from its hub
 RESYNC_DELAY = 0.05  # seconds until the next sync while a lowered total is exceeded
 STORE_WAIT_TIMEOUT = 0.35  # seconds; longest wait of a request for the store
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -119,8 +119,7 @@
         account = self.book.account(customer)
         lent = await self.loans.borrow(customer, tokens)
         if lent is not None:
-            if account.held >= tokens and self.peers.free(customer) < tokens:
-                await self.recorder.raise_bounds({customer: tokens})
+            await self._free_held(customer, tokens)
             return lent.failure() if isinstance(lent, Failure) else Shortage.UNREACHABLE
         store_reached = await self._acquire_from_store(customer, tokens)
         if self.peers.free(customer) >= tokens:
@@ -130,12 +129,16 @@
             if self.peers.free(customer) >= tokens:
                 return Shortage.UNREACHABLE
         granted = await self.peers.recall_from_peers(customer, tokens)
-        if account.held >= tokens and self.peers.free(customer) < tokens:
-            await self.recorder.raise_bounds({customer: tokens})
+        await self._free_held(customer, tokens)
         if not store_reached or granted is None or account.held >= tokens:
             return Shortage.UNREACHABLE
         return self._classify_shortage(customer, tokens - account.held, granted)
 
+    async def _free_held(self, customer: str, tokens: int) -> None:
+        """Record bounds that permit the use of tokens if they are held here but not free yet."""
+        if self.book.account(customer).held >= tokens and self.peers.free(customer) < tokens:
+            await self.recorder.raise_bounds({customer: tokens})
+
     async def _acquire_from_store(self, customer: str, tokens: int) -> bool:
         """Acquire tokens from the store and record spending bounds that permit their use.
 
@@ -147,8 +150,7 @@
             store_reached = await self.pool_sync.sync_with_timeout(
                 {customer: tokens - account.held}
             )
-        if account.held >= tokens and self.peers.free(customer) < tokens:
-            await self.recorder.raise_bounds({customer: tokens})
+        await self._free_held(customer, tokens)
         return store_reached
 
     def _classify_shortage(self, customer: str, lacking: int, granted: dict[str, int]) -> Shortage:
