Logs of requests and broken attempts name the prompt's shared parts and how long an answer had been written

The new scenario in gateway_program.feature fails without the change (no parts= in the report). No decision changes.

--- a/features/gateway_program.feature
+++ b/features/gateway_program.feature
@@ -49,6 +49,14 @@
     Then the report explains that request: attempt_broken, then request
     And the report shows that it was sent 2 times, the second time after 2 events
 
+  Scenario: The log of a broken attempt names the parts of its prompt, and how long it had been written
+    Given the next responses of the model engines are: cut 2
+    When a caller sends a prompt of 30 tokens for 20 output tokens to /chat/1
+    Then the status is 200
+    When the process is sent SIGTERM
+    Then the report explains that request: attempt_broken, then request
+    And the report contains customer=harbour, parts=aa/bb and writing_ms=
+
   Scenario: A request is traced by its id until its process is killed and restarted
     Given the next responses of the model engines are: hang
     When a caller streams /chat/1, the process is killed, and it restarts
--- a/features/steps/gateway_program_steps.py
+++ b/features/steps/gateway_program_steps.py
@@ -226,6 +226,12 @@
     assert len(sent) == times and f"events={events}" in sent[1], context.trace
 
 
+@then("the report contains {first}, {second} and {third}")
+def then_report_contains(context, first, second, third):
+    for text in (first, second, third):
+        assert text in context.trace, context.trace
+
+
 @when("a caller streams {path}, the process is killed, and it restarts")
 def when_killed(context, path):
     async def stream_and_kill():
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -177,6 +177,7 @@
             runs=job.runs,
             events=job.event_splitter.events,
             first_ms=job.first_ms,
+            parts="/".join(job.shared_parts),
             ms=round(duration * 1000),
             cause=job.last_failure,
             failed=outcome is not AttemptOutcome.DONE,
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -115,6 +115,18 @@
             else _milliseconds(self.first_event_at - self.started_at)
         )
 
+    def writing_ms(self, now: float) -> int | None:
+        """Milliseconds since the first event was relayed to the caller, ``None`` before it.
+
+        :param now: monotonic time in seconds
+        """
+        return None if self.first_event_at is None else _milliseconds(now - self.first_event_at)
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts but the last, which belongs to this request alone."""
+        return () if self.request.prompt is None else self.request.prompt.parts[:-1]
+
     @property
     def demand(self) -> BackendDemand:
         """Load that the request places on a backend server."""
@@ -438,7 +450,14 @@
         self.pool.on_outcome(now, view, failed=True)
         if crashed and not job.event_splitter.events:
             self.context.report_crash(job.fingerprint, f"{job.request.id}/{job.runs}")
-        self._log(job, "attempt_broken", error=job.last_failure)
+        self._log(
+            job,
+            "attempt_broken",
+            error=job.last_failure,
+            customer=job.customer.name if job.customer else None,
+            parts="/".join(job.shared_parts),
+            writing_ms=job.writing_ms(now),
+        )
 
     def _log(self, job: Job, event: str, **details: object) -> None:
         logger().info(
