--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 
 import h11
 
@@ -97,6 +98,21 @@
         self.register(id_, service, **entry)
         return backend
 
+    def set_crashing_part(self, part, crash_after=0):
+        """Make prompts with a part crash each model engine that begins to answer them.
+
+        :param crash_after: events that it sends before the crash
+        """
+        for id_, backend in self.backends.items():
+            backend.crashing_part, backend.crash_after = part, crash_after
+            backend.on_restart = partial(self.register_restart, id_)
+
+    def register_restart(self, id_):
+        """Write the entry of a backend server's next incarnation."""
+        backend = self.backends[id_]
+        service = "model" if backend.is_streaming else "desk"
+        self.register(id_, service, born=len(backend.crashes))
+
     def register(self, id_, service, **entry):
         """Write the entry of a backend server to the store; ``entry`` replaces default fields."""
         defaults = {
@@ -162,14 +178,21 @@
             ), "the condition was not met within the timeout"
             await asyncio.sleep(0.02)
 
-    async def close_gateways(self):
-        """Cancel the gateways of this process without a drain."""
-        for name, task in self.tasks.items():
+    async def kill_gateway(self, name):
+        """End a gateway without a drain."""
+        gateway = self.gateways.pop(name)
+        self.tasks.pop(name).cancel()
+        gateway.context.timers.close()
+        for task in tuple(gateway.context.tasks.tasks):
             task.cancel()
-            gateway = self.gateways[name]
-            gateway.context.timers.close()
-            await gateway.peers.close()
-        self.tasks.clear()
+        if gateway.http is not None:
+            gateway.http.stop()
+        await gateway.peers.close()
+
+    async def close_gateways(self):
+        """End all gateways without a drain."""
+        for name in tuple(self.gateways):
+            await self.kill_gateway(name)
 
     async def close(self):
         """Cancel the gateways and stop the backend servers and the store."""
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -35,3 +35,11 @@
     When every router is killed and restarted
     And the crashing request is sent again to every router
     Then it is refused as quarantined and not run, and 2 engines crashed
+
+  @known_red
+  Scenario: One message that crashes engines is blocked in all prompts, and other prompts are served
+    Given a Cairnbrae fleet with its sheet active
+    When 4 different prompts after a message that crashes engines reach the routers in turn
+    And 3 s later 6 more of them reach the routers in turn
+    Then at most 3 of the latter crashed an engine
+    And 6 prompts after another message are served by the routers in turn
--- /dev/null
+++ b/features/steps/crashing_part_steps.py
@@ -0,0 +1,188 @@
+"""Steps for prompts with a part that crashes the model engines."""
+
+import asyncio
+import itertools
+
+from behave import given, then, when
+from gateway_steps import run
+
+BAD_INTERVAL = 0.3  # seconds between prompts that crash engines
+SOUND_INTERVAL = 0.08  # seconds between sound prompts
+EVENT_INTERVAL = 0.1  # seconds between the events of an answer
+FIFTH = 4  # index of the fifth crash
+
+
+@given("{count:d} gateways in one zone")
+def given_gateways(context, count):
+    async def start():
+        for number in range(2, count + 1):
+            await context.harness.add_gateway(f"gate-{number}")
+        gateways = context.harness.gateways.values()
+        await context.harness.wait_until(
+            lambda: all(len(g.context.peer_links) == count - 1 for g in gateways)
+        )
+
+    run(context, start())
+
+
+@given("the part bad crashes each model engine that begins to answer it, after {events:d} events")
+def given_crashing_part(context, events):
+    context.harness.set_crashing_part("bad", events)
+    context.numbers = itertools.count()
+    for backend in context.harness.backends.values():
+        backend.delay = EVENT_INTERVAL
+
+
+async def send_prompt(context, gateway, parts):
+    """Send a prompt that is like no other one; return the response, ``None`` if it broke off."""
+    number = next(context.numbers)
+    listed = ",".join(f"{part}:10" for part in (*parts.split("/"), f"own{number}"))
+    try:
+        return await context.harness.call(
+            "/once/1", gateway, body=b"prompt %d" % number, tokens="40,20", parts=listed
+        )
+    except (OSError, TimeoutError):
+        return None
+
+
+async def send_steadily(context, gateways, parts, interval, seconds, results):
+    """Send prompts at an interval, each without waiting for the ones before.
+
+    :param results: gets the time of each prompt and its response
+    """
+    loop = asyncio.get_running_loop()
+    tasks, deadline = [], loop.time() + seconds
+
+    async def send(gateway, listed):
+        at = loop.time()
+        results.append((at, await send_prompt(context, gateway, listed)))
+
+    turns = zip(itertools.cycle(gateways), itertools.cycle(parts.split(", ")), strict=False)
+    while loop.time() < deadline:
+        tasks.append(asyncio.ensure_future(send(*next(turns))))
+        await asyncio.sleep(interval)
+    await asyncio.gather(*tasks)
+
+
+@when(
+    "prompts with the parts {bad} and sound ones with the parts {sound} reach all gateways "
+    "for {seconds:d} s"
+)
+def when_mixed_load(context, bad, sound, seconds):
+    context.bad, context.sound = [], []
+    gateways = sorted(context.harness.gateways)
+
+    async def send():
+        await asyncio.gather(
+            send_steadily(context, gateways, bad, BAD_INTERVAL, seconds, context.bad),
+            send_steadily(context, gateways, sound, SOUND_INTERVAL, seconds, context.sound),
+        )
+
+    run(context, send())
+
+
+def crash_times(context):
+    """Return the times of all crashes, in order."""
+    return sorted(at for backend in context.harness.backends.values() for at in backend.crashes)
+
+
+def bad_arrivals(context):
+    """Return the times at which prompts with the part reached an engine."""
+    return [
+        received.at
+        for backend in context.harness.backends.values()
+        for received in backend.received
+        if "bad" in received.shared_parts
+    ]
+
+
+@then(
+    "at most {most:d} prompts with the part reached an engine later than {seconds:d} s after "
+    "the fifth crash"
+)
+def then_few_arrivals(context, most, seconds):
+    crashes = crash_times(context)
+    assert crashes, "no engine crashed"
+    fifth = crashes[FIFTH] if len(crashes) > FIFTH else float("inf")
+    late = [at for at in bad_arrivals(context) if at > fifth + seconds]
+    assert len(late) <= most, (len(late), len(crashes))
+
+
+@then(
+    "at least half of the sound prompts later than {seconds:d} s after it were answered at the "
+    "first attempt"
+)
+def then_sound_answered(context, seconds):
+    crashes = crash_times(context)
+    start = crashes[min(FIFTH, len(crashes) - 1)] + seconds
+    late = [response for at, response in context.sound if at > start]
+    answered = [r for r in late if r is not None and r.status == 200 and b"id: 1\n" in r.body]
+    assert len(late) >= 10, (len(late), len(crashes))
+    assert len(answered) * 2 >= len(late), (len(answered), len(late))
+
+
+@when(
+    "the second gateway {event} while prompts with the parts {parts} reach the first for "
+    "{seconds:d} s"
+)
+def when_second_away(context, event, parts, seconds):
+    async def crash_engines():
+        sending = send_steadily(context, ["gate-1"], parts, BAD_INTERVAL, seconds, [])
+        if event == "starts again":
+            await context.harness.kill_gateway("gate-2")
+            await sending
+            await context.harness.add_gateway("gate-2")
+        else:
+            cut = asyncio.ensure_future(cut_links(context.harness.gateways["gate-2"]))
+            await sending
+            cut.cancel()
+        await wait_linked(context)
+
+    run(context, crash_engines())
+
+
+async def cut_links(gateway):
+    """Close the links of a gateway as soon as they open, until cancelled."""
+    while True:
+        for link in tuple(gateway.context.peer_links.values()):
+            link.abort()
+        await asyncio.sleep(0)
+
+
+async def wait_linked(context):
+    gateways = context.harness.gateways.values()
+    await context.harness.wait_until(
+        lambda: all(len(g.context.peer_links) == len(gateways) - 1 for g in gateways)
+    )
+    await asyncio.sleep(0.2)  # for the messages that follow a new link
+
+
+@when("all gateways are killed and start again")
+def when_all_restart(context):
+    async def restart():
+        names = sorted(context.harness.gateways)
+        for name in names:
+            await context.harness.kill_gateway(name)
+        for name in names:
+            await context.harness.add_gateway(name)
+        await wait_linked(context)
+
+    run(context, restart())
+
+
+@when("{count:d} prompts with the parts {parts} reach the second gateway")
+def when_prompts_to_second(context, count, parts):
+    context.arrived_before = len(bad_arrivals(context))
+
+    async def send():
+        for _ in range(count):
+            await send_prompt(context, "gate-2", parts)
+
+    assert crash_times(context), "no engine crashed before"
+    run(context, send())
+
+
+@then("none of them reached an engine")
+def then_none_arrived(context):
+    arrived = len(bad_arrivals(context)) - context.arrived_before
+    assert arrived == 0, arrived
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -660,13 +660,7 @@
 )
 def when_hub_killed(context, count, size, max_output):
     async def kill():
-        name = hub_name(context)
-        gateway = context.harness.gateways.pop(name)
-        context.harness.tasks.pop(name).cancel()
-        gateway.context.timers.close()
-        for task in tuple(gateway.context.tasks.tasks):
-            task.cancel()
-        await gateway.peers.close()
+        await context.harness.kill_gateway(hub_name(context))
         others = context.harness.gateways.values()
         await context.harness.wait_until(
             lambda: all(len(g.context.peer_links) == 2 for g in others)
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,13 +1,18 @@
 """Steps for requests that crash backend servers."""
 
+import itertools
 import json
+import time
 import urllib.request
 
 from behave import then, when
 from fleet_support import CRASHING_REQUEST, run
 
 from bilberryshed.coordination import Quarantine, QuarantineEntry, QuarantineState
-from bilberryshed_load import send_request
+from bilberryshed_load import LoadRequest, send_request
+
+RESTART_TIME = 2.5  # seconds in which a crashed engine is available again
+prompt_numbers = itertools.count()
 
 
 @when("these events occur for a request content: {events}")
@@ -72,3 +77,47 @@
     for process in routers:
         context.fleet.start_process(process)
     context.fleet.wait_ready()
+
+
+def send_prompts_after(context, message, count):
+    """Send different prompts after common messages to the routers in turn; return the results."""
+    urls = itertools.cycle(context.fleet.plan.router_urls)
+    results = []
+    for number in itertools.islice(prompt_numbers, count):
+        prompt = LoadRequest(
+            "highland-council",
+            "",
+            "drivers",
+            prompt=f"Which road is open at {number}?",
+            max_tokens=8,
+            earlier=("Roads of today.", message),
+        )
+        url = next(urls)
+        results.append(run(context, lambda url=url, prompt=prompt: send_request(url, prompt)))
+    return results
+
+
+@when("{count:d} different prompts after a message that crashes engines reach the routers in turn")
+def when_crashing_messages(context, count):
+    send_prompts_after(context, "CRASH-THE-ENGINE", count)
+    assert crashes(context.fleet) > 0
+
+
+@when("{seconds:d} s later {count:d} more of them reach the routers in turn")
+def when_more_crashing_messages(context, seconds, count):
+    time.sleep(seconds)
+    context.crashes_before = crashes(context.fleet)
+    send_prompts_after(context, "CRASH-THE-ENGINE", count)
+
+
+@then("at most {most:d} of the latter crashed an engine")
+def then_few_crashes(context, most):
+    added = crashes(context.fleet) - context.crashes_before
+    assert added <= most, (added, context.crashes_before)
+
+
+@then("{count:d} prompts after another message are served by the routers in turn")
+def then_others_served(context, count):
+    time.sleep(RESTART_TIME)
+    results = send_prompts_after(context, "All roads.", count)
+    assert all(result.complete for result in results), results
--- a/src/bilberryshed_load/_callers.py
+++ b/src/bilberryshed_load/_callers.py
@@ -24,7 +24,8 @@
     """A completion request or a call of a plain service.
 
     :param key: idempotency key; empty to send none
-    :param prompt: content of the only message; empty for a plain service
+    :param prompt: content of the last message; empty for a plain service
+    :param earlier: contents of the messages before it
     """
 
     customer: str
@@ -36,6 +37,7 @@
     model: str = ""
     stream: bool = True
     body: bytes = b""
+    earlier: tuple[str, ...] = ()
 
     @property
     def is_completion(self) -> bool:
@@ -45,7 +47,7 @@
     @property
     def expected_text(self) -> str:
         """The text that the stand-in model generates for this request."""
-        return full_text(self.prompt.encode(), self.max_tokens)
+        return full_text("\n".join((*self.earlier, self.prompt)).encode(), self.max_tokens)
 
 
 @dataclass(slots=True)
@@ -157,7 +159,10 @@
 
 def _build_completion_body(load_request: LoadRequest) -> bytes:
     body: dict[str, Any] = {
-        "messages": [{"role": "user", "content": load_request.prompt}],
+        "messages": [
+            {"role": "user", "content": text}
+            for text in (*load_request.earlier, load_request.prompt)
+        ],
         "max_tokens": load_request.max_tokens,
         "stream": load_request.stream,
     }
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -9,10 +9,15 @@
 responds before it has read the body; ``foreign`` sends the response of another request first;
 ``full cut`` is ``full`` with a body that breaks off; ``trickle`` sends a byte of the second event
 now and then; ``endless PART`` sends a status, head, size (of a chunk) or body without end.
+
+Independently of the script, a prompt with the crashing part crashes the server once it has begun
+the answer: all connections are reset, and the server is back after its restart time as a new
+incarnation.
 """
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import h11
@@ -23,16 +28,27 @@
 ENDLESS_BLOCK = b"7" * 65_536  # repeated until the client closes the connection
 ENDLESS_LIMIT = 64_000_000  # bytes after which the stand-in gives up
 PARTIAL_EVENT_BYTES = 12  # bytes sent of an event at which a stream is cut
+BEGIN_TIME = 0.03  # seconds from the head of an answer to the crash that its prompt causes
 
 
 @dataclass(slots=True)
 class ReceivedRequest:
-    """A request as the server received it."""
+    """A request as the server received it.
+
+    :param at: monotonic time in seconds
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float = 0.0
+
+    @property
+    def shared_parts(self) -> list[str]:
+        """Ids of the prompt's parts but the last."""
+        listed = self.headers.get("x-prompt-prefix", "").split(",")
+        return [part.strip().partition(":")[0] for part in listed[:-1]]
 
 
 @dataclass(slots=True)
@@ -44,6 +60,11 @@
     :param disconnected: ids of requests whose client disconnected during the stream
     :param delay: seconds between events
     :param endless_bytes: bytes sent of responses without end
+    :param crashing_part: id of the part of a prompt that crashes the server, empty for none
+    :param crash_after: events of such a prompt's answer that are sent before the crash
+    :param restart_time: seconds for which the server is away after a crash
+    :param on_restart: called when the server is back
+    :param crashes: monotonic times of the crashes, in seconds
     """
 
     id: str
@@ -54,6 +75,11 @@
     disconnected: list[str] = field(default_factory=list)
     delay: float = 0.0
     endless_bytes: int = 0
+    crashing_part: str = ""
+    crash_after: int = 0
+    restart_time: float = 1.0
+    on_restart: Callable[[], None] = lambda: None
+    crashes: list[float] = field(default_factory=list)
     server: asyncio.Server | None = None
     tasks: set["asyncio.Task[None] | None"] = field(default_factory=set)
     address: str = ""
@@ -72,6 +98,27 @@
             if task is not None:
                 task.cancel()
 
+    def _crash(self) -> None:
+        """Reset all connections, and start again after the restart time.
+
+        :raises ConnectionResetError: always, which ends the task of the calling connection
+        """
+        loop = asyncio.get_running_loop()
+        self.crashes.append(loop.time())
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for task in self.tasks:
+            if task is not None and task is not asyncio.current_task():
+                task.cancel()
+        loop.call_later(self.restart_time, self._restart)
+        raise ConnectionResetError("the server crashed")
+
+    def _restart(self) -> None:
+        host, _, port = self.address.partition(":")
+        starting = asyncio.ensure_future(self.start(host, int(port)))
+        starting.add_done_callback(lambda done: self.on_restart())
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         self.tasks.add(task)
@@ -106,7 +153,13 @@
                 return False
         assert request is not None
         headers = {k.decode(): v.decode() for k, v in request.headers}
-        received = ReceivedRequest(request.method.decode(), request.target.decode(), headers, body)
+        received = ReceivedRequest(
+            request.method.decode(),
+            request.target.decode(),
+            headers,
+            body,
+            asyncio.get_running_loop().time(),
+        )
         self.received.append(received)
         return await self._respond(received, fault, reader, writer)
 
@@ -194,6 +247,9 @@
         kind, _, count = fault.partition(" ")
         first = int(received.headers.get("last-event-id", "0")) + 1
         last = first + int(count or 0) - 1 if kind == "cut" else EVENTS
+        will_crash = self.crashing_part in received.shared_parts
+        if will_crash:
+            last = first + self.crash_after - 1
         framing = "Connection: close" if kind == "unframed" else "Transfer-Encoding: chunked"
         head = "Content-Type: text/event-stream\r\n" + framing
         writer.write(_response_head(200, id_, head, signed=kind != "unsigned"))
@@ -205,6 +261,9 @@
                 await self._wait_between_events(id_, reader)
             if kind == "trickle":
                 await self._trickle(id_, number + 1, reader, writer)
+        if will_crash:
+            await asyncio.sleep(BEGIN_TIME)
+            self._crash()
         if kind == "cut":
             writer.write(_chunk(f"id: {last + 1}\ndata: piece".encode()[:PARTIAL_EVENT_BYTES]))
             await writer.drain()
