--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -54,6 +54,7 @@
       | unframed     | GET    | /look/1 | 200    | 1        |
       | foreign      | GET    | /look/1 | 200    | 1        |
       | reset, full  | GET    | /look/1 | 502    | 1        |
+      | unframed reset | GET  | /look/1 | 200    | 2        |
       | full cut     | GET    | /look/1 | 200    | 1        |
 
     Examples: a non-idempotent request
@@ -69,6 +70,8 @@
       | error        | POST   | /book/1 | 500    | 1        |
       | hang         | POST   | /book/1 | 504    | 1        |
       | foreign      | POST   | /book/1 | 200    | 1        |
+      | unframed     | POST   | /book/1 | 200    | 1        |
+      | unframed reset | POST | /book/1 | 502    | 1        |
 
   Scenario Outline: A response without end in its <part> is broken off, and the next server responds
     Given the next responses of the plain servers are: endless <part>
@@ -116,6 +119,8 @@
       | cut 4 | 2        |
       | reset | 2        |
       | trickle | 2      |
+      | unframed | 1     |
+      | unframed cut 2 | 2 |
 
   Scenario Outline: A stream with the fault <fault> on a route that is not resumable
     Given the next responses of the model engines are: <fault>
@@ -129,6 +134,8 @@
       | reset    | 502                         | 1        |
       | unsigned | 502                         | 1        |
       | full     | complete with events 1 to 5 | 1        |
+      | unframed | complete with events 1 to 5 | 1        |
+      | unframed cut 3 | truncated after event 3 | 1      |
 
   Scenario Outline: A malformed request: <defect>
     When a caller sends a malformed request: <defect>
--- a/src/bilberryshed_standins/__init__.py
+++ b/src/bilberryshed_standins/__init__.py
@@ -7,7 +7,7 @@
 from bilberryshed_standins._faults import FaultInjector
 from bilberryshed_standins._memory import MemoryObjects, MemoryTables
 from bilberryshed_standins._platform import LaggingVmList, PlatformStandin, WeightStore
-from bilberryshed_standins._routed_backend import EVENTS, ReceivedRequest, RoutedBackend
+from bilberryshed_standins._routed_backend import EVENTS, ReceivedRequest, RoutedBackend, reset
 from bilberryshed_standins._row_store import RowStore, serve_row_store
 
 __all__ = [
@@ -24,5 +24,6 @@
     "RowStore",
     "WeightStore",
     "full_text",
+    "reset",
     "serve_row_store",
 ]
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -5,8 +5,10 @@
 connection after N events and a part of the next, or within the body; ``reset`` aborts it before any
 response; ``extra`` sends a second response after the first, unless that is a stream; ``unsigned``
 omits the signature; ``garbage`` sends bytes that are not HTTP; ``unframed`` sends a body without
-length or chunks; ``error`` is a signed 500; ``hang`` delays the response by a minute; ``early``
-responds before it has read the body; ``foreign`` sends the response of another request first;
+length or chunks, which ends with its connection, ``unframed cut N`` after N events and a part of
+the next; ``unframed reset`` resets the connection within the body; ``error`` is a signed 500;
+``hang`` delays the response by a minute; ``early`` responds before it has read the body;
+``foreign`` sends the response of another request first;
 ``full cut`` is ``full`` with a body that breaks off; ``trickle`` sends a byte of the second event
 now and then; ``endless PART`` sends a status, head, size (of a chunk) or body without end.
 
@@ -16,6 +18,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -224,8 +228,11 @@
             writer.write(
                 _response_head(200, id_, f"Content-Length: {len(body)}", signed=False) + body
             )
-        elif fault == "unframed":
-            writer.write(_response_head(200, id_, "Connection: close") + body)
+        elif fault.startswith("unframed"):
+            sent = body[:5] if fault.endswith("reset") else body
+            writer.write(_response_head(200, id_, "Connection: close") + sent)
+            if fault.endswith("reset"):
+                reset(writer)
             return False
         elif fault.startswith("cut"):
             writer.write(_response_head(200, id_, f"Content-Length: {len(body)}") + body[:5])
@@ -244,18 +251,19 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         id_ = received.headers.get("x-attempt-id", "")
-        kind, _, count = fault.partition(" ")
+        is_framed = not fault.startswith("unframed")
+        kind, _, count = fault.removeprefix("unframed ").partition(" ")
         first = int(received.headers.get("last-event-id", "0")) + 1
         last = first + int(count or 0) - 1 if kind == "cut" else EVENTS
         will_crash = self.crashing_part in received.shared_parts
         if will_crash:
             last = first + self.crash_after - 1
-        framing = "Connection: close" if kind == "unframed" else "Transfer-Encoding: chunked"
+        framing = "Transfer-Encoding: chunked" if is_framed else "Connection: close"
         head = "Content-Type: text/event-stream\r\n" + framing
         writer.write(_response_head(200, id_, head, signed=kind != "unsigned"))
         for number in range(first, min(last, EVENTS) + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            writer.write(event if kind == "unframed" else _chunk(event))
+            writer.write(_chunk(event) if is_framed else event)
             await writer.drain()
             if self.delay:
                 await self._wait_between_events(id_, reader)
@@ -265,12 +273,13 @@
             await asyncio.sleep(BEGIN_TIME)
             self._crash()
         if kind == "cut":
-            writer.write(_chunk(f"id: {last + 1}\ndata: piece".encode()[:PARTIAL_EVENT_BYTES]))
+            partial = f"id: {last + 1}\ndata: piece".encode()[:PARTIAL_EVENT_BYTES]
+            writer.write(_chunk(partial) if is_framed else partial)
             await writer.drain()
             return False
-        if kind != "unframed":
+        if is_framed:
             writer.write(b"0\r\n\r\n")
-        return kind != "unframed"
+        return is_framed
 
     async def _trickle(
         self, id_: str, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -290,6 +299,13 @@
             raise ConnectionResetError("the client disconnected")
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset, not with an orderly end of its data."""
+    raw: socket.socket = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def _response_head(status: int, id_: str, fields: str, signed: bool = True) -> bytes:
     signature = f"X-Response-Signature: sig-{id_}\r\n" if signed else ""
     text = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {id_}\r\n{signature}{fields}\r\n\r\n"
