--- /dev/null
+++ b/features/backends.feature
@@ -0,0 +1,15 @@
+Feature: Responses of model engines to an agent
+  A response may have neither a length nor chunks; then it ends with its connection, and only its last event tells
+  whether it is whole.
+
+  Scenario Outline: A response without length or chunks that ends <where>
+    When an engine sends a response without length or chunks that ends <where>
+    Then the attempt is <result>
+
+    Examples:
+      | where                 | result      |
+      | after its last event  | completed   |
+      | within its last event | interrupted |
+      | within another event  | interrupted |
+      | between two events    | interrupted |
+      | with a reset          | interrupted |
--- /dev/null
+++ b/features/steps/backend_steps.py
@@ -0,0 +1,87 @@
+"""Steps for the clients of backend servers."""
+
+import asyncio
+import json
+
+from behave import then, when
+
+from bilberryshed.protocol import Dispatch
+from bilberryshed.runtime import EngineBackend, ResponseSink, RunCompleted, RunInterrupted
+from bilberryshed.state import Address
+from bilberryshed_standins import reset
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+RESULTS = {"completed": RunCompleted, "interrupted": RunInterrupted}
+
+
+def event(text, finish=None):
+    """Return an encoded event of attempt a1."""
+    choice = {"delta": {"content": text}, "finish_reason": finish}
+    return b"data: %s\n\n" % json.dumps({"id": "a1", "choices": [choice]}).encode()
+
+
+FIRST, SECOND, DONE = event("one "), event("two", "stop"), b"data: [DONE]\n\n"
+BODIES = {
+    "after its last event": FIRST + SECOND + DONE,
+    "within its last event": FIRST + SECOND + DONE[:-4],
+    "within another event": FIRST + SECOND[:-9],
+    "between two events": FIRST,
+    "with a reset": FIRST + SECOND + DONE,
+}
+
+
+class IgnoringSink(ResponseSink):
+    """Receives a response that the test does not look at."""
+
+    def started(self, status, content_type):
+        """Ignore the head."""
+
+    def data(self, chunk):
+        """Ignore a chunk."""
+
+
+@when("an engine sends a response without length or chunks that ends {where}")
+def when_unframed(context, where):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + BODIES[where])
+        await writer.drain()
+        if where == "with a reset":
+            reset(writer)
+        writer.close()
+
+    async def attempt():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        backend = EngineBackend(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+        result = await backend.run(dispatch(), IgnoringSink())
+        server.close()
+        return result
+
+    context.result = context.loop.run_until_complete(attempt())
+
+
+def dispatch():
+    """Return a dispatch of attempt a1."""
+    return Dispatch(
+        attempt="a1",
+        request="r1",
+        customer="c",
+        budget="b",
+        key="k",
+        service="s",
+        model="m@1",
+        idempotent=True,
+        parts=(),
+        price=0,
+        method="POST",
+        path="/v1/chat/completions",
+        body=b"{}",
+        priority=5,
+        deadline=2.0,
+        alone=False,
+    )
+
+
+@then("the attempt is {result}")
+def then_result(context, result):
+    assert isinstance(context.result, RESULTS[result]), context.result
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -210,6 +210,8 @@
         """Return the result of the attempt after the end of the stream."""
         if self.stream_error:
             return RunInterrupted(self.stream_error)
+        if self.buffer.strip():
+            return RunInterrupted("engine ended the stream within an event")
         if not self.finish:
             return RunInterrupted("engine ended the stream without a finish reason")
         prompt = int(self.usage.get("prompt_tokens", 0))
