A failure that an engine answers with clears no part of a crash

The new scenario of crashing_part.feature fails without the change and passes with it; gateway.feature passed.

--- a/features/crashing_part.feature
+++ b/features/crashing_part.feature
@@ -50,3 +50,9 @@
       | whom                                |
       | their callers                       |
       | engines that go on with other work  |
+
+  Scenario: A failure that an engine answers with clears no part
+    Given a platform with 4 model engines and 1 plain servers
+    And the part bad crashes each model engine that begins to answer it, after 0 events
+    When prompts with the parts aa/bad get a failure and then crash an engine, 3 times in turn
+    Then the next prompt with the parts aa/bad is refused with 503
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -214,3 +214,21 @@
 
     responses = run(context, send())
     assert all(r is not None and r.status == 200 and r.complete for r in responses), responses
+
+
+@when(
+    "prompts with the parts {parts} get a failure and then crash an engine, {count:d} times in turn"
+)
+def when_failure_and_crash(context, parts, count):
+    for _ in range(count):
+        given_faults(context, "model engines", "error")
+        assert run(context, send_prompt(context, "gate-1", parts)).status == 500
+        assert run(context, send_prompt(context, "gate-1", parts)).status == 502
+    assert len(crash_times(context)) == count
+
+
+@then("the next prompt with the parts {parts} is refused with {status:d}")
+def then_refused(context, parts, status):
+    before = len(bad_arrivals(context))
+    assert run(context, send_prompt(context, "gate-1", parts)).status == status
+    assert len(bad_arrivals(context)) == before
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -390,7 +390,8 @@
                 return AttemptOutcome.FAILED, True
             self._send_response(job, response, body)
         self.pool.on_outcome(self.context.timers.now(), view, failed=False)
-        self._record_sound(job)
+        if 200 <= response.status < 300:
+            self._record_sound(job)
         return AttemptOutcome.DONE, True
 
     def _is_error_retryable(self, job: Job) -> bool:
