--- a/src/bilberryshed/transport/_quarantine_exchange.py
+++ b/src/bilberryshed/transport/_quarantine_exchange.py
@@ -144,7 +144,7 @@
             return Admittance(wait)
         self.quarantine.start_probe(self._now(), block)
         self.ports.broadcast(self.quarantine.notice(self._now(), block))
-        logger().info("quarantine_probe", suspect=block.suspect.key, level=block.level)
+        logger().info("quarantine_probe", suspect=block.suspect.key, imposed=block.level)
         return Admittance(0.0, is_probe=True)
 
     def _probe_delay(self, block: Block) -> float:
@@ -218,7 +218,7 @@
                     "quarantine_blocked",
                     content=suspect.content,
                     parts="/".join(sorted(suspect.parts)),
-                    level=block.level,
+                    imposed=block.level,
                     crashes=len(block.crashes),
                 )
         return news
