The test harness ends a gateway of its own process once

Since close_gateways popped gateways that a feature still uses by name, so gateway_program.feature ended with errors in its clean-up (found by running it again).

--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -179,8 +179,12 @@
             await asyncio.sleep(0.02)
 
     async def kill_gateway(self, name):
-        """End a gateway without a drain."""
-        gateway = self.gateways.pop(name)
+        """End a gateway without a drain, and forget it."""
+        await self._end_gateway(name)
+        del self.gateways[name]
+
+    async def _end_gateway(self, name):
+        gateway = self.gateways[name]
         self.tasks.pop(name).cancel()
         gateway.context.timers.close()
         for task in tuple(gateway.context.tasks.tasks):
@@ -191,8 +195,8 @@
 
     async def close_gateways(self):
         """End all gateways without a drain."""
-        for name in tuple(self.gateways):
-            await self.kill_gateway(name)
+        for name in tuple(self.tasks):
+            await self._end_gateway(name)
 
     async def close(self):
         """Cancel the gateways and stop the backend servers and the store."""
