The log of a request tells the limit that its backend server names

The header is decoded once, in the adapter; no decision uses it yet. The stand-in names limits. The new scenario of gateway_program.feature fails without the change.

--- a/features/gateway_program.feature
+++ b/features/gateway_program.feature
@@ -57,6 +57,13 @@
     Then the report explains that request: attempt_broken, then request
     And the report contains customer=harbour, parts=aa/bb and writing_ms=
 
+  Scenario: The log of a request tells the limit that its backend server names
+    Given plain server 1 takes 2.5 requests a second
+    When a caller sends GET /look/1 with its key
+    Then the status is 200
+    When the process is sent SIGTERM
+    Then the report of that request contains limit=2.5
+
   Scenario: A request is traced by its id until its process is killed and restarted
     Given the next responses of the model engines are: hang
     When a caller streams /chat/1, the process is killed, and it restarts
--- a/features/steps/gateway_program_steps.py
+++ b/features/steps/gateway_program_steps.py
@@ -226,6 +226,12 @@
     assert len(sent) == times and f"events={events}" in sent[1], context.trace
 
 
+@then("the report of that request contains {text}")
+def then_report_of_request(context, text):
+    context.trace = explain(context, f"{context.harness.next_id:016x}")
+    assert text in context.trace, context.trace
+
+
 @then("the report contains {first}, {second} and {third}")
 def then_report_contains(context, first, second, third):
     for text in (first, second, third):
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -180,6 +180,7 @@
             events=job.event_splitter.events,
             first_ms=job.first_ms,
             parts="/".join(job.shared_parts),
+            limit=job.limit,
             ms=round(duration * 1000),
             cause=job.last_failure,
             failed=outcome is not AttemptOutcome.DONE,
--- a/src/bilberryshed/gateway/_dialect.py
+++ b/src/bilberryshed/gateway/_dialect.py
@@ -93,6 +93,7 @@
     :param wrong_server: whether another backend server now has the address
     :param must_close: whether the connection closes after the response
     :param idle_timeout: seconds for which the server keeps an idle connection, if stated
+    :param limit: requests per second that the backend server takes, ``None`` if it names no limit
     :param headers: headers for the caller
     """
 
@@ -103,6 +104,7 @@
     wrong_server: bool
     must_close: bool
     idle_timeout: float | None
+    limit: float | None
     headers: HeaderList
 
 
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -76,6 +76,7 @@
     :param refused: number of refused connections
     :param excluded: ids of backend servers that are not tried again
     :param failed_response: last 5xx response, returned to the caller if no retry succeeds
+    :param limit: limit in requests per second that the last response named
     :param status: HTTP status of the response to the caller
     :param run: current entry in the backend pool
     :param load: load of this gateway at the backend server when it was chosen
@@ -102,6 +103,7 @@
     server: str = ""
     load: BackendLoad = BackendLoad()
     run: InFlightRequest | None = None
+    limit: float | None = None
     status: int = 0
     first_event_at: float | None = None
     writing_since: float | None = None
@@ -282,6 +284,7 @@
             job.runs += 1
             self._send(job, view, connection)
             response = await self._read_response_head(job, connection)
+            job.limit = response.limit
             if response.not_run or response.wrong_server:
                 job.runs -= 1
                 released = await self._discard_body(connection, response)
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -26,6 +26,7 @@
 PRIORITY = "x-request-priority"
 NOT_RUN = "x-not-executed"
 SIGNATURE = "x-response-signature"
+LIMIT = "server-limit"  # requests per second from all gateways together
 
 DEFAULT_TIMEOUT_MS = 30_000  # for requests without the header
 MAX_PRIORITY = 9  # largest number that is sent; 0 is the highest priority
@@ -75,6 +76,7 @@
     "content-length",
 )
 _ID = re.compile(r"[\x21-\x7e]{1,200}")
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
 _KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)")
 
 
@@ -148,6 +150,7 @@
             wrong_server=head.status == STATUS_MISDIRECTED,
             must_close=must_close,
             idle_timeout=float(idle.group(1)) if idle else None,
+            limit=_parse_limit(head.get(LIMIT)),
             headers=[(k, v) for k, v in head.headers if k not in HOP_BY_HOP],
         )
 
@@ -176,6 +179,11 @@
     return int(digits)
 
 
+def _parse_limit(text: str) -> float | None:
+    """Return the limit that a response names; one that cannot be read counts as none."""
+    return float(text) if _DECIMAL.fullmatch(text.strip()) else None
+
+
 def _connection_options(value: str) -> frozenset[str]:
     """Return the headers that the Connection header lists as hop-by-hop.
 
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -14,7 +14,7 @@
 
 Independently of the script, a prompt with the crashing part crashes the server once it has begun
 the answer: all connections are reset, and the server is back after its restart time as a new
-incarnation.
+incarnation. A server with a limit names it in all its responses, and goes on to serve all requests.
 """
 
 import asyncio
@@ -69,6 +69,7 @@
     :param restart_time: seconds for which the server is away after a crash
     :param on_restart: called when the server is back
     :param crashes: monotonic times of the crashes, in seconds
+    :param limit: requests a second that it names as its limit, ``None`` for none
     """
 
     id: str
@@ -84,6 +85,7 @@
     restart_time: float = 1.0
     on_restart: Callable[[], None] = lambda: None
     crashes: list[float] = field(default_factory=list)
+    limit: float | None = None
     server: asyncio.Server | None = None
     tasks: set["asyncio.Task[None] | None"] = field(default_factory=set)
     address: str = ""
@@ -176,7 +178,8 @@
     ) -> bool:
         id_ = received.headers.get("x-attempt-id", "")
         if fault == "full":
-            writer.write(_response_head(503, id_, "X-Not-Executed: 1\r\nContent-Length: 0"))
+            fields = "X-Not-Executed: 1\r\nContent-Length: 0"
+            writer.write(_response_head(503, id_, fields, limit=self.limit))
             return True
         if fault == "full cut":
             writer.write(_response_head(503, id_, "X-Not-Executed: 1\r\nContent-Length: 9") + b"fu")
@@ -220,7 +223,7 @@
     def _send_plain(self, id_: str, fault: str, writer: asyncio.StreamWriter) -> bool:
         body = f"answer to {id_}".encode()
         if fault == "error":
-            writer.write(_complete_response(id_, body, 500))
+            writer.write(_complete_response(id_, body, 500, self.limit))
         elif fault == "early":
             writer.write(_complete_response(id_, b"too long", 413))
             return False
@@ -238,7 +241,7 @@
             writer.write(_response_head(200, id_, f"Content-Length: {len(body)}") + body[:5])
             return False
         else:
-            writer.write(_complete_response(id_, body))
+            writer.write(_complete_response(id_, body, limit=self.limit))
             if fault == "extra":
                 writer.write(_complete_response("ffffffffffffffff", b"a second answer"))
         return True
@@ -260,7 +263,7 @@
             last = first + self.crash_after - 1
         framing = "Transfer-Encoding: chunked" if is_framed else "Connection: close"
         head = "Content-Type: text/event-stream\r\n" + framing
-        writer.write(_response_head(200, id_, head, signed=kind != "unsigned"))
+        writer.write(_response_head(200, id_, head, kind != "unsigned", self.limit))
         for number in range(first, min(last, EVENTS) + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             writer.write(_chunk(event) if is_framed else event)
@@ -306,14 +309,19 @@
     writer.transport.abort()
 
 
-def _response_head(status: int, id_: str, fields: str, signed: bool = True) -> bytes:
+def _response_head(
+    status: int, id_: str, fields: str, signed: bool = True, limit: float | None = None
+) -> bytes:
     signature = f"X-Response-Signature: sig-{id_}\r\n" if signed else ""
-    text = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {id_}\r\n{signature}{fields}\r\n\r\n"
+    named = f"Server-Limit: {limit}\r\n" if limit is not None else ""
+    text = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {id_}\r\n{signature}{named}{fields}\r\n\r\n"
     return text.encode()
 
 
-def _complete_response(id_: str, body: bytes, status: int = 200) -> bytes:
-    return _response_head(status, id_, f"Content-Length: {len(body)}") + body
+def _complete_response(
+    id_: str, body: bytes, status: int = 200, limit: float | None = None
+) -> bytes:
+    return _response_head(status, id_, f"Content-Length: {len(body)}", limit=limit) + body
 
 
 def _chunk(data: bytes) -> bytes:
