--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import itertools
+import json
+import time
+import urllib.request
 
 from behave import given, then, when
+from fleet_steps import post_json
 from gateway_steps import run
 
 from bilberryshed.coordination import owner
@@ -112,11 +116,16 @@
     "it takes and 5 requests"
 )
 def then_limit_kept(context, kind, number, delay):
-    start = context.limited_since + delay
-    arrivals = [r.at for r in backend(context, kind, number).received if r.at >= start]
-    allowed = FACTOR * context.limited.limit * WINDOW + SLACK
-    most = max((sum(a <= b < a + WINDOW for b in arrivals) for a in arrivals), default=0)
-    assert most <= allowed, (most, allowed, len(arrivals))
+    arrivals = [r.at for r in backend(context, kind, number).received]
+    check_arrivals(arrivals, context.limited_since + delay, context.limited.limit)
+
+
+def check_arrivals(arrivals, start, limit):
+    """Check that no window after a time has more arrivals than a limit allows."""
+    late = [at for at in arrivals if at >= start]
+    allowed = FACTOR * limit * WINDOW + SLACK
+    most = max((sum(a <= b < a + WINDOW for b in late) for a in late), default=0)
+    assert most <= allowed, (most, allowed, len(late))
 
 
 @then("it got at least half of what it takes")
@@ -147,3 +156,20 @@
     for response, took in refused:
         assert response.status == 503 and "retry-after" in response.headers, response
         assert took < seconds, took
+
+
+@given("engine {name:w} of the fleet takes {limit:f} requests a second")
+def given_fleet_limit(context, name, limit):
+    context.fleet_limit, context.fleet_limited_since = limit, time.time()
+    post_json(context.fleet.plan.backends[name], "/limit", {"limit": limit})
+
+
+@then(
+    "engine {name:w} of the fleet got in no 4 s, from {delay:d} s on, more than one and a half "
+    "times that and 5 requests"
+)
+def then_fleet_limit_kept(context, name, delay):
+    port = context.fleet.plan.backends[name]
+    with urllib.request.urlopen(f"http://127.0.0.1:{port}/started") as response:
+        arrivals = json.load(response)["times"]
+    check_arrivals(arrivals, context.fleet_limited_since + delay, context.fleet_limit)
--- a/src/bilberryshed_standins/_engine.py
+++ b/src/bilberryshed_standins/_engine.py
@@ -56,6 +56,7 @@
         self.speed = 1.0
         self.arrival_times: list[float] = []
         self.step_task: asyncio.Task[None] | None = None
+        self.limit: float | None = None
 
     def application(self) -> Application:
         """Return the HTTP application."""
@@ -70,6 +71,7 @@
                 (r"/tokenize", TokenizeHandler, args),
                 (r"/speed", SpeedHandler, args),
                 (r"/crash", CrashHandler, args),
+                (r"/limit", LimitHandler, args),
                 (r"/started", StartedHandler, args),
                 (r"/crashes", CrashesHandler, args),
                 (r"/faults", FaultsHandler, args),
@@ -145,6 +147,8 @@
         if self.standin.is_down:
             self.close_connection()
             return
+        if self.standin.limit is not None:
+            self.set_header("Server-Limit", str(self.standin.limit))
         await super().prepare()
 
 
@@ -281,6 +285,14 @@
         self.standin.crash()
 
 
+class LimitHandler(EngineHandler):
+    """``POST /limit``: set the requests a second that all responses name, null for none."""
+
+    async def post(self) -> None:
+        self.standin.limit = self.json_body()["limit"]
+        await self.send_json({})
+
+
 class StartedHandler(EngineHandler):
     """``GET /started``: times at which completions arrived, seconds since the epoch."""
 
