A limit that a backend server names is kept by all gateways together, and by agents

Cause: no decision knew the limit; and no gateway can keep it alone, as it counts for all of them. Class of fault: a bound for all is split or ignored by each.

Why this works: each request to a limited server needs a permit from the one gateway that coordinates this server, so the sum is bounded whoever has the traffic, and no share is tied up where there is none. All linked gateways learn at once that a limit is named, changed or ended. An agent is the only sender to its server and keeps the limit itself; routers choose another agent or refuse.

Ruled out: equal shares, shares by reported demand, one gateway a server (docs/decisions/0014). NotRun has a new field wait.

--- a/features/server_limit.feature
+++ b/features/server_limit.feature
@@ -1,4 +1,3 @@
-@known_red
 Feature: A backend server that names a limit gets no more requests than it takes
   A backend server may name in its responses how many requests a second it takes from all gateways together, for as
   long as it says so. From 3 s (stableMs) after it first did, it may get in any 4 s one and a half times what that
@@ -20,6 +19,51 @@
       | 6        | 6       | 0.5   |
       | 6        | 1       | 2.0   |
 
+  Scenario Outline: <routers> routers with <demand> requests a second in all share a limit of <limit> a second
+    Decisions only, with random demand. After 15 s another router is the coordinator.
+
+    When <routers> routers with <demand> requests a second in all ask for permits of a limit of <limit> for 30 s
+    Then no 4 s have more requests than one and a half times what it allows and 5
+    And at least two thirds of what it allows are used from 5 to 15 s
+
+    Examples:
+      | routers | demand | limit |
+      | 1       | 10     | 1.5   |
+      | 4       | 20     | 1.5   |
+      | 28      | 100    | 0.5   |
+      | 68      | 500    | 3.0   |
+      | 440     | 2000   | 1.5   |
+      | 440     | 400    | 20.0  |
+
+  Scenario Outline: A limit is known after <events>
+    When a router learns of a limit: <events>
+    Then the limit that it knows is <limit>
+
+    Examples: times in seconds; a response that was sent before the limit was named does not end it
+      | events                                                     | limit |
+      | 1: named 2.5                                               | 2.5   |
+      | 1: named 2.5; 2: named 4                                   | 4     |
+      | 1: named 2.5; 2: none, sent at 0.9                         | 2.5   |
+      | 1: named 2.5; 2: none, sent at 1.1                         | none  |
+      | 1: notice of 2.5 at 0.9; 2: none, sent at 1.1              | none  |
+      | 1: named 2.5; 2: notice of the end at 1.5                  | none  |
+      | 1: named 2.5; 2: notice of the end at 0.5                  | 2.5   |
+      | 1: named 2.5; 2: none, sent at 1.1; 3: notice of 2.5 at 0.9 | none |
+      | 1: named 0                                                 | 0.1   |
+
+  Scenario Outline: A header that names a limit as <text>
+    Then it is read as <limit>
+
+    Examples:
+      | text  | limit |
+      | 2.5   | 2.5   |
+      | 3     | 3.0   |
+      | 0     | 0.0   |
+      | 1e3   | None  |
+      | -1    | None  |
+      | NaN   | None  |
+      | soon  | None  |
+
   Scenario: A gateway with little traffic keeps a limit that it has not been told by the engine
     Given a platform with 1 model engines and 1 plain servers
     And 4 gateways in one zone
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import json
+import random
+import re
 import time
 import urllib.request
 
@@ -10,7 +12,7 @@
 from fleet_steps import post_json
 from gateway_steps import run
 
-from bilberryshed.coordination import owner
+from bilberryshed.coordination import NamedLimits, Permit, PermitIssuer, owner, parse_limit
 
 WINDOW = 4.0  # seconds in which arrivals are counted
 FACTOR, SLACK = 1.5, 5  # of what the limit allows in the window, and requests in addition
@@ -173,3 +175,90 @@
     with urllib.request.urlopen(f"http://127.0.0.1:{port}/started") as response:
         arrivals = json.load(response)["times"]
     check_arrivals(arrivals, context.fleet_limited_since + delay, context.fleet_limit)
+
+
+# Decisions ----------------------------------------------------------------------------------
+
+SERVER = "i-1/1"
+SEED = 26
+CHANGE_AT = 15.0  # seconds at which another router becomes the coordinator
+TRIP_TIME = 0.004  # seconds for a request to the coordinator and its response
+
+
+class AskingRouter:
+    """A router that sends a request if it has a permit, and else does without the server."""
+
+    def __init__(self, name):
+        self.name = name
+        self.limited_until = 0.0
+        self.permit = None
+
+    def try_send(self, now, issuer, limit):
+        """Return whether a request is sent now."""
+        if now < self.limited_until:
+            return False
+        permit, self.permit = self.permit, None
+        if permit is not None and permit.is_valid(now):
+            return True
+        decision = issuer.request(now, SERVER, limit, self.name)
+        if decision.granted and decision.wait == 0:
+            return True
+        self.limited_until = now + TRIP_TIME + decision.wait
+        if decision.granted:
+            self.permit = Permit(self.limited_until)
+        return False
+
+
+@when(
+    "{count:d} routers with {demand:d} requests a second in all ask for permits of a limit of "
+    "{limit:f} for {seconds:d} s"
+)
+def when_permits(context, count, demand, limit, seconds):
+    rng = random.Random(SEED)
+    routers = [AskingRouter(f"r-{number}") for number in range(count)]
+    issuer, now, changed = PermitIssuer(), 0.0, False
+    context.sent_at, context.limit = [], limit
+    while now < seconds:
+        now += rng.expovariate(demand)
+        if now >= CHANGE_AT and not changed:
+            issuer, changed = PermitIssuer(), True
+        if rng.choice(routers).try_send(now, issuer, limit):
+            context.sent_at.append(now)
+
+
+@then("no 4 s have more requests than one and a half times what it allows and 5")
+def then_windows(context):
+    check_arrivals(context.sent_at, 0.0, context.limit)
+
+
+@then("at least two thirds of what it allows are used from {first:d} to {last:d} s")
+def then_used_share(context, first, last):
+    used = sum(first <= at < last for at in context.sent_at)
+    assert used >= context.limit * (last - first) * 2 / 3, used
+
+
+@when("a router learns of a limit: {events}")
+def when_limit_events(context, events):
+    context.named = NamedLimits()
+    for event in events.split("; "):
+        at, _, what = event.partition(": ")
+        numbers = [float(text) for text in re.findall(r"\d+(?:\.\d+)?", what)]
+        if what.startswith("named"):
+            context.named.on_response(float(at), SERVER, numbers[0], float(at) - 0.1)
+        elif what.startswith("none"):
+            context.named.on_response(float(at), SERVER, None, numbers[0])
+        elif "end" in what:
+            context.named.on_notice(SERVER, None, numbers[0])
+        else:
+            context.named.on_notice(SERVER, numbers[0], numbers[1])
+
+
+@then("the limit that it knows is {limit}")
+def then_known_limit(context, limit):
+    known = context.named.limit(SERVER)
+    assert known == (None if limit == "none" else float(limit)), known
+
+
+@then("it is read as {limit}")
+def then_read(context, limit):
+    assert str(parse_limit(context.active_outline["text"])) == limit
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -87,6 +87,15 @@
 from bilberryshed.coordination._route_index import RouteIndex
 from bilberryshed.coordination._routing import AgentView, PolicyInputs, Routing, policies, policy
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
+from bilberryshed.coordination._server_limits import (
+    NamedLimits,
+    Permit,
+    PermitDecision,
+    PermitIssuer,
+    ServerLimiter,
+    limit_coordinator,
+    parse_limit,
+)
 from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
 from bilberryshed.coordination._spending_bounds import Bound, BoundsRecord, SpendingBounds
@@ -149,10 +158,15 @@
     "Member",
     "Members",
     "MembershipSnapshot",
+    "NamedLimits",
     "OUTPUT_WEIGHT",
     "OrderFence",
     "OrderKind",
     "PeerHolding",
+    "Permit",
+    "PermitDecision",
+    "PermitIssuer",
+    "ServerLimiter",
     "PersistTransfer",
     "PlannedOrder",
     "PolicyInputs",
@@ -198,6 +212,8 @@
     "coordinator",
     "demand_for",
     "is_report_urgent",
+    "limit_coordinator",
+    "parse_limit",
     "owner",
     "plan_orders",
     "policies",
--- a/src/bilberryshed/coordination/_agent_runs.py
+++ b/src/bilberryshed/coordination/_agent_runs.py
@@ -19,10 +19,14 @@
 
 @dataclass(slots=True, frozen=True)
 class RefusedDispatch:
-    """A dispatch that was refused: its attempt has not started and never will."""
+    """A dispatch that was refused: its attempt has not started and never will.
+
+    :param wait: seconds for which others are refused for the same reason, 0 if that is not known
+    """
 
     code: RefusalCode
     reason: str
+    wait: float = 0.0
 
 
 @dataclass(slots=True)
@@ -50,13 +54,19 @@
     draining: bool = False
     exclusive: str = ""
 
-    def admit(self, boot: str, dispatch: Dispatch, serves: bool) -> RefusedDispatch | None:
+    def admit(
+        self, boot: str, dispatch: Dispatch, serves: bool, wait: float = 0.0
+    ) -> RefusedDispatch | None:
         """Admit a dispatch, or return the refusal.
 
         :param boot: boot id of the router that sent it
         :param serves: whether the backend server serves the requested model or service
+        :param wait: seconds for which the limit of the backend server admits no attempt
         """
         refused = self._refusal(boot, dispatch, serves)
+        if refused is None and wait > 0:
+            reason = f"the backend server takes no more requests for {wait:.2f} s"
+            refused = RefusedDispatch(RefusalCode.NO_CAPACITY, reason, wait)
         if refused is not None:
             self._close_unstarted(dispatch.attempt)
             return refused
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -147,7 +147,7 @@
         :param tried: ids of the backend servers that this request was already sent to
         """
         usable = [v for v in self.usable(service) if v.server.id not in tried]
-        available = [view for view in usable if view.backoff_until <= now]
+        available = [v for v in usable if v.backoff_until <= now and v.limited_until <= now]
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
@@ -155,6 +155,14 @@
             return place_prompt(now, healthy, demand)
         return place_plain(healthy, self.zone)
 
+    def is_limited(self, until: float, service: str, tried: frozenset[str]) -> bool:
+        """Whether the limits of all backend servers admit no request until a monotonic time.
+
+        :param tried: ids of the backend servers that the request was already sent to
+        """
+        views = [view for view in self.usable(service) if view.server.id not in tried]
+        return bool(views) and all(view.limited_until > until for view in views)
+
     def begin(self, now: float, view: BackendView, demand: BackendDemand) -> InFlightRequest:
         """Add a request to the in-flight load of a backend server."""
         request = InFlightRequest(view, demand, prefill_tokens(now, view, demand))
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -38,6 +38,7 @@
     :param sent_prefixes: monotonic time of the last send, by shared prefix, oldest first
     :param refused_connections: number of consecutive refused connections
     :param backoff_until: monotonic time before which it is sent no new work
+    :param limited_until: monotonic time before which the limit that it names admits no request
     :param failure_rate: moving average of the share of failed requests, from 0 to 1
     :param ejected_until: monotonic time before which it is used only if no other is available
     :param wrong_sequence: sequence number of the entry when another backend server responded at its
@@ -56,6 +57,7 @@
     sent_prefixes: dict[str, float] = field(default_factory=dict)
     refused_connections: int = 0
     backoff_until: float = 0.0
+    limited_until: float = 0.0
     failure_rate: float = 0.0
     ejected_until: float = 0.0
     is_leaving: bool = False
--- a/src/bilberryshed/coordination/_routing.py
+++ b/src/bilberryshed/coordination/_routing.py
@@ -24,6 +24,7 @@
     :param own: attempts of this router that run there
     :param own_at_report: ``own`` at the time of the last report
     :param failures: consecutive failures
+    :param limited_until: monotonic time before which the limit of the backend server admits nothing
     :param prefixes: prompt prefixes assumed to be cached, least recently used first
     """
 
@@ -39,6 +40,7 @@
     healthy: bool = True
     failures: int = 0
     ejected_until: float = 0.0
+    limited_until: float = 0.0
     prefixes: dict[int, None] = field(default_factory=dict)
 
     @property
@@ -161,7 +163,7 @@
         """
         serving = [a for a in self.agents.values() if a.serves(target) and not a.draining]
         candidates = [a for a in self._in_rotation(now, serving) if a.name not in excluded]
-        candidates = [a for a in candidates if a.load < FULL_LOAD]
+        candidates = [a for a in candidates if a.load < FULL_LOAD and a.limited_until <= now]
         if not candidates:
             return None
         self.decisions += 1
@@ -180,6 +182,20 @@
         if agent.failures >= EJECT_AFTER:
             agent.ejected_until = now + EJECT_SECONDS
 
+    def limited(self, now: float, name: str, wait: float) -> None:
+        """Record that the limit of a backend server admits no attempt for some seconds."""
+        agent = self.agents.get(name)
+        if agent is not None and wait > 0:
+            agent.limited_until = now + wait
+
+    def is_limited(self, until: float, target: str) -> bool:
+        """Whether the limits of all backend servers admit no attempt until a monotonic time.
+
+        :param target: model version or plain service
+        """
+        serving = [a for a in self.agents.values() if a.serves(target) and not a.draining]
+        return bool(serving) and all(agent.limited_until > until for agent in serving)
+
     def released(self, name: str) -> None:
         """Record that an attempt did not run, so that it does not count as success or failure."""
         agent = self.agents.get(name)
--- /dev/null
+++ b/src/bilberryshed/coordination/_server_limits.py
@@ -0,0 +1,247 @@
+"""Limits that backend servers name, and permits by which all routers together keep them.
+
+A limit counts for all routers, so one of them, the coordinator of that backend server, issues a
+permit for each request. Permits follow the demand, and none are tied up where there is none. A
+permit may become valid a little later; what cannot be issued soon is refused, not queued.
+"""
+
+import re
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from bilberryshed.coordination._rendezvous import owner
+
+ANNOUNCED_CHANGE = 0.1  # relative change of a limit of which the other routers are told
+MIN_LIMIT = 0.1  # requests per second; some must be sent to learn that a limit has ended
+MAX_PERMITS = 2.0  # unused permits that accumulate
+MAX_WAIT = 2.0  # seconds until a permit that is issued becomes valid, unless it is the next one
+PERMIT_TIME = 1.0  # seconds for which a permit is valid
+WARM_UP_TIME = 4.0  # seconds in which a new coordinator issues fewer permits
+WARM_UP_SHARE = 0.5  # of the limit meanwhile, as its predecessor's permits may still be used
+MIN_RETRY = 0.1  # seconds after which a refused router may ask again, at least
+MAX_RETRY = 10.0  # and at most
+ASKERS_AHEAD = 8  # routers; if more of them ask, no permits are issued ahead of time
+ASKER_MEMORY = 5.0  # seconds for which a router counts as asking
+
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
+
+
+def parse_limit(text: str) -> float | None:
+    """Return the requests per second that a response names, ``None`` if that is no number."""
+    return float(text) if _DECIMAL.fullmatch(text.strip()) else None
+
+
+@dataclass(slots=True)
+class NamedLimit:
+    """A limit in force.
+
+    :param limit: requests per second
+    :param named_at: monotonic time of the latest response that named it, in seconds
+    :param announced: limit of which the other routers know
+    """
+
+    limit: float
+    named_at: float
+    announced: float
+
+
+class NamedLimits:
+    """Limits that one router knows, by incarnation of the backend server."""
+
+    __slots__ = ("limits", "ended_at")
+
+    def __init__(self) -> None:
+        self.limits: dict[str, NamedLimit] = {}
+        self.ended_at: dict[str, float] = {}
+
+    def on_response(self, now: float, server: str, limit: float | None, sent_at: float) -> bool:
+        """Record what a response says about the limit.
+
+        :param limit: ``None`` if it names none; this ends a limit that was named before the request
+            was sent, as responses may overtake each other
+        :param sent_at: time at which its request was sent
+        :returns: whether the other routers should be told
+        """
+        known = self.limits.get(server)
+        if limit is None:
+            if known is None or sent_at <= known.named_at:
+                return False
+            del self.limits[server]
+            self.ended_at[server] = sent_at
+            return True
+        if known is None:
+            self.limits[server] = NamedLimit(limit, now, limit)
+            return True
+        known.limit, known.named_at = limit, now
+        if abs(limit - known.announced) <= ANNOUNCED_CHANGE * known.announced:
+            return False
+        known.announced = limit
+        return True
+
+    def on_notice(self, server: str, limit: float | None, at: float) -> None:
+        """Record what another router has learned.
+
+        :param limit: ``None`` if the limit has ended
+        :param at: monotonic time at which it was named or had ended, in seconds
+        """
+        known = self.limits.get(server)
+        if limit is None:
+            if known is not None and known.named_at < at:
+                del self.limits[server]
+            self.ended_at[server] = max(at, self.ended_at.get(server, at))
+        elif at > self.ended_at.get(server, float("-inf")) and (
+            known is None or known.named_at < at
+        ):
+            self.limits[server] = NamedLimit(limit, at, limit)
+
+    def limit(self, server: str) -> float | None:
+        """Return the limit of a backend server in requests per second, ``None`` without one."""
+        known = self.limits.get(server)
+        return None if known is None else max(MIN_LIMIT, known.limit)
+
+    def retain(self, servers: Collection[str]) -> None:
+        """Forget all backend servers but these."""
+        self.limits = {s: limit for s, limit in self.limits.items() if s in servers}
+        self.ended_at = {s: at for s, at in self.ended_at.items() if s in servers}
+
+
+@dataclass(slots=True, frozen=True)
+class Permit:
+    """Permit for one request, valid for ``PERMIT_TIME``.
+
+    :param valid_from: monotonic time in seconds
+    """
+
+    valid_from: float
+
+    def is_valid(self, now: float) -> bool:
+        """Whether it may be used now."""
+        return self.valid_from <= now < self.valid_from + PERMIT_TIME
+
+
+@dataclass(slots=True, frozen=True)
+class PermitDecision:
+    """Decision on a request for a permit.
+
+    :param granted: whether a permit was issued
+    :param wait: seconds until it is valid, or until the router may ask again
+    """
+
+    granted: bool
+    wait: float
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """Permits of one backend server.
+
+    :param rate: permits per second
+    :param permits: unused ones; negative if some are issued that are not valid yet
+    :param asked_at: monotonic time of the last request, by router
+    """
+
+    started_at: float
+    updated_at: float
+    rate: float = 1.0
+    permits: float = 0.0
+    asked_at: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def wait(self) -> float:
+        """Seconds until the next permit is valid."""
+        return max(0.0, (1.0 - self.permits) / self.rate)
+
+
+class PermitIssuer:
+    """Issues the permits for the backend servers that one router coordinates."""
+
+    __slots__ = ("buckets",)
+
+    def __init__(self) -> None:
+        self.buckets: dict[str, _Bucket] = {}
+
+    def request(self, now: float, server: str, limit: float, asker: str) -> PermitDecision:
+        """Issue a permit if one is available soon.
+
+        :param server: incarnation of the backend server
+        :param limit: its limit in requests per second
+        :param asker: router that asks
+        """
+        bucket = self._filled(now, server, limit)
+        bucket.asked_at[asker] = now
+        wait, crowd = bucket.wait, self._crowd(now, bucket)
+        longest = 0.0 if crowd > 1 else max(MAX_WAIT, 1.0 / bucket.rate)
+        if wait <= longest:
+            bucket.permits -= 1.0
+            return PermitDecision(True, wait)
+        return PermitDecision(False, min(MAX_RETRY, max(MIN_RETRY, wait * crowd)))
+
+    def wait(self, now: float, server: str, limit: float) -> float:
+        """Return the seconds until a permit is available."""
+        return self._filled(now, server, limit).wait
+
+    def take(self, now: float, server: str, limit: float) -> None:
+        """Take a permit, even if none is available yet."""
+        self._filled(now, server, limit).permits -= 1.0
+
+    def _filled(self, now: float, server: str, limit: float) -> _Bucket:
+        """Return the bucket of a backend server with the permits that it has earned by now."""
+        bucket = self.buckets.get(server)
+        if bucket is None:
+            bucket = self.buckets[server] = _Bucket(now, now)
+        is_new = now - bucket.started_at < WARM_UP_TIME
+        bucket.rate = limit * WARM_UP_SHARE if is_new else limit
+        earned = (now - bucket.updated_at) * bucket.rate
+        bucket.permits = min(MAX_PERMITS, bucket.permits + earned)
+        bucket.updated_at = now
+        return bucket
+
+    def _crowd(self, now: float, bucket: _Bucket) -> float:
+        """Return by how much too many routers ask to issue permits ahead of time.
+
+        Each of many routers has few requests, and would often leave such a permit unused.
+        """
+        bucket.asked_at = {
+            name: at for name, at in bucket.asked_at.items() if now - at < ASKER_MEMORY
+        }
+        return max(1.0, len(bucket.asked_at) / ASKERS_AHEAD)
+
+    def retain(self, servers: Collection[str]) -> None:
+        """Forget all backend servers but these."""
+        self.buckets = {s: bucket for s, bucket in self.buckets.items() if s in servers}
+
+
+class ServerLimiter:
+    """Keeps the limit of the one backend server to which only this process sends requests."""
+
+    __slots__ = ("named", "issuer")
+
+    def __init__(self) -> None:
+        self.named = NamedLimits()
+        self.issuer = PermitIssuer()
+
+    def on_response(self, now: float, limit: float | None, sent_at: float) -> bool:
+        """Record what a response says about the limit; see :meth:`NamedLimits.on_response`."""
+        return self.named.on_response(now, "", limit, sent_at)
+
+    def wait(self, now: float) -> float:
+        """Return the seconds for which the limit admits no request."""
+        limit = self.named.limit("")
+        return 0.0 if limit is None else self.issuer.wait(now, "", limit)
+
+    def count_request(self, now: float) -> None:
+        """Count a request that is sent."""
+        limit = self.named.limit("")
+        if limit is not None:
+            self.issuer.take(now, "", limit)
+
+
+def limit_coordinator(server: str, zone: str, routers: dict[str, str]) -> str | None:
+    """Return the router that issues the permits for a backend server, ``None`` without routers.
+
+    :param server: incarnation of the backend server
+    :param zone: its availability zone, in which the coordinator is, if any router is there
+    :param routers: availability zone by router
+    """
+    near = [name for name, its_zone in routers.items() if its_zone == zone]
+    return owner(f"limit {server}", near or routers)
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -13,6 +13,7 @@
 from bilberryshed.gateway._forwarder import AttemptOutcome, Forwarder, Job
 from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
+from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.state import Route, RoutedCustomer
 from bilberryshed.transport import logger
 
@@ -43,12 +44,16 @@
     __slots__ = ("context", "funds", "metrics", "forwarder")
 
     def __init__(
-        self, context: GatewayContext, funds: PrepaidFunds, metrics: GatewayMetrics
+        self,
+        context: GatewayContext,
+        funds: PrepaidFunds,
+        metrics: GatewayMetrics,
+        limits: ServerLimits,
     ) -> None:
         self.context = context
         self.funds = funds
         self.metrics = metrics
-        self.forwarder = Forwarder(context)
+        self.forwarder = Forwarder(context, limits)
 
     async def respond(self, exchange: CallerExchange) -> Refusal | None:
         """Process a request that has been read completely.
--- a/src/bilberryshed/gateway/_crash_reports.py
+++ b/src/bilberryshed/gateway/_crash_reports.py
@@ -53,7 +53,7 @@
 
     async def _report_if_crashed(self, server: BackendServer, run: BrokenRun) -> None:
         broken_at = self.context.timers.now()
-        incarnation = _incarnation(server)
+        incarnation = server.incarnation
         check = self.checks.get(incarnation)
         if check is None:
             check = self.checks[incarnation] = asyncio.ensure_future(self._has_crashed(server))
@@ -66,7 +66,7 @@
     ) -> None:
         logger().info("crash_suspected", fingerprint=run.content, run=run.id, parts="/".join(parts))
         self.context.quarantine.on_crash(
-            CrashedRun(run.id, _incarnation(server), run.content, parts, False, age)
+            CrashedRun(run.id, server.incarnation, run.content, parts, False, age)
         )
 
     async def _has_crashed(self, server: BackendServer) -> bool:
@@ -79,7 +79,3 @@
             return True
         connections.release(connection, self.context.timers.now(), None)
         return False
-
-
-def _incarnation(server: BackendServer) -> str:
-    return f"{server.id}/{server.started_at_ms}"
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -20,6 +20,7 @@
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._crash_reports import BrokenRun, CrashReports
 from bilberryshed.gateway._dialect import BackendResponse, CallerRequest, Dispatch
+from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.state import Address, Route, RoutedCustomer, RoutedService, RouteKind
 from bilberryshed.transport import (
     BackendConnection,
@@ -71,6 +72,7 @@
 
     :param started_at: monotonic time at which the request had been read completely
     :param deadline: monotonic time by which the response must be complete
+    :param sent_at: monotonic time at which it was last sent
     :param sent: number of times the request was sent
     :param runs: number of sends that may have been executed
     :param refused: number of refused connections
@@ -93,6 +95,7 @@
     fingerprint: str
     started_at: float
     deadline: float
+    sent_at: float = 0.0
     sent: int = 0
     runs: int = 0
     refused: int = 0
@@ -157,10 +160,11 @@
 class Forwarder:
     """Runs requests at backend servers, with retries."""
 
-    __slots__ = ("context", "pool", "connections", "crash_reports")
+    __slots__ = ("context", "pool", "connections", "limits", "crash_reports")
 
-    def __init__(self, context: GatewayContext) -> None:
+    def __init__(self, context: GatewayContext, limits: ServerLimits) -> None:
         self.context = context
+        self.limits = limits
         self.pool = context.backends
         self.connections = context.connections
         self.crash_reports = CrashReports(context)
@@ -213,7 +217,14 @@
             now = self.context.timers.now()
             view = self.pool.choose(now, job.service.name, job.demand, frozenset(job.excluded))
             if view is not None:
-                return view
+                wait = await self.limits.acquire(view.server)
+                if wait <= 0:
+                    return view
+                view.limited_until = now + wait
+                continue
+            if self.pool.is_limited(until, job.service.name, frozenset(job.excluded)):
+                job.last_failure = "the backend servers take no more requests now"
+                return None
             if now + CHOICE_RETRY_INTERVAL > until or not self.pool.usable(job.service.name):
                 return None
             if all(v.server.id in job.excluded for v in self.pool.usable(job.service.name)):
@@ -282,9 +293,10 @@
         released = False
         try:
             job.runs += 1
+            job.sent_at = self.context.timers.now()
             self._send(job, view, connection)
             response = await self._read_response_head(job, connection)
-            job.limit = response.limit
+            self._note_limit(job, view, response)
             if response.not_run or response.wrong_server:
                 job.runs -= 1
                 released = await self._discard_body(connection, response)
@@ -337,6 +349,12 @@
             raise ResponseError(f"answer {response.status} is not signed")
         return response
 
+    def _note_limit(self, job: Job, view: BackendView, response: BackendResponse) -> None:
+        """Note the limit that a response names, or that it names none."""
+        job.limit = response.limit
+        if not response.wrong_server:
+            self.limits.on_response(view.server, response.limit, job.sent_at)
+
     def _read_deadline(self, job: Job, factor: float) -> float:
         """Return the monotonic time by which the next data must arrive.
 
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from bilberryshed.gateway._peers import Peers
 from bilberryshed.gateway._predecessor_cleanup import PredecessorCleanup
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
+from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.protocol import (
     BackendsNotice,
     BackendsRequest,
@@ -71,17 +72,19 @@
         self.backend_updater = BackendUpdater(self.context)
         self.load_sharing = LoadSharing(self.context)
         self.context.on_load_change = self.load_sharing.on_change
+        self.limits = ServerLimits(self.context)
         self.peers = Peers(self.context, self._message_handlers(), self.load_sharing.remove_peer)
         self.peers.initial_message_factories = [
             self.route_table_updater.announcement,
             self.backend_updater.request,
             self.funds.peers.notice,
             self.context.quarantine.summary,
+            self.limits.summary,
         ]
         self.http: HTTPServer | None = None
         self.running = 0
         self.metrics = GatewayMetrics(self.context)
-        self.admission = Admission(self.context, self.funds, self.metrics)
+        self.admission = Admission(self.context, self.funds, self.metrics, self.limits)
 
     # Lifecycle ------------------------------------------------------------------------------
 
@@ -103,6 +106,7 @@
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
         self.load_sharing.start()
         self.context.quarantine.start()
+        self.limits.start()
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
         finished = await self._drain(http)
@@ -181,6 +185,7 @@
         return {
             **self.funds.handlers(),
             **self.context.quarantine.handlers(),
+            **self.limits.handlers(),
             RouteTableVersion: self.route_table_updater.on_version,
             RouteTableRequest: self.route_table_updater.on_request,
             RouteTableResponse: self.route_table_updater.on_response,
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
+from bilberryshed.coordination import parse_limit
 from bilberryshed.gateway import (
     BackendResponse,
     CallerRequest,
@@ -76,7 +77,6 @@
     "content-length",
 )
 _ID = re.compile(r"[\x21-\x7e]{1,200}")
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
 _KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)")
 
 
@@ -150,7 +150,7 @@
             wrong_server=head.status == STATUS_MISDIRECTED,
             must_close=must_close,
             idle_timeout=float(idle.group(1)) if idle else None,
-            limit=_parse_limit(head.get(LIMIT)),
+            limit=parse_limit(head.get(LIMIT)),
             headers=[(k, v) for k, v in head.headers if k not in HOP_BY_HOP],
         )
 
@@ -179,11 +179,6 @@
     return int(digits)
 
 
-def _parse_limit(text: str) -> float | None:
-    """Return the limit that a response names; one that cannot be read counts as none."""
-    return float(text) if _DECIMAL.fullmatch(text.strip()) else None
-
-
 def _connection_options(value: str) -> frozenset[str]:
     """Return the headers that the Connection header lists as hop-by-hop.
 
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -8,6 +8,12 @@
     register_message,
     registered_classes,
 )
+from bilberryshed.protocol._limit_messages import (
+    LimitNotice,
+    LimitSummary,
+    PermitRequest,
+    PermitResponse,
+)
 from bilberryshed.protocol._messages import (
     AttemptQuery,
     Cancel,
@@ -93,6 +99,8 @@
     "JournalEntry",
     "LedgerAppendRequest",
     "LedgerAppendResponse",
+    "LimitNotice",
+    "LimitSummary",
     "LinkProbe",
     "LinkProbeReply",
     "LoadNotice",
@@ -104,6 +112,8 @@
     "Order",
     "OrderResult",
     "Outcome",
+    "PermitRequest",
+    "PermitResponse",
     "PoolChange",
     "PoolHolder",
     "PoolRequest",
--- a/src/bilberryshed/protocol/_messages.py
+++ b/src/bilberryshed/protocol/_messages.py
@@ -209,11 +209,13 @@
 
     :param reason: human-readable reason
     :param code: value of a :class:`RefusalCode`
+    :param wait: seconds for which the backend server takes no other attempt either
     """
 
     attempt: str
     code: str
     reason: str
+    wait: float = 0.0
 
 
 @register_message(34)
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -9,7 +9,14 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
-from bilberryshed.coordination import Admission, AgentAttempts, LeaseRow, OrderFence, TerminalState
+from bilberryshed.coordination import (
+    Admission,
+    AgentAttempts,
+    LeaseRow,
+    OrderFence,
+    ServerLimiter,
+    TerminalState,
+)
 from bilberryshed.protocol import (
     AttemptQuery,
     Cancel,
@@ -101,6 +108,8 @@
         self.timers = TimerService()
         self.metrics = Metrics(settings.statsd, "bilberryshed.agent")
         self.backend: Backend = backend_types[settings.kind](settings.backend)
+        self.limiter = ServerLimiter()
+        self.backend.on_limit = self._on_limit
         self.agent_attempts = AgentAttempts(settings.slots * ADMITTED_PER_SLOT)
         self.boot_of_attempt: dict[str, str] = {}
         self.journaled_at: dict[str, float] = {}
@@ -166,15 +175,23 @@
             dispatch.model in self.load.models or dispatch.service == self.settings.service
         )
         refused = self.agent_attempts.admit(
-            link.peer.boot, dispatch, serves=serves_target and self.healthy
+            link.peer.boot,
+            dispatch,
+            serves=serves_target and self.healthy,
+            wait=self.limiter.wait(self.timers.now()),
         )
         if refused is not None:
-            link.send(NotRun(dispatch.attempt, refused.code, refused.reason))
+            link.send(NotRun(dispatch.attempt, refused.code, refused.reason, refused.wait))
             self.metrics.count("refused")
             return
+        self.limiter.count_request(self.timers.now())
         self.boot_of_attempt[dispatch.attempt] = link.peer.boot
         self.spawn(self._run(link, dispatch))
 
+    def _on_limit(self, limit: float | None, sent_at: float) -> None:
+        if self.limiter.on_response(self.timers.now(), limit, sent_at):
+            logger().info("server_limit", limit=limit)
+
     def _on_cancel(self, link: Link, cancel: Cancel) -> None:
         if cancel.attempt in self.agent_attempts.running:
             self.spawn(self.backend.cancel(cancel.attempt))
--- a/src/bilberryshed/runtime/_agent_queue.py
+++ b/src/bilberryshed/runtime/_agent_queue.py
@@ -46,6 +46,8 @@
             agent = self._choose_agent(now, waiter)
             if agent is not None:
                 return agent
+        if self.context.routing.is_limited(now + self.context.settings.queue_wait, call.target):
+            return None
         customer = call.customer
         entry = self.queue.enqueue(
             now, customer.name, customer.weight, customer.priority, call.target
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -14,10 +14,12 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
+from bilberryshed.coordination import parse_limit
 from bilberryshed.protocol import Dispatch
 from bilberryshed.state import Address
 from bilberryshed.transport import describe_error, http_client
 
+LIMIT_HEADER = "server-limit"  # requests per second that the backend server takes
 ORDER_TIMEOUT = 100.0  # seconds; includes the time to load a model
 CONTROL_TIMEOUT = 1.0  # seconds for control requests, such as load queries and cancellations
 
@@ -79,13 +81,18 @@
 
 
 class Backend(ABC):
-    """Client of one backend server."""
+    """Client of one backend server.
 
-    __slots__ = ("base_url", "client")
+    :param on_limit: called for each response to an attempt, with the limit in requests per second
+        that it names or ``None``, and the monotonic time at which its request was sent
+    """
+
+    __slots__ = ("base_url", "client", "on_limit")
 
     def __init__(self, address: Address) -> None:
         self.base_url = f"http://{address}"
         self.client: AsyncHTTPClient = http_client()
+        self.on_limit: Callable[[float | None, float], None] = lambda limit, sent_at: None
 
     @abstractmethod
     async def run(self, dispatch: Dispatch, sink: ResponseSink) -> RunResult:
@@ -113,6 +120,11 @@
             int(body.get("boot", 0)),
         )
 
+    def _header_reader(self) -> "_HeadReader":
+        """Return a callback for the header lines of a response that is about to be requested."""
+        sent_at = asyncio.get_running_loop().time()
+        return _HeadReader(lambda limit: self.on_limit(limit, sent_at))
+
     async def _control(
         self, method: str, path: str, body: Any, timeout: float = CONTROL_TIMEOUT
     ) -> Any:
@@ -129,6 +141,27 @@
             return None
 
 
+class _HeadReader:
+    """Finds the limit in the header lines of a response.
+
+    :param on_end: called with it at the end of the head
+    """
+
+    __slots__ = ("on_end", "limit")
+
+    def __init__(self, on_end: Callable[[float | None], None]) -> None:
+        self.on_end = on_end
+        self.limit: float | None = None
+
+    def __call__(self, line: str) -> None:
+        """Process one line, the status line and the empty one included."""
+        name, _, value = line.partition(":")
+        if name.lower() == LIMIT_HEADER:
+            self.limit = parse_limit(value)
+        if not line.strip():
+            self.on_end(self.limit)
+
+
 backend_types: dict[str, Callable[[Address], Backend]] = {}
 
 
@@ -158,6 +191,7 @@
             headers={"Content-Type": "application/json"},
             request_timeout=dispatch.deadline,
             streaming_callback=stream.feed,
+            header_callback=self._header_reader(),
         )
         try:
             response = await self.client.fetch(request, raise_error=False)
@@ -248,6 +282,7 @@
             headers={"Idempotency-Key": dispatch.key, "X-Request-Id": dispatch.request},
             request_timeout=dispatch.deadline,
             allow_nonstandard_methods=True,
+            header_callback=self._header_reader(),
         )
         try:
             response = await self.client.fetch(request, raise_error=False)
--- a/src/bilberryshed/runtime/_runner.py
+++ b/src/bilberryshed/runtime/_runner.py
@@ -167,6 +167,7 @@
             self.quarantine.on_answer(sent_at, content, parts)
         if isinstance(result, NotRun):
             self.context.routing.released(agent)
+            self.context.routing.limited(now, agent, result.wait)
         else:
             self.context.routing.finished(now, agent, isinstance(result, Completed))
         if not isinstance(result, Completed | NotRun | Failed):
--- a/src/bilberryshed/state/_routes.py
+++ b/src/bilberryshed/state/_routes.py
@@ -134,3 +134,8 @@
     draining: bool
     started_at_ms: int = 0
     sequence: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Identifies this start of it, as the same id may be used again."""
+        return f"{self.id}/{self.started_at_ms}"
