Smaller modules for requests in flight, the quarantine and limits; long ids of parts are not kept

Read as a newcomer: gateway/_job.py out of the forwarder, _quarantine_blocks.py out of the decisions, _quarantine_rows.py out of the exchange, _named_limits.py, _permits.py and _server_limiter.py for three concepts.

--- a/features/crashing_part.feature
+++ b/features/crashing_part.feature
@@ -56,3 +56,8 @@
     And the part bad crashes each model engine that begins to answer it, after 0 events
     When prompts with the parts aa/bad get a failure and then crash an engine, 3 times in turn
     Then the next prompt with the parts aa/bad is refused with 503
+
+  Scenario: Long ids of parts are not kept
+    Given a platform with 4 model engines and 1 plain servers
+    When 2 prompts with a part whose id has 5000 characters are answered by the first gateway
+    Then it keeps no id of more than 64 characters
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -232,3 +232,18 @@
     before = len(bad_arrivals(context))
     assert run(context, send_prompt(context, "gate-1", parts)).status == status
     assert len(bad_arrivals(context)) == before
+
+
+@when(
+    "{count:d} prompts with a part whose id has {length:d} characters are answered by the first gateway"
+)
+def when_long_id(context, count, length):
+    then_answered(context, count, "f" * length)
+
+
+@then("it keeps no id of more than {length:d} characters")
+def then_short_ids(context, length):
+    gateway = context.harness.gateways["gate-1"].context
+    kept = [*gateway.quarantine.quarantine.sound_at]
+    kept += [id_ for view in gateway.backends.views.values() for id_ in view.sent_prefixes]
+    assert kept and max(map(len, kept)) <= length, max(map(len, kept))
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -45,6 +45,7 @@
 from bilberryshed.coordination._ledger import GetSegment, PutSegment, Segment, ShardWriter
 from bilberryshed.coordination._load_relay import LoadRelay
 from bilberryshed.coordination._membership import ListChange, Member, Members
+from bilberryshed.coordination._named_limits import NamedLimits, parse_limit
 from bilberryshed.coordination._orders import (
     Admission,
     EngineView,
@@ -53,6 +54,12 @@
     PlannedOrder,
     plan_orders,
 )
+from bilberryshed.coordination._permits import (
+    Permit,
+    PermitDecision,
+    PermitIssuer,
+    limit_coordinator,
+)
 from bilberryshed.coordination._pool_changes import apply_changes, coordinator
 from bilberryshed.coordination._prefixes import prompt_prefixes
 from bilberryshed.coordination._prepaid import (
@@ -64,9 +71,9 @@
     transfer_id,
     transfer_number,
 )
-from bilberryshed.coordination._quarantine import (
+from bilberryshed.coordination._quarantine import Quarantine
+from bilberryshed.coordination._quarantine_blocks import (
     Block,
-    Quarantine,
     QuarantinePolicy,
     QuarantineState,
     Suspect,
@@ -87,15 +94,7 @@
 from bilberryshed.coordination._route_index import RouteIndex
 from bilberryshed.coordination._routing import AgentView, PolicyInputs, Routing, policies, policy
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
-from bilberryshed.coordination._server_limits import (
-    NamedLimits,
-    Permit,
-    PermitDecision,
-    PermitIssuer,
-    ServerLimiter,
-    limit_coordinator,
-    parse_limit,
-)
+from bilberryshed.coordination._server_limiter import ServerLimiter
 from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
 from bilberryshed.coordination._spending_bounds import Bound, BoundsRecord, SpendingBounds
--- a/src/bilberryshed/coordination/_server_limits.py
+++ b/src/bilberryshed/coordination/_permits.py
@@ -1,18 +1,15 @@
-"""Limits that backend servers name, and permits by which all routers together keep them.
+"""Permits by which all routers together keep the limits that backend servers name.
 
 A limit counts for all routers, so one of them, the coordinator of that backend server, issues a
 permit for each request. Permits follow the demand, and none are tied up where there is none. A
 permit may become valid a little later; what cannot be issued soon is refused, not queued.
 """
 
-import re
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from bilberryshed.coordination._rendezvous import owner
 
-ANNOUNCED_CHANGE = 0.1  # relative change of a limit of which the other routers are told
-MIN_LIMIT = 0.1  # requests per second; some must be sent to learn that a limit has ended
 MAX_PERMITS = 2.0  # unused permits that accumulate
 MAX_WAIT = 2.0  # seconds until a permit that is issued becomes valid, unless it is the next one
 PERMIT_TIME = 1.0  # seconds for which a permit is valid
@@ -23,87 +20,6 @@
 ASKERS_AHEAD = 8  # routers; if more of them ask, no permits are issued ahead of time
 ASKER_MEMORY = 5.0  # seconds for which a router counts as asking
 
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
-
-
-def parse_limit(text: str) -> float | None:
-    """Return the requests per second that a response names, ``None`` if that is no number."""
-    return float(text) if _DECIMAL.fullmatch(text.strip()) else None
-
-
-@dataclass(slots=True)
-class NamedLimit:
-    """A limit in force.
-
-    :param limit: requests per second
-    :param named_at: monotonic time of the latest response that named it, in seconds
-    :param announced: limit of which the other routers know
-    """
-
-    limit: float
-    named_at: float
-    announced: float
-
-
-class NamedLimits:
-    """Limits that one router knows, by incarnation of the backend server."""
-
-    __slots__ = ("limits", "ended_at")
-
-    def __init__(self) -> None:
-        self.limits: dict[str, NamedLimit] = {}
-        self.ended_at: dict[str, float] = {}
-
-    def on_response(self, now: float, server: str, limit: float | None, sent_at: float) -> bool:
-        """Record what a response says about the limit.
-
-        :param limit: ``None`` if it names none; this ends a limit that was named before the request
-            was sent, as responses may overtake each other
-        :param sent_at: time at which its request was sent
-        :returns: whether the other routers should be told
-        """
-        known = self.limits.get(server)
-        if limit is None:
-            if known is None or sent_at <= known.named_at:
-                return False
-            del self.limits[server]
-            self.ended_at[server] = sent_at
-            return True
-        if known is None:
-            self.limits[server] = NamedLimit(limit, now, limit)
-            return True
-        known.limit, known.named_at = limit, now
-        if abs(limit - known.announced) <= ANNOUNCED_CHANGE * known.announced:
-            return False
-        known.announced = limit
-        return True
-
-    def on_notice(self, server: str, limit: float | None, at: float) -> None:
-        """Record what another router has learned.
-
-        :param limit: ``None`` if the limit has ended
-        :param at: monotonic time at which it was named or had ended, in seconds
-        """
-        known = self.limits.get(server)
-        if limit is None:
-            if known is not None and known.named_at < at:
-                del self.limits[server]
-            self.ended_at[server] = max(at, self.ended_at.get(server, at))
-        elif at > self.ended_at.get(server, float("-inf")) and (
-            known is None or known.named_at < at
-        ):
-            self.limits[server] = NamedLimit(limit, at, limit)
-
-    def limit(self, server: str) -> float | None:
-        """Return the limit of a backend server in requests per second, ``None`` without one."""
-        known = self.limits.get(server)
-        return None if known is None else max(MIN_LIMIT, known.limit)
-
-    def retain(self, servers: Collection[str]) -> None:
-        """Forget all backend servers but these."""
-        self.limits = {s: limit for s, limit in self.limits.items() if s in servers}
-        self.ended_at = {s: at for s, at in self.ended_at.items() if s in servers}
-
 
 @dataclass(slots=True, frozen=True)
 class Permit:
@@ -211,31 +127,6 @@
         self.buckets = {s: bucket for s, bucket in self.buckets.items() if s in servers}
 
 
-class ServerLimiter:
-    """Keeps the limit of the one backend server to which only this process sends requests."""
-
-    __slots__ = ("named", "issuer")
-
-    def __init__(self) -> None:
-        self.named = NamedLimits()
-        self.issuer = PermitIssuer()
-
-    def on_response(self, now: float, limit: float | None, sent_at: float) -> bool:
-        """Record what a response says about the limit; see :meth:`NamedLimits.on_response`."""
-        return self.named.on_response(now, "", limit, sent_at)
-
-    def wait(self, now: float) -> float:
-        """Return the seconds for which the limit admits no request."""
-        limit = self.named.limit("")
-        return 0.0 if limit is None else self.issuer.wait(now, "", limit)
-
-    def count_request(self, now: float) -> None:
-        """Count a request that is sent."""
-        limit = self.named.limit("")
-        if limit is not None:
-            self.issuer.take(now, "", limit)
-
-
 def limit_coordinator(server: str, zone: str, routers: dict[str, str]) -> str | None:
     """Return the router that issues the permits for a backend server, ``None`` without routers.
 
--- a/src/bilberryshed/coordination/_quarantine.py
+++ b/src/bilberryshed/coordination/_quarantine.py
@@ -15,92 +15,25 @@
 """
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
-from enum import StrEnum
-
-from bilberryshed.coordination._rendezvous import rank
+from dataclasses import dataclass
+
+from bilberryshed.coordination._quarantine_blocks import (
+    PROBE_TIME,
+    Block,
+    QuarantinePolicy,
+    QuarantineState,
+    Suspect,
+)
 from bilberryshed.protocol import BlockNotice, CrashedRun, QuarantineSummary
 
 BLOCK_THRESHOLD = 3  # weight of the crashes at which a content or parts are blocked
 ALONE_WEIGHT = 2  # weight of a crash under a single request, which must be its cause
 MIN_CONTENTS = 2  # different contents under which backend servers crashed before parts are blocked
-PROBE_TIME = 30.0  # seconds in which the request that is let through ends
-PROBE_STEP = 1.0  # seconds between the turns of two routers to let a request through
 FORGET_FACTOR = 2  # maximum block times after which an expired block is forgotten
 MAX_RUNS = 500  # runs that are remembered
 MAX_SOUND_PARTS = 10_000  # parts whose last answer is remembered
 
 
-class QuarantineState(StrEnum):
-    """State of a request with regard to crashes."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    BLOCKED = "convicted"
-
-
-@dataclass(slots=True, frozen=True)
-class QuarantinePolicy:
-    """Durations, in seconds.
-
-    :param window: time for which a crash counts
-    :param first_block: duration of the first block; each further one is twice as long
-    :param max_block: longest duration of a block
-    """
-
-    window: float = 60.0
-    first_block: float = 300.0
-    max_block: float = 3_600.0
-
-    def duration(self, level: int) -> float:
-        """Return the duration of the block that is imposed for the ``level``-th time."""
-        return min(self.max_block, self.first_block * 2.0 ** (level - 1))
-
-
-@dataclass(slots=True, frozen=True)
-class Suspect:
-    """What requests have in common that may crash backend servers.
-
-    :param content: fingerprint of a content, empty for parts
-    :param parts: ids of parts, which only together are suspected; empty for a content
-    """
-
-    content: str = ""
-    parts: frozenset[str] = frozenset()
-
-    def matches(self, content: str, parts: Collection[str]) -> bool:
-        """Whether a request has this content or all of these parts."""
-        if self.content:
-            return self.content == content
-        return self.parts.issubset(parts)
-
-    @property
-    def key(self) -> str:
-        """Text that identifies it."""
-        return self.content or ",".join(sorted(self.parts))
-
-
-@dataclass(slots=True)
-class Block:
-    """Block of the requests that match a suspect.
-
-    :param until: time in seconds at which it expires
-    :param level: number of times that it was imposed
-    :param crashed_at: time in seconds of the last crash that it is based on
-    :param crashes: ids of the crashes that it is based on, as far as this router knows them
-    :param is_adopted: whether it was learned as such, so that not all of its crashes are known
-    :param probing: whether a request was let through after it had expired
-    """
-
-    suspect: Suspect
-    until: float
-    level: int
-    crashed_at: float
-    crashes: set[str] = field(default_factory=set)
-    is_adopted: bool = False
-    probing: bool = False
-
-
 @dataclass(slots=True)
 class _Accusation:
     """A run that a crash ended, and what it still accuses.
@@ -380,14 +313,6 @@
         return QuarantineSummary(runs, tuple(self.notice(now, b) for b in self.blocks.values()))
 
 
-def probe_delay(suspect: Suspect, name: str, names: Iterable[str]) -> float:
-    """Return the seconds after the expiry of a block until a router may let a request through.
-
-    :param names: all routers, including this one
-    """
-    return PROBE_STEP * rank(f"probe {suspect.key}", names).index(name)
-
-
 def _is_blockable(accusations: list[_Accusation]) -> bool:
     crashes = {accusation.run.server for accusation in accusations}
     contents = {accusation.run.content for accusation in accusations}
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -10,7 +10,8 @@
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._dialect import CallerRequest
-from bilberryshed.gateway._forwarder import AttemptOutcome, Forwarder, Job
+from bilberryshed.gateway._forwarder import Forwarder
+from bilberryshed.gateway._job import AttemptOutcome, Job, milliseconds
 from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
 from bilberryshed.gateway._server_limits import ServerLimits
@@ -186,7 +187,7 @@
             first_ms=job.first_ms,
             parts="/".join(job.shared_parts),
             limit=job.limit,
-            ms=round(duration * 1000),
+            ms=milliseconds(duration),
             cause=job.last_failure,
             failed=outcome is not AttemptOutcome.DONE,
         )
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -6,22 +6,14 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
-from enum import StrEnum
-
-from bilberryshed.coordination import (
-    OUTPUT_WEIGHT,
-    BackendDemand,
-    BackendView,
-    EventSplitter,
-    InFlightRequest,
-)
-from bilberryshed.gateway._caller_exchange import CallerExchange
+
+from bilberryshed.coordination import BackendView
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._crash_reports import BrokenRun, CrashReports
-from bilberryshed.gateway._dialect import BackendResponse, CallerRequest, Dispatch
+from bilberryshed.gateway._dialect import BackendResponse, Dispatch
+from bilberryshed.gateway._job import AttemptOutcome, BackendLoad, Job, milliseconds
 from bilberryshed.gateway._server_limits import ServerLimits
-from bilberryshed.state import Address, Route, RoutedCustomer, RoutedService, RouteKind
+from bilberryshed.state import Address, RouteKind
 from bilberryshed.transport import (
     BackendConnection,
     ConnectError,
@@ -37,126 +29,10 @@
 CHOICE_WAIT_FRACTION = 0.25  # of the latency target; longest wait for a usable backend server
 MIN_TIME_LEFT = 0.02  # seconds; with less time left a request is not sent
 MAX_REFUSED_CONNECTIONS = 6  # refused connections that one request tolerates
-BEGIN_TIME = 1.0  # seconds from the first event of an answer in which its prompt can crash a server
 MAX_BODY_BYTES = 8_000_000  # bytes of a response that is not a stream; longer ones are broken off
 MAX_EVENT_BYTES = 1_000_000  # bytes of one event of a stream
 
 
-class AttemptOutcome(StrEnum):
-    """Outcome of one attempt at a backend server; the values are metric labels."""
-
-    DONE = "done"
-    NOT_RUN = "not_run"
-    BROKEN = "broken"
-    FAILED = "failed"
-    TIMEOUT = "timeout"
-
-
-@dataclass(slots=True, frozen=True)
-class BackendLoad:
-    """Load of this gateway at a backend server.
-
-    :param running: requests in flight
-    :param work: tokens, with output tokens weighted
-    :param unread: prompt tokens not yet processed there, including those of other gateways
-    """
-
-    running: int = 0
-    work: int = 0
-    unread: int = 0
-
-
-@dataclass(slots=True)
-class Job:
-    """A request in flight and the state of its attempts.
-
-    :param started_at: monotonic time at which the request had been read completely
-    :param deadline: monotonic time by which the response must be complete
-    :param sent_at: monotonic time at which it was last sent
-    :param sent: number of times the request was sent
-    :param runs: number of sends that may have been executed
-    :param refused: number of refused connections
-    :param excluded: ids of backend servers that are not tried again
-    :param failed_response: last 5xx response, returned to the caller if no retry succeeds
-    :param limit: limit in requests per second that the last response named
-    :param status: HTTP status of the response to the caller
-    :param run: current entry in the backend pool
-    :param load: load of this gateway at the backend server when it was chosen
-    :param first_event_at: monotonic time at which the first event was relayed to the caller
-    :param writing_since: monotonic time of the first event of the current attempt
-    :param is_sound: whether the current attempt has shown that its prompt crashes no server
-    """
-
-    request: CallerRequest
-    route: Route
-    service: RoutedService
-    customer: RoutedCustomer | None
-    exchange: CallerExchange
-    fingerprint: str
-    started_at: float
-    deadline: float
-    sent_at: float = 0.0
-    sent: int = 0
-    runs: int = 0
-    refused: int = 0
-    excluded: set[str] = field(default_factory=set)
-    event_splitter: EventSplitter = field(default_factory=EventSplitter)
-    last_failure: str = ""
-    failed_response: "tuple[BackendResponse, bytes] | None" = None
-    server: str = ""
-    load: BackendLoad = BackendLoad()
-    run: InFlightRequest | None = None
-    limit: float | None = None
-    status: int = 0
-    first_event_at: float | None = None
-    writing_since: float | None = None
-    is_sound: bool = False
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether the response is an event stream."""
-        return self.route.kind is RouteKind.STREAM
-
-    @property
-    def first_ms(self) -> int | None:
-        """Milliseconds from the start of the request to the first event relayed to the caller."""
-        return (
-            None
-            if self.first_event_at is None
-            else _milliseconds(self.first_event_at - self.started_at)
-        )
-
-    def writing_ms(self, now: float) -> int | None:
-        """Milliseconds since the first event of the current attempt, ``None`` before it.
-
-        :param now: monotonic time in seconds
-        """
-        return None if self.writing_since is None else _milliseconds(now - self.writing_since)
-
-    def is_beginning(self, now: float) -> bool:
-        """Whether the current attempt's answer is not begun, or only for ``BEGIN_TIME``.
-
-        :param now: monotonic time in seconds
-        """
-        return self.writing_since is None or now - self.writing_since < BEGIN_TIME
-
-    @property
-    def shared_parts(self) -> tuple[str, ...]:
-        """Ids of the prompt's parts but the last, which belongs to this request alone."""
-        return () if self.request.prompt is None else self.request.prompt.parts[:-1]
-
-    @property
-    def demand(self) -> BackendDemand:
-        """Load that the request places on a backend server."""
-        prompt = self.request.prompt
-        if prompt is None:
-            return BackendDemand("", 1)
-        shared = prompt.parts[:-1] or prompt.parts
-        affinity = shared[-1] if shared else ""
-        work = prompt.tokens + OUTPUT_WEIGHT * prompt.max_output
-        return BackendDemand(affinity, work, prompt.shared, max(0, prompt.tokens - prompt.shared))
-
-
 class Forwarder:
     """Runs requests at backend servers, with retries."""
 
@@ -266,8 +142,8 @@
             load=job.load.running,
             work=job.load.work,
             unread=job.load.unread,
-            age_ms=_milliseconds(self.pool.report_age(self.context.timers.now())),
-            left_ms=_milliseconds(job.deadline - self.context.timers.now()),
+            age_ms=milliseconds(self.pool.report_age(self.context.timers.now())),
+            left_ms=milliseconds(job.deadline - self.context.timers.now()),
         )
 
     async def _acquire_connection(self, job: Job, view: BackendView) -> BackendConnection | None:
@@ -527,7 +403,3 @@
             events=job.event_splitter.events,
             **details,
         )
-
-
-def _milliseconds(seconds: float) -> int:
-    return round(seconds * 1000)
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -2,6 +2,7 @@
 
 import re
 
+import xxhash
 from returns.result import Failure, Result, Success
 
 from bilberryshed.coordination import parse_limit
@@ -30,6 +31,7 @@
 LIMIT = "server-limit"  # requests per second from all gateways together
 
 DEFAULT_TIMEOUT_MS = 30_000  # for requests without the header
+MAX_PART_ID = 64  # characters of the id of a part of a prompt
 MAX_PRIORITY = 9  # largest number that is sent; 0 is the highest priority
 STATUS_MISDIRECTED = 421  # another backend server has the address
 
@@ -167,11 +169,16 @@
         for part in values.get(PROMPT_PARTS, "").split(",")
         if part.strip()
     ]
-    ids = tuple(id_ for id_, _, _ in parts)
+    ids = tuple(_short(id_) for id_, _, _ in parts)
     shared = sum(_parse_integer(size, PROMPT_PARTS) for _, _, size in parts[:-1])
     return Prompt(_parse_integer(tokens, TOKENS), _parse_integer(max_output, TOKENS), ids, shared)
 
 
+def _short(part: str) -> str:
+    """Return the id of a part, or a digest of one that is too long to be remembered."""
+    return part if len(part) <= MAX_PART_ID else xxhash.xxh3_128_hexdigest(part.encode())
+
+
 def _parse_integer(text: str, name: str) -> int:
     digits = text.strip()
     if not digits.isascii() or not digits.isdigit() or len(digits) > 12:
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -26,11 +26,8 @@
     HttpVmList,
     http_platform,
 )
-from bilberryshed.transport._quarantine_exchange import (
-    Admittance,
-    QuarantineExchange,
-    QuarantinePorts,
-)
+from bilberryshed.transport._quarantine_exchange import Admittance, QuarantineExchange
+from bilberryshed.transport._quarantine_rows import QuarantinePorts
 from bilberryshed.transport._tasks import BackgroundTasks, new_boot_id
 from bilberryshed.transport._timers import Subscription, TimerService, next_multiple
 from bilberryshed.transport._tls import client_tls_context, server_tls_context
