--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -235,7 +235,8 @@
 
 
 @when(
-    "{count:d} prompts with a part whose id has {length:d} characters are answered by the first gateway"
+    "{count:d} prompts with a part whose id has {length:d} characters are answered by the first "
+    "gateway"
 )
 def when_long_id(context, count, length):
     then_answered(context, count, "f" * length)
