A block that names neither a content nor parts is ignored

Found reading the code: its empty set of parts matches every request. No router sends one; the new scenario of quarantine.feature fails without the guard.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -72,6 +72,10 @@
       | crash aa/bad; crash aa/bad; restart; crash aa/bad                    | aa+bad  |
       | crash bad; crash bad; crash bad; 200 s; restart; 101 s; probe bad; crash bad; 599 s | bad |
 
+  Scenario: A block that names neither a content nor parts blocks nothing
+    When a router receives a block that names nothing
+    Then its quarantine state is clear
+
   Scenario: Routers let a request through one after the other once a block has expired
     Given 5 routers that block the same part
     Then they let a request through 0, 1, 2, 3 and 4 s after the block has expired
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -86,6 +86,12 @@
     assert actual == ([] if blocked == "none" else blocked.split(", ")), actual
 
 
+@when("a router receives a block that names nothing")
+def when_empty_block(context):
+    context.quarantine, context.now = Quarantine(), 1000.0
+    assert not context.quarantine.merge(context.now, BlockNotice("", (), 600.0, 1, 0.0))
+
+
 @given("{count:d} routers that block the same part")
 def given_blocking_routers(context, count):
     context.routers = [f"r-{number}" for number in range(count)]
--- a/src/bilberryshed/coordination/_quarantine.py
+++ b/src/bilberryshed/coordination/_quarantine.py
@@ -277,10 +277,12 @@
     # Exchange with other routers ------------------------------------------------------------
 
     def merge(self, now: float, notice: BlockNotice) -> bool:
-        """Adopt a block of another router or of the store.
+        """Adopt a block of another router or of the store; one that names nothing is ignored.
 
         :returns: whether it was not known, or not for as long
         """
+        if not notice.content and not notice.parts:
+            return False
         suspect = Suspect(notice.content, frozenset(notice.parts))
         until = now + notice.remaining
         block = self.blocks.get(suspect)
