Names of the quarantine in the field's terms

Read as a newcomer: records, causes and answers in place of accusations, verdicts and sound parts. No behaviour changes.

--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -245,6 +245,6 @@
 @then("it keeps no id of more than {length:d} characters")
 def then_short_ids(context, length):
     gateway = context.harness.gateways["gate-1"].context
-    kept = [*gateway.quarantine.quarantine.sound_at]
+    kept = [*gateway.quarantine.quarantine.answered_at]
     kept += [id_ for view in gateway.backends.views.values() for id_ in view.sent_prefixes]
     assert kept and max(map(len, kept)) <= length, max(map(len, kept))
--- a/src/bilberryshed/coordination/_quarantine.py
+++ b/src/bilberryshed/coordination/_quarantine.py
@@ -1,14 +1,14 @@
 """Quarantine of requests that crash backend servers.
 
 The cause of a crash is one request that ran there: either its content as a whole, or one part of
-its prompt, whatever else it holds. Every run that a crash ended accuses its content and its parts;
-most of them only shared the backend server. An answer clears its content and its parts.
+its prompt, whatever else it holds. Every run that a crash ended makes its content and its parts
+suspect; most of them only shared the backend server. An answer clears its content and its parts.
 
 A content is blocked after a few crashes. Parts are blocked after crashes of a few backend servers
 under different contents: together, all those that no answer has cleared and that each of these runs
 had in common. So requests that share some of them still run, and either their answers clear these
 parts or another crash rules out the rest, until one part is left. A crash that a block explains
-accuses no other part.
+makes no other part suspect.
 
 When a block expires, the routers in turn let one request through. If it is answered, the block
 ends; if it crashes a backend server, the block is imposed again for twice the time.
@@ -31,12 +31,12 @@
 MIN_CONTENTS = 2  # different contents under which backend servers crashed before parts are blocked
 FORGET_FACTOR = 2  # maximum block times after which an expired block is forgotten
 MAX_RUNS = 500  # runs that are remembered
-MAX_SOUND_PARTS = 10_000  # parts whose last answer is remembered
+MAX_ANSWERED_PARTS = 10_000  # parts whose last answer is remembered
 
 
 @dataclass(slots=True)
-class _Accusation:
-    """A run that a crash ended, and what it still accuses.
+class _CrashRecord:
+    """A run that a crash ended, and what it still makes suspect.
 
     :param reported: all parts that were reported, whether or not they are cleared
     """
@@ -51,12 +51,12 @@
 class Quarantine:
     """Crashes, answers and blocks known to one router; times are monotonic, in seconds."""
 
-    __slots__ = ("policy", "accusations", "sound_at", "blocks")
+    __slots__ = ("policy", "records", "answered_at", "blocks")
 
     def __init__(self, policy: QuarantinePolicy | None = None) -> None:
         self.policy = policy or QuarantinePolicy()
-        self.accusations: dict[str, _Accusation] = {}
-        self.sound_at: dict[str, float] = {}
+        self.records: dict[str, _CrashRecord] = {}
+        self.answered_at: dict[str, float] = {}
         self.blocks: dict[Suspect, Block] = {}
 
     # Requests -------------------------------------------------------------------------------
@@ -66,11 +66,11 @@
         block = self.matching_block(content, parts)
         if block is not None and now < block.until:
             return QuarantineState.BLOCKED
-        accused = any(
-            accusation.content == content and accusation.at > now - self.policy.window
-            for accusation in self.accusations.values()
+        is_suspect = any(
+            record.content == content and record.at > now - self.policy.window
+            for record in self.records.values()
         )
-        return QuarantineState.SUSPECT if accused else QuarantineState.CLEAR
+        return QuarantineState.SUSPECT if is_suspect else QuarantineState.CLEAR
 
     def matching_block(self, content: str, parts: Collection[str] = ()) -> Block | None:
         """Return the block that applies longest to a request, ``None`` if there is none."""
@@ -99,31 +99,31 @@
         at = now - run.age
         if run.age >= self.policy.window:
             return False
-        accusing = {part for part in run.parts if self.sound_at.get(part, float("-inf")) <= at}
-        known = self.accusations.get(run.run)
+        suspects = {part for part in run.parts if self.answered_at.get(part, float("-inf")) <= at}
+        known = self.records.get(run.run)
         if known is None:
-            accusation = _Accusation(run, at, run.content, accusing, set(run.parts))
-            self.accusations[run.run] = accusation
-            self._confirm_blocks(now, accusation)
+            record = _CrashRecord(run, at, run.content, suspects, set(run.parts))
+            self.records[run.run] = record
+            self._confirm_blocks(now, record)
             return True
         added = set(run.parts) - known.reported
         if added:
             known.run = run
             known.reported |= added
-            known.parts |= added & accusing
+            known.parts |= added & suspects
             self._confirm_blocks(now, known)
         return bool(added)
 
-    def _confirm_blocks(self, now: float, accusation: _Accusation) -> None:
+    def _confirm_blocks(self, now: float, record: _CrashRecord) -> None:
         """Extend the blocks that a crash confirms: one crash is enough for a known cause."""
         for block in self.blocks.values():
-            if block.suspect.matches(accusation.content, accusation.parts):
-                crash = accusation.run.run if block.suspect.content else accusation.run.server
+            if block.suspect.matches(record.content, record.parts):
+                crash = record.run.run if block.suspect.content else record.run.server
                 self._extend(now, block, {crash})
 
     def _drop_excess(self) -> None:
-        while len(self.accusations) > MAX_RUNS:
-            del self.accusations[next(iter(self.accusations))]
+        while len(self.records) > MAX_RUNS:
+            del self.records[next(iter(self.records))]
 
     def record_answer(
         self, now: float, began_at: float, contents: Collection[str], parts: Collection[str]
@@ -133,16 +133,16 @@
         :param began_at: time at which the answer was begun; it says nothing about later crashes
         :returns: the contents and the parts that it has cleared
         """
-        self._remember_sound(began_at, parts)
+        self._remember_answer(began_at, parts)
         cleared_contents: set[str] = set()
         cleared_parts: set[str] = set()
-        for accusation in self.accusations.values():
-            if accusation.content in contents:
-                cleared_contents.add(accusation.content)
-                accusation.content = ""
-            if accusation.at < began_at:
-                cleared_parts |= accusation.parts.intersection(parts)
-                accusation.parts.difference_update(parts)
+        for record in self.records.values():
+            if record.content in contents:
+                cleared_contents.add(record.content)
+                record.content = ""
+            if record.at < began_at:
+                cleared_parts |= record.parts.intersection(parts)
+                record.parts.difference_update(parts)
         cleared_contents |= self._end_probes(now, contents)
         cleared_parts |= self._shrink_blocks(began_at, parts)
         if cleared_parts:
@@ -158,12 +158,12 @@
                 del self.blocks[suspect]
         return lifted
 
-    def _remember_sound(self, began_at: float, parts: Collection[str]) -> None:
+    def _remember_answer(self, began_at: float, parts: Collection[str]) -> None:
         for part in parts:
-            latest = max(began_at, self.sound_at.pop(part, began_at))
-            self.sound_at[part] = latest
-        while len(self.sound_at) > MAX_SOUND_PARTS:
-            del self.sound_at[next(iter(self.sound_at))]
+            latest = max(began_at, self.answered_at.pop(part, began_at))
+            self.answered_at[part] = latest
+        while len(self.answered_at) > MAX_ANSWERED_PARTS:
+            del self.answered_at[next(iter(self.answered_at))]
 
     def _shrink_blocks(self, began_at: float, parts: Collection[str]) -> set[str]:
         """Remove parts from the blocks whose crashes are older than an answer.
@@ -172,88 +172,88 @@
         """
         removed: set[str] = set()
         for suspect, block in list(self.blocks.items()):
-            sound = suspect.parts.intersection(parts)
-            if not sound or block.crashed_at >= began_at:
+            answered = suspect.parts.intersection(parts)
+            if not answered or block.crashed_at >= began_at:
                 continue
-            removed |= sound
+            removed |= answered
             del self.blocks[suspect]
-            if suspect.parts - sound:
-                block.suspect = Suspect(parts=suspect.parts - sound)
+            if suspect.parts - answered:
+                block.suspect = Suspect(parts=suspect.parts - answered)
                 self.blocks[block.suspect] = block
         return removed
 
     def prune(self, now: float) -> None:
         """Forget crashes that count no longer, and blocks that expired long ago."""
         pinned = {crash for block in self.blocks.values() for crash in block.crashes}
-        for run, accusation in list(self.accusations.items()):
-            is_pinned = run in pinned or accusation.run.server in pinned
-            if accusation.at <= now - self.policy.window and not is_pinned:
-                del self.accusations[run]
+        for run, record in list(self.records.items()):
+            is_pinned = run in pinned or record.run.server in pinned
+            if record.at <= now - self.policy.window and not is_pinned:
+                del self.records[run]
         for suspect, block in list(self.blocks.items()):
             if now > block.until + FORGET_FACTOR * self.policy.max_block:
                 del self.blocks[suspect]
 
-    # Verdicts -------------------------------------------------------------------------------
+    # Causes ---------------------------------------------------------------------------------
 
     def _evaluate(self, now: float) -> None:
         """Impose the blocks that the recorded crashes call for, and lift those they do not."""
         self._evaluate_contents(now)
-        verdicts = self._guilty_parts(now)
-        crashes_known = {a.run.server for a in self.accusations.values()}
+        causes = self._parts_to_block(now)
+        crashes_known = {record.run.server for record in self.records.values()}
         lifted: list[Block] = []
         for suspect, block in list(self.blocks.items()):
             is_judged = not block.is_adopted and block.crashes <= crashes_known
-            if suspect.parts and suspect not in verdicts and is_judged:
+            if suspect.parts and suspect not in causes and is_judged:
                 lifted.append(self.blocks.pop(suspect))
-        for suspect, crashes in verdicts.items():
+        for suspect, crashes in causes.items():
             similar = [b.level for b in lifted if b.suspect.parts & suspect.parts]
             self._impose(now, suspect, crashes, max(similar, default=1))
 
     def _evaluate_contents(self, now: float) -> None:
         weights: dict[str, int] = {}
         runs: dict[str, set[str]] = {}
-        for accusation in self.accusations.values():
-            content = accusation.content
+        for record in self.records.values():
+            content = record.content
             if content:
-                weight = ALONE_WEIGHT if accusation.run.alone else 1
+                weight = ALONE_WEIGHT if record.run.alone else 1
                 weights[content] = weights.get(content, 0) + weight
-                runs.setdefault(content, set()).add(accusation.run.run)
+                runs.setdefault(content, set()).add(record.run.run)
         for content, weight in weights.items():
             if weight >= BLOCK_THRESHOLD:
                 self._impose(now, Suspect(content), runs[content], 1)
 
-    def _guilty_parts(self, now: float) -> dict[Suspect, set[str]]:
+    def _parts_to_block(self, now: float) -> dict[Suspect, set[str]]:
         """Return the parts to block, each with the crashes that they explain."""
-        accusers: dict[str, list[_Accusation]] = {}
-        for accusation in self.accusations.values():
-            for part in accusation.parts:
-                accusers.setdefault(part, []).append(accusation)
-        verdicts: dict[Suspect, set[str]] = {}
+        records_by_part: dict[str, list[_CrashRecord]] = {}
+        for record in self.records.values():
+            for part in record.parts:
+                records_by_part.setdefault(part, []).append(record)
+        causes: dict[Suspect, set[str]] = {}
         explained: set[str] = set()
         while True:
             candidates = []
-            for part, accusations in accusers.items():
-                open_ = [a for a in accusations if a.run.server not in explained]
+            for part, records in records_by_part.items():
+                open_ = [r for r in records if r.run.server not in explained]
                 if _is_blockable(open_):
                     candidates.append((part, open_))
             if not candidates:
-                return verdicts
-            part, accusations = min(candidates, key=lambda item: self._innocence(now, *item))
-            crashes = {accusation.run.server for accusation in accusations}
-            verdicts[Suspect(parts=_common_parts(accusations))] = crashes
+                return causes
+            part, records = min(candidates, key=lambda item: self._order_of_suspicion(now, *item))
+            crashes = {record.run.server for record in records}
+            causes[Suspect(parts=_common_parts(records))] = crashes
             explained |= crashes
 
-    def _innocence(
-        self, now: float, part: str, accusations: list[_Accusation]
+    def _order_of_suspicion(
+        self, now: float, part: str, records: list[_CrashRecord]
     ) -> tuple[bool, int, int, str]:
         """Return a sort key: the likeliest cause comes first.
 
         It has no recent answer, explains the most crashes, and comes with the most other parts, so
         that its block concerns the fewest requests.
         """
-        is_used = now - self.sound_at.get(part, float("-inf")) < self.policy.window
-        crashes = len({accusation.run.server for accusation in accusations})
-        return is_used, -crashes, -len(_common_parts(accusations)), part
+        is_used = now - self.answered_at.get(part, float("-inf")) < self.policy.window
+        crashes = len({record.run.server for record in records})
+        return is_used, -crashes, -len(_common_parts(records)), part
 
     def _impose(self, now: float, suspect: Suspect, crashes: set[str], level: int) -> None:
         block = self.blocks.get(suspect)
@@ -309,31 +309,31 @@
 
     def summary(self, now: float) -> QuarantineSummary | None:
         """Return all that another router needs to know, ``None`` if that is nothing."""
-        if not self.accusations and not self.blocks:
+        if not self.records and not self.blocks:
             return None
-        runs = tuple(_aged(now, accusation) for accusation in self.accusations.values())
+        runs = tuple(_aged(now, record) for record in self.records.values())
         return QuarantineSummary(runs, tuple(self.notice(now, b) for b in self.blocks.values()))
 
 
-def _is_blockable(accusations: list[_Accusation]) -> bool:
-    crashes = {accusation.run.server for accusation in accusations}
-    contents = {accusation.run.content for accusation in accusations}
+def _is_blockable(records: list[_CrashRecord]) -> bool:
+    crashes = {record.run.server for record in records}
+    contents = {record.run.content for record in records}
     return len(crashes) >= BLOCK_THRESHOLD and len(contents) >= MIN_CONTENTS
 
 
-def _common_parts(accusations: list[_Accusation]) -> frozenset[str]:
-    """Return the parts that all accusations have in common."""
-    return frozenset.intersection(*(frozenset(a.parts) for a in accusations))
+def _common_parts(records: list[_CrashRecord]) -> frozenset[str]:
+    """Return the parts that all records have in common."""
+    return frozenset.intersection(*(frozenset(record.parts) for record in records))
 
 
-def _aged(now: float, accusation: _Accusation) -> CrashedRun:
-    """Return the run with its current age and the parts that it still accuses."""
-    run = accusation.run
+def _aged(now: float, record: _CrashRecord) -> CrashedRun:
+    """Return the run with its current age and the parts that are still suspect."""
+    run = record.run
     return CrashedRun(
         run.run,
         run.server,
-        accusation.content,
-        tuple(part for part in run.parts if part in accusation.parts),
+        record.content,
+        tuple(part for part in run.parts if part in record.parts),
         run.alone,
-        now - accusation.at,
+        now - record.at,
     )
--- a/src/bilberryshed/gateway/_crash_reports.py
+++ b/src/bilberryshed/gateway/_crash_reports.py
@@ -1,7 +1,7 @@
 """Reports runs that ended because their backend server seems to have crashed.
 
-A broken connection accuses the content of its request at once. It accuses the parts of the prompt,
-which many requests share, only if the backend server then accepts no connection.
+A broken connection makes the content of its request suspect at once. The parts of the prompt, which
+many requests share, become suspect only if the backend server then accepts no connection.
 """
 
 import asyncio
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -115,7 +115,7 @@
         self.context.on_load_change()
         job.server = view.server.id
         job.writing_since = None
-        job.is_sound = False
+        job.is_cleared = False
         try:
             connection = await self._acquire_connection(job, view)
             if connection is None:
@@ -288,7 +288,7 @@
             self._send_response(job, response, body)
         self.pool.on_outcome(self.context.timers.now(), view, failed=False)
         if 200 <= response.status < 300:
-            self._record_sound(job)
+            self._record_answer(job)
         return AttemptOutcome.DONE, True
 
     def _is_error_retryable(self, job: Job) -> bool:
@@ -361,12 +361,12 @@
         if job.writing_since is None:
             job.writing_since = now
         elif not job.is_beginning(now):
-            self._record_sound(job)
+            self._record_answer(job)
 
-    def _record_sound(self, job: Job) -> None:
-        if job.is_sound:
+    def _record_answer(self, job: Job) -> None:
+        if job.is_cleared:
             return
-        job.is_sound = True
+        job.is_cleared = True
         began_at = job.writing_since or self.context.timers.now()
         self.context.quarantine.on_answer(began_at, job.fingerprint, job.shared_parts)
 
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -68,10 +68,10 @@
 )
 from bilberryshed.protocol._quarantine_messages import (
     BlockNotice,
+    ClearNotice,
     CrashedRun,
     CrashReport,
     QuarantineSummary,
-    SoundNotice,
 )
 
 __all__ = [
@@ -132,7 +132,7 @@
     "RouteTableVersion",
     "ServerLoad",
     "SheetNotice",
-    "SoundNotice",
+    "ClearNotice",
     "Started",
     "Transfer",
     "TransferAck",
--- a/src/bilberryshed/protocol/_quarantine_messages.py
+++ b/src/bilberryshed/protocol/_quarantine_messages.py
@@ -36,7 +36,7 @@
 
 @register_message(88)
 @dataclass(slots=True, frozen=True)
-class SoundNotice:
+class ClearNotice:
     """Report that backend servers answer requests with suspected contents or parts.
 
     :param age: seconds since the youngest of these answers was begun
--- a/src/bilberryshed/transport/_quarantine_exchange.py
+++ b/src/bilberryshed/transport/_quarantine_exchange.py
@@ -17,17 +17,17 @@
 )
 from bilberryshed.protocol import (
     BlockNotice,
+    ClearNotice,
     CrashedRun,
     CrashReport,
     QuarantineSummary,
-    SoundNotice,
 )
 from bilberryshed.transport._links import Link
 from bilberryshed.transport._logs import logger
 from bilberryshed.transport._quarantine_rows import QuarantinePorts, QuarantineRows
 
 REPORT_DELAY = 0.02  # seconds in which the runs that one crash ends are collected
-SOUND_DELAY_STEP = 0.01  # seconds between two routers that would announce the same answer
+CLEAR_DELAY_STEP = 0.01  # seconds between two routers that would announce the same answer
 CHECK_INTERVAL = 1.0  # seconds between checks for blocks to be stored or deleted
 
 Handler = Callable[[Link, Any], None]
@@ -49,7 +49,7 @@
     """The quarantine of one router, and what keeps it the same as that of the others.
 
     :param unreported: runs that are not reported yet
-    :param unannounced: time at which an answer was begun, by accused content or part
+    :param unannounced: time at which an answer was begun, by suspected content or part
     :param rows: the blocks in the store
     """
 
@@ -69,7 +69,7 @@
         """Return the message handlers by message class."""
         return {
             CrashReport: lambda link, report: self._merge_runs(report.runs),
-            SoundNotice: lambda link, notice: self.on_sound_notice(notice),
+            ClearNotice: lambda link, notice: self.on_clear_notice(notice),
             BlockNotice: lambda link, notice: self._merge_block(notice),
             QuarantineSummary: lambda link, summary: self.on_summary(summary),
         }
@@ -150,16 +150,16 @@
         if not is_scheduled:
             slot = shard_of(f"{self.ports.name} {id_}", len(self.ports.all_routers()))
             self.ports.timers.call_once(
-                REPORT_DELAY + slot * SOUND_DELAY_STEP, lambda now: self._send_sound(now, key)
+                REPORT_DELAY + slot * CLEAR_DELAY_STEP, lambda now: self._send_clear(now, key)
             )
 
-    def _send_sound(self, now: float, key: tuple[str, str]) -> None:
+    def _send_clear(self, now: float, key: tuple[str, str]) -> None:
         began_at = self.unannounced.pop(key, None)
         if began_at is None:
             return
         kind, id_ = key
         contents, parts = ((id_,), ()) if kind == "content" else ((), (id_,))
-        self.ports.broadcast(SoundNotice(contents, parts, max(0.0, now - began_at)))
+        self.ports.broadcast(ClearNotice(contents, parts, max(0.0, now - began_at)))
 
     # Evidence of other routers --------------------------------------------------------------
 
@@ -181,7 +181,7 @@
                 )
         return news
 
-    def on_sound_notice(self, notice: SoundNotice) -> None:
+    def on_clear_notice(self, notice: ClearNotice) -> None:
         """Clear what another router has seen answered."""
         now = self._now()
         for kind, ids in (("content", notice.contents), ("part", notice.parts)):
