--- a/features/crashing_part.feature
+++ b/features/crashing_part.feature
@@ -1,19 +1,19 @@
 Feature: A part of a prompt that crashes backend servers is blocked, and other prompts are served
   A model engine that begins to answer a prompt with the part "bad" crashes, and is back after a second. No two of these
-  prompts are alike; sound ones share their key, route and other parts. Times are those of the users' rules: 3 s
-  (stableMs) after the fifth crash at most three such prompts reach engines, and from 6 s after it sound prompts begin
+  prompts are alike; harmless ones share their key, route and other parts. Times are those of the users' rules: 3 s
+  (stableMs) after the fifth crash at most three such prompts reach engines, and from 6 s after it harmless prompts begin
   at least half as often as in calm times.
 
   Scenario Outline: Prompts with <parts> at <gateways> gateways crash engines after <events> events
     Given a platform with 4 model engines and 1 plain servers
     And <gateways> gateways in one zone
     And the part bad crashes each model engine that begins to answer it, after <events> events
-    When prompts with the parts <parts> and sound ones with the parts <sound> reach all gateways for 11 s
+    When prompts with the parts <parts> and harmless ones with the parts <harmless> reach all gateways for 11 s
     Then at most 3 prompts with the part reached an engine later than 3 s after the fifth crash
-    And at least half of the sound prompts later than 6 s after it were answered at the first attempt
+    And at least half of the harmless prompts later than 6 s after it were answered at the first attempt
 
     Examples: the part is the first of three, or in the middle; two gateways form a mesh, four a group
-      | gateways | parts     | sound           | events |
+      | gateways | parts     | harmless        | events |
       | 2        | aa/bad    | aa/ok           | 0      |
       | 2        | bad/bb    | ok/bb           | 1      |
       | 4        | aa/bad/cc | aa/ok/cc, aa/cc | 0      |
@@ -27,15 +27,15 @@
     Then none of them reached an engine
 
     Examples:
-      | event                  |
-      | starts again           |
+      | event                     |
+      | starts again              |
       | is cut off from the other |
 
   Scenario: The part stays blocked when all gateways are killed and start again
     Given a platform with 4 model engines and 1 plain servers
     And 2 gateways in one zone
     And the part bad crashes each model engine that begins to answer it, after 0 events
-    When prompts with the parts aa/bad and sound ones with the parts aa/ok reach all gateways for 4 s
+    When prompts with the parts aa/bad and harmless ones with the parts aa/ok reach all gateways for 4 s
     And all gateways are killed and start again
     And 8 prompts with the parts aa/bad reach the second gateway
     Then none of them reached an engine
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -8,7 +8,7 @@
 from gateway_steps import given_faults, run
 
 BAD_INTERVAL = 0.3  # seconds between prompts that crash engines
-SOUND_INTERVAL = 0.08  # seconds between sound prompts
+HARMLESS_INTERVAL = 0.08  # seconds between harmless prompts
 EVENT_INTERVAL = 0.1  # seconds between the events of an answer
 FIFTH = 4  # index of the fifth crash
 CALLER_PATIENCE = 0.05  # seconds after which a caller cuts its connection
@@ -68,17 +68,19 @@
 
 
 @when(
-    "prompts with the parts {bad} and sound ones with the parts {sound} reach all gateways "
+    "prompts with the parts {bad} and harmless ones with the parts {harmless} reach all gateways "
     "for {seconds:d} s"
 )
-def when_mixed_load(context, bad, sound, seconds):
-    context.bad, context.sound = [], []
+def when_mixed_load(context, bad, harmless, seconds):
+    context.bad, context.harmless = [], []
     gateways = sorted(context.harness.gateways)
 
     async def send():
         await asyncio.gather(
             send_steadily(context, gateways, bad, BAD_INTERVAL, seconds, context.bad),
-            send_steadily(context, gateways, sound, SOUND_INTERVAL, seconds, context.sound),
+            send_steadily(
+                context, gateways, harmless, HARMLESS_INTERVAL, seconds, context.harmless
+            ),
         )
 
     run(context, send())
@@ -112,13 +114,13 @@
 
 
 @then(
-    "at least half of the sound prompts later than {seconds:d} s after it were answered at the "
+    "at least half of the harmless prompts later than {seconds:d} s after it were answered at the "
     "first attempt"
 )
-def then_sound_answered(context, seconds):
+def then_harmless_answered(context, seconds):
     crashes = crash_times(context)
     start = crashes[min(FIFTH, len(crashes) - 1)] + seconds
-    late = [response for at, response in context.sound if at > start]
+    late = [response for at, response in context.harmless if at > start]
     answered = [r for r in late if r is not None and r.status == 200 and b"id: 1\n" in r.body]
     assert len(late) >= 10, (len(late), len(crashes))
     assert len(answered) * 2 >= len(late), (len(answered), len(late))
