A block is stored at once, so that it survives a restart of all routers just after

Blocks are stored as soon as they are imposed, one after the other, again each second if the store does not respond.

--- a/features/crashing_part.feature
+++ b/features/crashing_part.feature
@@ -40,6 +40,14 @@
     And 8 prompts with the parts aa/bad reach the second gateway
     Then none of them reached an engine
 
+  Scenario: A block is stored at once
+    Given a platform with 4 model engines and 1 plain servers
+    And 2 gateways in one zone
+    And the part bad crashes each model engine that begins to answer it, after 0 events
+    When prompts with the parts aa/bad crash 3 engines, and 0.4 s later all gateways are killed
+    And 8 prompts with the parts aa/bad reach the second gateway
+    Then none of them reached an engine
+
   Scenario Outline: Prompts that <whom> broke off get no part blocked
     Given a platform with 4 model engines and 1 plain servers
     And the model engines send one event every 0.1 s
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -162,6 +162,20 @@
     await asyncio.sleep(0.2)  # for the messages that follow a new link
 
 
+@when(
+    "prompts with the parts {parts} crash {count:d} engines, and {seconds:f} s later all gateways "
+    "are killed"
+)
+def when_crashes_and_restart(context, parts, count, seconds):
+    async def crash_engines():
+        while len(crash_times(context)) < count:
+            await send_prompt(context, "gate-1", parts)
+        await asyncio.sleep(seconds)
+
+    run(context, crash_engines())
+    when_all_restart(context)
+
+
 @when("all gateways are killed and start again")
 def when_all_restart(context):
     async def restart():
--- a/src/bilberryshed/transport/_quarantine_exchange.py
+++ b/src/bilberryshed/transport/_quarantine_exchange.py
@@ -169,6 +169,8 @@
     def _record_runs(self, runs: tuple[CrashedRun, ...]) -> tuple[CrashedRun, ...]:
         before = {suspect: block.level for suspect, block in self.quarantine.blocks.items()}
         news = self.quarantine.record_crashes(self._now(), runs)
+        if news:
+            self.rows.check(self._now())
         for suspect, block in self.quarantine.blocks.items():
             if before.get(suspect) != block.level:
                 self.ports.metrics.count("blocked")
--- a/src/bilberryshed/transport/_quarantine_rows.py
+++ b/src/bilberryshed/transport/_quarantine_rows.py
@@ -17,7 +17,6 @@
 from bilberryshed.transport._metrics import Metrics
 from bilberryshed.transport._timers import TimerService
 
-STORE_DELAY = 1.0  # seconds after which a block is stored; many wrong ones are lifted before
 STORE_DELAY_STEP = 2.0  # seconds for which a router leaves a write to the one ranked before it
 MAX_STORING_ROUTERS = 3  # routers that may store the same block
 EXPIRY_TOLERANCE = 1.0  # seconds by which a stored expiry may differ
@@ -78,7 +77,7 @@
             self.busy = True
             self.ports.spawn(self._finish(task))
 
-    def _next_task(self, now: float) -> Coroutine[Any, Any, None] | None:
+    def _next_task(self, now: float) -> Coroutine[Any, Any, bool] | None:
         if not self.loaded:
             return self._load()
         for block in self.quarantine.blocks.values():
@@ -89,11 +88,14 @@
                 return self._delete(suspect)
         return None
 
-    async def _finish(self, task: Coroutine[Any, Any, None]) -> None:
+    async def _finish(self, task: Coroutine[Any, Any, bool]) -> None:
+        """Await a task, which returns whether the store responded; then start the next one."""
         try:
-            await task
+            succeeded = await task
         finally:
             self.busy = False
+        if succeeded:
+            self.check(self.ports.timers.now())
 
     def _is_due(self, now: float, block: Block) -> bool:
         """Whether this router has to store a block now."""
@@ -104,14 +106,12 @@
         ranked = rank(f"store {block.suspect.key}", self.ports.all_routers())
         position = ranked.index(self.ports.name)
         waited = now - self.first_seen[block.suspect]
-        return (
-            position < MAX_STORING_ROUTERS and waited >= STORE_DELAY + position * STORE_DELAY_STEP
-        )
+        return position < MAX_STORING_ROUTERS and waited >= position * STORE_DELAY_STEP
 
-    async def _store(self, block: Block) -> None:
+    async def _store(self, block: Block) -> bool:
         rows = await self.ports.tables.read((self._ref(block.suspect),))
         if isinstance(rows, Failure):
-            return
+            return False
         row = rows.unwrap()[0]
         until = self.ports.store_clock() + block.until - self.ports.timers.now()
         if row.value.get("until", 0.0) < until - EXPIRY_TOLERANCE:
@@ -123,30 +123,33 @@
             }
             written = await self.ports.tables.write((Put(row.ref, row.version, value),))
             if not isinstance(written, Success) or not written.unwrap():
-                return
+                return False
         self.stored[block.suspect] = block.until
+        return True
 
-    async def _delete(self, suspect: Suspect) -> None:
+    async def _delete(self, suspect: Suspect) -> bool:
         rows = await self.ports.tables.read((self._ref(suspect),))
         if isinstance(rows, Failure):
-            return
+            return False
         row = rows.unwrap()[0]
         if row.version:
             written = await self.ports.tables.write((Put(row.ref, row.version, None),))
             if isinstance(written, Failure):
-                return
+                return False
         self.stored.pop(suspect, None)
+        return True
 
     def _ref(self, suspect: Suspect) -> RowRef:
         return RowRef(self.ports.table, xxhash.xxh3_128_hexdigest(suspect.key.encode()))
 
-    async def _load(self) -> None:
+    async def _load(self) -> bool:
         rows = await self.ports.tables.scan(self.ports.table, "", "", MAX_LOADED_ROWS)
         if isinstance(rows, Failure):
-            return
+            return False
         self.loaded = True
         for row in rows.unwrap():
             self._adopt(row)
+        return True
 
     def _adopt(self, row: Row) -> None:
         """Impose a stored block; after its expiry one request at a time is let through."""
