A block is looked up once for each request; one wrapper and one assertion less; units of two constants

Found reading the whole change once more: admit looked for the matching block twice, _merge_runs only called _record_runs, the choice of a coordinator asserted what a default says, and MAX_RETRY had no unit. Behaviour as before.

--- a/src/bilberryshed/coordination/_permits.py
+++ b/src/bilberryshed/coordination/_permits.py
@@ -15,8 +15,8 @@
 PERMIT_TIME = 1.0  # seconds for which a permit is valid
 WARM_UP_TIME = 4.0  # seconds in which a new coordinator issues fewer permits
 WARM_UP_SHARE = 0.5  # of the limit meanwhile, as its predecessor's permits may still be used
-MIN_RETRY = 0.1  # seconds after which a refused router may ask again, at least
-MAX_RETRY = 10.0  # and at most
+MIN_RETRY = 0.1  # seconds until a refused router may ask again, at least
+MAX_RETRY = 10.0  # seconds until a refused router may ask again, at most
 ASKERS_AHEAD = 8  # routers; if more of them ask, no permits are issued ahead of time
 ASKER_MEMORY = 5.0  # seconds for which a router counts as asking
 
--- a/src/bilberryshed/gateway/_server_limits.py
+++ b/src/bilberryshed/gateway/_server_limits.py
@@ -103,10 +103,10 @@
 
     async def _ask(self, server: BackendServer, limit: float) -> PermitDecision:
         name, now = self.context.settings.name, self.context.timers.now()
-        coordinator = limit_coordinator(server.incarnation, server.zone, self._candidates(now))
-        if coordinator in (None, name):
+        candidates = self._candidates(now)
+        coordinator = limit_coordinator(server.incarnation, server.zone, candidates) or name
+        if coordinator == name:
             return self.issuer.request(now, server.incarnation, limit, name)
-        assert coordinator is not None
         ask = f"{self.context.boot}.p{self.next_id}"
         self.next_id += 1
         response = self.asking[ask] = asyncio.get_running_loop().create_future()
--- a/src/bilberryshed/transport/_quarantine_exchange.py
+++ b/src/bilberryshed/transport/_quarantine_exchange.py
@@ -30,7 +30,7 @@
 CLEAR_DELAY_STEP = 0.01  # seconds between two routers that would announce the same answer
 CHECK_INTERVAL = 1.0  # seconds between checks for blocks to be stored or deleted
 
-Handler = Callable[[Link, Any], None]
+Handler = Callable[[Link, Any], object]
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,7 +68,7 @@
     def handlers(self) -> dict[type, Handler]:
         """Return the message handlers by message class."""
         return {
-            CrashReport: lambda link, report: self._merge_runs(report.runs),
+            CrashReport: lambda link, report: self._record_runs(report.runs),
             ClearNotice: lambda link, notice: self.on_clear_notice(notice),
             BlockNotice: lambda link, notice: self._merge_block(notice),
             QuarantineSummary: lambda link, summary: self.on_summary(summary),
@@ -86,12 +86,7 @@
 
     def seconds_blocked(self, content: str, parts: Collection[str]) -> float:
         """Return the seconds for which a request must not run, 0 if it may run now."""
-        block = self.quarantine.matching_block(content, parts)
-        if block is None:
-            return 0.0
-        now = self._now()
-        left = block.until - now
-        return max(0.0, left if left > 0 else left + self._probe_delay(block))
+        return self._seconds_left(self.quarantine.matching_block(content, parts))
 
     def admit(self, content: str, parts: Collection[str]) -> Admittance:
         """Decide whether a request may run.
@@ -99,8 +94,8 @@
         The first request after the expiry of a block runs alone: the block is imposed until the
         request has ended.
         """
-        wait = self.seconds_blocked(content, parts)
         block = self.quarantine.matching_block(content, parts)
+        wait = self._seconds_left(block)
         if wait > 0 or block is None:
             return Admittance(wait)
         self.quarantine.start_probe(self._now(), block)
@@ -108,8 +103,14 @@
         logger().info("quarantine_probe", suspect=block.suspect.key, imposed=block.level)
         return Admittance(0.0, is_probe=True)
 
-    def _probe_delay(self, block: Block) -> float:
-        return probe_delay(block.suspect, self.ports.name, self.ports.all_routers())
+    def _seconds_left(self, block: Block | None) -> float:
+        """Return the seconds until this router may let a request through, 0 without a block."""
+        if block is None:
+            return 0.0
+        left = block.until - self._now()
+        if left <= 0:
+            left += probe_delay(block.suspect, self.ports.name, self.ports.all_routers())
+        return max(0.0, left)
 
     # Evidence of this router ----------------------------------------------------------------
 
@@ -163,9 +164,6 @@
 
     # Evidence of other routers --------------------------------------------------------------
 
-    def _merge_runs(self, runs: tuple[CrashedRun, ...]) -> None:
-        self._record_runs(runs)
-
     def _record_runs(self, runs: tuple[CrashedRun, ...]) -> tuple[CrashedRun, ...]:
         before = {suspect: block.level for suspect, block in self.quarantine.blocks.items()}
         news = self.quarantine.record_crashes(self._now(), runs)
@@ -198,7 +196,7 @@
         """Adopt what a linked router knows."""
         for notice in summary.blocks:
             self._merge_block(notice)
-        self._merge_runs(summary.runs)
+        self._record_runs(summary.runs)
 
     # Periodic work --------------------------------------------------------------------------
 
