--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -101,6 +101,10 @@
     def clock(self):
         return self.last_clock
 
+    @property
+    def epoch(self):
+        return 1
+
     async def read(self, refs):
         await self._wait_for_call()
         if self.availability != "up":
--- /dev/null
+++ b/features/store_restored.feature
@@ -0,0 +1,27 @@
+Feature: The store comes back from a copy that lacks the latest writes
+  Versions go back and are given out again. What operators and backend servers wrote is written again,
+  some of it later; what gateways wrote is gone.
+
+  Scenario Outline: A gateway misses no <change> that was written under a version it had read before
+    Given a platform with 1 model engines and 2 plain servers
+    And a copy of the store, and 60 more versions that the gateway has read
+    When the store is away, comes back from the copy, and counts past these versions after a <change>
+    Then within 3 s the gateway applies the <change>
+
+    Examples:
+      | change                     |
+      | new route                  |
+      | start of a drain           |
+      | removal of a plain server  |
+      | registration of a server   |
+
+  Scenario: A config that was in force does not revert when the copy has an older one
+    Given a platform with 1 model engines and 1 plain servers
+    And a copy of the store, and a route "/added/" after it
+    When the store comes back from the copy and nothing is written again for 2 s
+    Then requests to "/added/x" are still served
+
+  Scenario: A scan over several pages during which the store is restored is not a mixture of both
+    Given a store with 1234 rows
+    When the store is restored from a copy while the second page is read
+    Then the scan fails, and the next one returns 1234 rows
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -28,11 +28,15 @@
 class TableFollower:
     """Reads a snapshot of a table, then its changes; reads a new snapshot if history is lost.
 
+    A new snapshot is also read when the store was restored from a copy: it then gives out versions
+    again, so that changes since may have versions below the one that was read last.
+
     :param long_poll: seconds that a call waits for a change
     :param poll_interval: seconds between calls
     :param on_changes: called with each batch of changes
     :param on_outage: called when the store does not respond
-    :param version: version of the table as last read, -1 before the first read
+    :param version: version of the table as last read, -1 if a snapshot is to be read
+    :param epoch: epoch of the store in which it was read
     :param store_up: whether the store responded to the last call
     """
 
@@ -44,6 +48,7 @@
         "on_changes",
         "on_outage",
         "version",
+        "epoch",
         "store_up",
     )
 
@@ -63,6 +68,7 @@
         self.on_changes = on_changes
         self.on_outage = on_outage
         self.version = -1
+        self.epoch = 0
         self.store_up = True
 
     async def run(self) -> None:
@@ -80,7 +86,10 @@
                 continue
             self._set_store_up(True, "")
             batch = changes.unwrap()
-            self.version = batch.version
+            if batch.epoch != self.epoch and not batch.is_snapshot:
+                self.version = -1
+                continue
+            self.version, self.epoch = batch.version, batch.epoch
             self.on_changes(batch)
             await asyncio.sleep(self.poll_interval)
 
@@ -182,6 +191,7 @@
 
     :param entries: encoded entries by backend server id
     :param snapshot_received: whether the store has delivered the entries
+    :param epoch: epoch of the store in which it delivered them, 0 before
     :param requests: number of requests sent to peers so far
     """
 
@@ -190,6 +200,7 @@
         self.registry = BackendRegistry()
         self.entries: dict[str, bytes] = {}
         self.snapshot_received = False
+        self.epoch = 0
         self.requests = 0
 
     def follower(self) -> TableFollower:
@@ -225,7 +236,9 @@
 
     def _on_changes(self, changes: ChangeBatch) -> None:
         now = self.context.timers.now()
-        self.snapshot_received = True
+        if self.snapshot_received and changes.epoch != self.epoch:
+            logger().warning("store_restored", epoch=changes.epoch, entries=len(changes.rows))
+        self.snapshot_received, self.epoch = True, changes.epoch
         self.registry.on_reachable(now)
         for row in changes.rows:
             if row.data is None:
--- a/src/bilberryshed/platform/_store.py
+++ b/src/bilberryshed/platform/_store.py
@@ -19,13 +19,17 @@
     RowRef,
     StoreError,
 )
-from bilberryshed.transport import describe_error, http_client
+from bilberryshed.transport import describe_error, http_client, logger
 
 STATUS_CONFLICT = 412  # a row has another version than the precondition
 STATUS_HISTORY_LOST = 410  # changes since the requested version are no longer available
 REJECTED_STATUSES = (429, 503)  # the store rejected the call without any effect
+MS_PER_SECOND = 1000
 PAGE_SIZE = 500  # maximum rows in one response
 CONNECT_TIMEOUT = 0.4  # seconds
+ERA_HEADER = "Store-Era"  # rises whenever the store comes back from a copy
+
+RESTORED_MEANWHILE = StoreError(False, "the store was restored from a copy during the read")
 
 Reply = tuple[int, Any]  # HTTP status and decoded body
 
@@ -34,16 +38,19 @@
     """Client of the platform's store.
 
     Rows of the product's own tables contain JSON objects; rows of other tables are returned as
-    bytes.
+    bytes. A response of an earlier epoch than one received before is reported as a failed call, and
+    so is a read whose pages are of several epochs.
 
     :param timeout: seconds for one call, not counting the time that it may wait for changes
-    :param latest_clock: latest time of the store in any response, in seconds
+    :param latest_clock: latest time of the store in a response of this epoch, in seconds
+    :param latest_epoch: latest epoch in any response
     """
 
-    __slots__ = ("base_url", "timeout", "client", "latest_clock")
+    __slots__ = ("base_url", "timeout", "client", "latest_clock", "latest_epoch")
 
     def __init__(self, address: Address, timeout: float) -> None:
         self.latest_clock = 0.0
+        self.latest_epoch = 0
         self.base_url = f"http://{address}"
         self.timeout = timeout
         self.client = http_client()
@@ -52,11 +59,15 @@
 
     async def read(self, refs: tuple[RowRef, ...]) -> Result[tuple[Row, ...], StoreError]:
         found: dict[RowRef, Row] = {}
+        epoch: int | None = None
         for table in sorted({ref.table for ref in refs}):
             keys = sorted(ref.key for ref in refs if ref.table == table)
             rows = await self._range(table, keys[0], keys[-1] + "\x00")
             if isinstance(rows, Failure):
                 return rows
+            if epoch not in (None, self.latest_epoch):
+                return Failure(RESTORED_MEANWHILE)
+            epoch = self.latest_epoch
             found |= {row.ref: row for row in rows.unwrap()}
         return Success(tuple(found.get(ref, Row(ref, 0, {})) for ref in refs))
 
@@ -79,6 +90,10 @@
     def clock(self) -> float:
         return self.latest_clock
 
+    @property
+    def epoch(self) -> int:
+        return self.latest_epoch
+
     async def scan(
         self, table: str, prefix: str, after: str, limit: int
     ) -> Result[tuple[Row, ...], StoreError]:
@@ -90,19 +105,34 @@
         self, table: str, start_key: str, end_key: str, limit: int = PAGE_SIZE
     ) -> Result[tuple[Row, ...], StoreError]:
         """Read the rows of one of the product's own tables in a range of keys."""
-        rows: list[Row] = []
+        pages = await self._pages(table, start_key, end_key, limit)
+        if isinstance(pages, Failure):
+            return pages
+        try:
+            rows = [_decode_row(item) for page in pages.unwrap() for item in page["rows"]]
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(StoreError(False, f"row of {table!r} cannot be decoded: {error!r}"))
+        return Success(tuple(rows[:limit]))
+
+    async def _pages(
+        self, table: str, start_key: str, end_key: str, limit: int | None
+    ) -> Result[list[Any], StoreError]:
+        """Read all pages of a range of keys, or those with the first ``limit`` rows."""
+        pages: list[Any] = []
+        count, epoch = 0, self.latest_epoch
         while True:
-            page = await self._page(table, start_key, end_key, limit)
+            page = await self._page(table, start_key, end_key, limit or PAGE_SIZE)
             if isinstance(page, Failure):
                 return page
+            if pages and epoch != self.latest_epoch:
+                return Failure(RESTORED_MEANWHILE)
+            epoch = self.latest_epoch
             body = page.unwrap()
-            try:
-                rows += [_decode_row(item) for item in body["rows"]]
-            except (KeyError, TypeError, ValueError) as error:
-                return Failure(StoreError(False, f"row of {table!r} cannot be decoded: {error!r}"))
-            if not body["hasMore"] or len(rows) >= limit:
-                return Success(tuple(rows[:limit]))
-            start_key = rows[-1].ref.key + "\x00"
+            pages.append(body)
+            count += len(body["rows"])
+            if not body["hasMore"] or (limit and count >= limit):
+                return Success(pages)
+            start_key = body["rows"][-1]["key"] + "\x00"
 
     async def _page(
         self, table: str, start_key: str, end_key: str, limit: int
@@ -118,19 +148,13 @@
     # Other tables ---------------------------------------------------------------------------
 
     async def snapshot(self, table: str) -> Result[ChangeBatch, StoreError]:
-        rows: list[FeedRow] = []
-        start_key, version = "", 0
-        while True:
-            page = await self._page(table, start_key, "", PAGE_SIZE)
-            if isinstance(page, Failure):
-                return page
-            body = page.unwrap()
-            # The first page has the oldest version: following changes from it misses none.
-            version = version or int(body["rowVersion"])
-            rows += [_decode_feed_row(item) for item in body["rows"]]
-            if not body["hasMore"]:
-                return Success(ChangeBatch(tuple(rows), version, is_snapshot=True))
-            start_key = rows[-1].key + "\x00"
+        pages = await self._pages(table, "", "", None)
+        if isinstance(pages, Failure):
+            return pages
+        rows = tuple(_decode_feed_row(item) for page in pages.unwrap() for item in page["rows"])
+        # The first page has the oldest version: following changes from it misses none.
+        version = int(pages.unwrap()[0]["rowVersion"])
+        return Success(ChangeBatch(rows, version, self.latest_epoch, is_snapshot=True))
 
     async def changes(self, table: str, after: int, wait: float) -> Result[ChangeBatch, StoreError]:
         query = {"tableName": table, "after": after, "waitMs": int(wait * 1000)}
@@ -142,7 +166,8 @@
         if status == STATUS_HISTORY_LOST:
             return await self.snapshot(table)
         rows = tuple(_decode_feed_row(item) for item in body["rows"])
-        return Success(ChangeBatch(rows, int(body["rowVersion"]), is_snapshot=False))
+        version = int(body["rowVersion"])
+        return Success(ChangeBatch(rows, version, self.latest_epoch, is_snapshot=False))
 
     # Calls ----------------------------------------------------------------------------------
 
@@ -170,17 +195,37 @@
         except Exception as error:
             http_error = describe_error(error)
             return Failure(StoreError(is_write and http_error.possibly_sent, http_error.detail))
+        if not self._follow_epoch(response.headers.get(ERA_HEADER)):
+            return Failure(StoreError(is_write, "response from before the store was restored"))
         if response.code in REJECTED_STATUSES:
             return Failure(StoreError(False, f"HTTP {response.code}"))
         if response.code >= 400 and response.code not in expected_statuses:
             return Failure(StoreError(response.code >= 500, f"HTTP {response.code} for {path}"))
         try:
             content = json.loads(response.body)
-            self.latest_clock = max(self.latest_clock, content.get("serverTimeMs", 0) / 1000)
+            self._follow_clock(content.get("serverTimeMs", 0) / MS_PER_SECOND)
             return Success((response.code, content))
         except ValueError as error:
             return Failure(StoreError(is_write, f"response is not JSON: {error}"))
 
+    def _follow_clock(self, clock: float) -> None:
+        if not self.latest_clock and clock:
+            logger().info("store_clock", epoch=self.latest_epoch, clock=clock)
+        self.latest_clock = max(self.latest_clock, clock)
+
+    def _follow_epoch(self, header: str | None) -> bool:
+        """Record the epoch in a response; its clock may be behind that of the epoch before.
+
+        :returns: ``False`` if the response is of an earlier epoch than the latest one
+        """
+        epoch = int(header) if header is not None and header.isdecimal() else self.latest_epoch
+        if epoch > self.latest_epoch:
+            logger().info(
+                "store_epoch", epoch=epoch, before=self.latest_epoch, clock=self.latest_clock
+            )
+            self.latest_epoch, self.latest_clock = epoch, 0.0
+        return epoch == self.latest_epoch
+
 
 def _row_address(ref: RowRef) -> dict[str, str]:
     return {"tableName": ref.table, "part": "", "key": ref.key}
--- a/src/bilberryshed/state/_ports.py
+++ b/src/bilberryshed/state/_ports.py
@@ -31,7 +31,8 @@
 class Row:
     """A row as read from its table.
 
-    :param version: 0 if the row is absent, else increased by every write; never reused for a key
+    :param version: 0 if the row is absent, else increased by every write; not reused for a key
+        within an epoch of the service
     :param value: columns, empty if absent
     """
 
@@ -69,11 +70,13 @@
     """Rows of a table: either all of them or those that have changed.
 
     :param version: version after which to request the next changes
+    :param epoch: epoch of the store in which they were read, see :class:`ClockedTableService`
     :param is_snapshot: whether these are all rows of the table, so that any other row is deleted
     """
 
     rows: tuple[FeedRow, ...]
     version: int
+    epoch: int
     is_snapshot: bool
 
 
@@ -112,13 +115,22 @@
 
 
 class ClockedTableService(TableService):
-    """A table service that reports the versions of written rows and its monotonic clock."""
+    """A table service that reports the versions of written rows, its clock and its epoch.
+
+    The epoch rises whenever the service is restored from a copy that lacks the latest writes.
+    Versions and times of different epochs cannot be compared.
+    """
 
     @property
     @abstractmethod
     def clock(self) -> float:
         """Monotonic time of the service in its latest response, in seconds; 0 before the first."""
 
+    @property
+    @abstractmethod
+    def epoch(self) -> int:
+        """Epoch of the service in its latest response, that of the last successful call."""
+
     @abstractmethod
     async def transact(self, puts: tuple[Put, ...]) -> Result[int | None, StoreError]:
         """Write all rows atomically; return their new version, ``None`` if one did not match."""
--- a/src/bilberryshed_standins/_row_store.py
+++ b/src/bilberryshed_standins/_row_store.py
@@ -5,13 +5,17 @@
 attempts the transaction ``LATE_DELAY`` later; ``silent`` holds every call before it is processed.
 After ``UNANSWERED_TIME``, a held call is processed and gets its response, so that a late
 transaction is attempted again.
+
+``RowStore.restore`` brings the rows of an earlier ``RowStore.copy`` back. What operators and
+backend servers wrote since is written again, under versions that were given out before.
 """
 
 import asyncio
 import base64
 import json
 import time
-from dataclasses import dataclass, field
+from collections.abc import Collection
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -23,6 +27,7 @@
 FEED_POLL_INTERVAL = 0.02  # seconds between checks for changes
 
 RowAddress = tuple[str, str]  # table and key
+FOREIGN_TABLES = ("op", "servers")  # tables that operators and backend servers write
 
 
 @dataclass(slots=True)
@@ -33,10 +38,19 @@
     version: int
 
 
+@dataclass(slots=True, frozen=True)
+class RowStoreCopy:
+    """All rows of a store at one version."""
+
+    rows: dict[RowAddress, StoredRow]
+    version: int
+
+
 @dataclass(slots=True)
 class RowStore:
     """Rows of all tables.
 
+    :param epoch: increased by each restore from a copy
     :param fault: active fault
     :param oldest_version: version before which the change history is truncated
     :param calls: methods and paths of the calls so far
@@ -45,6 +59,7 @@
     rows: dict[RowAddress, StoredRow] = field(default_factory=dict)
     version: int = 0
     oldest_version: int = 0
+    epoch: int = 1
     fault: str = "ok"
     calls: list[str] = field(default_factory=list)
     started_at: float = field(default_factory=time.monotonic)
@@ -90,6 +105,25 @@
             self.rows[_row_address(item)] = StoredRow(None, self.version)
         return True
 
+    def copy(self) -> "RowStoreCopy":
+        """Return a copy of all rows, for :meth:`restore`."""
+        rows = {address: replace(row) for address, row in self.rows.items()}
+        return RowStoreCopy(rows, self.version)
+
+    def restore(self, copy: "RowStoreCopy", rewritten: Collection[str] = FOREIGN_TABLES) -> None:
+        """Come back from a copy, in a new epoch.
+
+        :param rewritten: tables whose current rows are written again at once
+        """
+        current = self.rows
+        self.rows = {address: replace(row) for address, row in copy.rows.items()}
+        self.version, self.epoch = copy.version, self.epoch + 1
+        self.oldest_version = min(self.oldest_version, self.version)
+        for address, row in sorted(current.items(), key=lambda item: item[1].version):
+            restored = self.rows.get(address)
+            if address[0] in rewritten and (restored is None or restored.data != row.data):
+                self._set(address, row.data)
+
     def clock(self) -> int:
         """Return the milliseconds of a monotonic clock."""
         return int((time.monotonic() - self.started_at) * 1000)
@@ -115,6 +149,7 @@
         self.store.calls.append(f"{self.request.method} {self.request.path}")
         if self.store.fault == "busy":
             self.set_status(503)
+            self.set_header("Store-Era", str(self.store.epoch))
             self.finish()
         elif self.store.fault == "silent":
             await asyncio.sleep(UNANSWERED_TIME)
@@ -123,6 +158,7 @@
         """Send a JSON response with the store's version and clock."""
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
+        self.set_header("Store-Era", str(self.store.epoch))
         body = {"rowVersion": self.store.version, "serverTimeMs": self.store.clock(), **fields}
         self.finish(json.dumps(body))
 
@@ -177,7 +213,7 @@
         table, after = self.get_query_argument("tableName"), int(self.get_query_argument("after"))
         deadline = time.monotonic() + int(self.get_query_argument("waitMs", "0")) / 1000
         while True:
-            if after < self.store.oldest_version:
+            if not self.store.oldest_version <= after <= self.store.version:
                 self.reply(410)
                 return
             changed = [
