A backend server that had left is not used again because a copy of the store lists it

Callers would see: requests to a server that drains or is gone, after a restore of the store. Cause: an entry in the copy is older than what the gateway has read, and replaced it. Now: the registry remembers departures by incarnation; an entry of a later epoch that is not newer (its own sequence number) does not undo one. Missing entries after a restore are treated as after an outage.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -192,7 +192,7 @@
     context.registry = BackendRegistry()
     context.entry = BackendServer("i-1", "desk", "127.0.0.1:80", "quay", 6, False)
     context.registry.on_reachable(0.0)
-    context.registry.put(context.entry)
+    context.registry.put(0.0, context.entry)
 
 
 @when("the store is unreachable for {seconds:d} s and the entry is missing {moment}")
@@ -204,7 +204,7 @@
     registry.on_reachable(float(seconds))
     registry.retain_only(float(seconds), set())
     if moment == "after the outage until it reappears":
-        registry.put(context.entry)
+        registry.put(float(seconds), context.entry)
     context.recovered_at = float(seconds)
 
 
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -21,6 +21,23 @@
     When the store comes back from the copy and nothing is written again for 2 s
     Then requests to "/added/x" are still served
 
+  Scenario Outline: A <state> server that the copy lists as serving gets no new work
+    Given a platform with 1 model engines and 2 plain servers
+    And a copy of the store, after which plain server 1 is <state>
+    When the store comes back from the copy and nothing is written again for 3 s
+    Then plain server 1 gets none of 10 requests
+
+    Examples:
+      | state    |
+      | draining |
+      | removed  |
+
+  Scenario: A server whose entry was removed and that registers again gets work
+    Given a platform with 1 model engines and 2 plain servers
+    And a copy of the store, after which plain server 1 is removed
+    When the store comes back from the copy and plain server 1 registers again
+    Then plain server 1 gets some of 20 requests
+
   Scenario: A scan over several pages during which the store is restored is not a mixture of both
     Given a store with 1234 rows
     When the store is restored from a copy while the second page is read
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -238,6 +238,7 @@
         now = self.context.timers.now()
         if self.snapshot_received and changes.epoch != self.epoch:
             logger().warning("store_restored", epoch=changes.epoch, entries=len(changes.rows))
+            self.registry.on_restored(now)
         self.snapshot_received, self.epoch = True, changes.epoch
         self.registry.on_reachable(now)
         for row in changes.rows:
@@ -258,7 +259,7 @@
             self.registry.remove(now, id_)
         else:
             self.entries[id_] = data
-            self.registry.put(decoded.unwrap())
+            self.registry.put(now, decoded.unwrap())
 
     def notice(self) -> BackendsNotice | None:
         """Return the current entries, ``None`` if the store has not delivered them."""
