A gateway whose entry a restored store lacks registers again

A gateway that starts after the restore could not link to one whose entry is newer than the copy: no loads, no tokens and no route table from it. Cause: the entry was written once in a process's life. Now once in each epoch of the store.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -174,3 +174,20 @@
 def then_scan_failed(context, count):
     assert isinstance(context.scan_result, Failure), "rows of both epochs were returned"
     assert len(run(context, context.client.scan(TABLE, "", "", 10_000)).unwrap()) == count
+
+
+@given('a copy of the store, after which the gateway "{name}" is added')
+def given_copy_and_gateway(context, name):
+    context.copy = context.harness.store.copy()
+    run(context, context.harness.add_gateway(name))
+
+
+@when('the gateway "{name}" is added')
+def when_gateway_added(context, name):
+    run(context, context.harness.add_gateway(name))
+
+
+@then('within {seconds:d} s "{name}" is linked to "{peer}"')
+def then_linked(context, seconds, name, peer):
+    links = context.harness.gateways[name].context.peer_links
+    run(context, context.harness.wait_until(lambda: peer in links, float(seconds)))
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -38,6 +38,13 @@
     When the store comes back from the copy and plain server 1 registers again
     Then plain server 1 gets some of 20 requests
 
+  Scenario: A gateway whose entry the copy lacks registers again
+    Given a platform with 1 model engines and 1 plain servers
+    And a copy of the store, after which the gateway "gate-2" is added
+    When the store comes back from the copy and nothing is written again for 2 s
+    And the gateway "gate-0" is added
+    Then within 5 s "gate-0" is linked to "gate-2"
+
   Scenario: A scan over several pages during which the store is restored is not a mixture of both
     Given a store with 1234 rows
     When the store is restored from a copy while the second page is read
--- a/src/bilberryshed/gateway/_peers.py
+++ b/src/bilberryshed/gateway/_peers.py
@@ -32,7 +32,8 @@
     :param messages: handlers by message class
     :param on_peer_lost: called with the name of a peer whose link is closed
     :param clients: address and client of each link that this gateway opened, by peer name
-    :param registered: whether this gateway's entry is in the store
+    :param registered_epoch: epoch of the store in which this gateway has written its entry, -1
+        before; an entry of an earlier epoch may be lost
     :param initial_message_factories: create the messages for a peer that has just linked; ``None``
         is not sent
     """
@@ -52,7 +53,7 @@
         self.handlers = LinkHandlers(self._on_link_up, dispatcher.handle, self._on_link_down)
         self.server = LinkServer(self.hello, self.handlers, None, ping_interval=None)
         self.clients: dict[str, tuple[str, LinkClient]] = {}
-        self.registered = False
+        self.registered_epoch = -1
         self.polling = False
         self.ticks = 0
         self.initial_message_factories: list[Any] = []
@@ -77,15 +78,15 @@
         """Start a read of the list of gateways unless one is in progress or none is due."""
         self.ticks += 1
         missing = len(self.context.peer_links) + 1 < self.context.gateway_count()
-        due = missing or not self.registered or self.ticks % LINKED_POLL_STEP == 0
+        due = missing or not self._is_registered() or self.ticks % LINKED_POLL_STEP == 0
         if due and not self.polling:
             self.polling = True
             self.context.spawn(self._poll())
 
     async def _poll(self) -> None:
         try:
-            if not self.registered:
-                self.registered = await self._register()
+            if not self._is_registered():
+                await self._register()
             rows = await self.context.ports.tables.scan(GATEWAY_TABLE, "", "", PAGE_SIZE)
             if isinstance(rows, Failure):
                 return
@@ -99,20 +100,25 @@
         finally:
             self.polling = False
 
-    async def _register(self) -> bool:
-        settings = self.context.settings
+    def _is_registered(self) -> bool:
+        return self.registered_epoch == self.context.ports.tables.epoch
+
+    async def _register(self) -> None:
+        settings, tables = self.context.settings, self.context.ports.tables
         ref = RowRef(GATEWAY_TABLE, settings.name)
-        rows = await self.context.ports.tables.read((ref,))
+        rows = await tables.read((ref,))
         if isinstance(rows, Failure):
-            return False
+            return
+        epoch = tables.epoch
         value = {
             "link": str(settings.link_listen),
             "boot": self.context.boot,
             "capacity": settings.capacity,
         }
         put = Put(ref, rows.unwrap()[0].version, value)
-        written = await self.context.ports.tables.write((put,))
-        return not isinstance(written, Failure) and written.unwrap()
+        written = await tables.write((put,))
+        if not isinstance(written, Failure) and written.unwrap():
+            self.registered_epoch = epoch
 
     def _connect(self, name: str, link: str) -> None:
         if name <= self.context.settings.name or not link:
