Blocks of the quarantine are stored again after the store came back from a copy

Callers would see: a request that crashes backend servers runs again after a restore and a restart of all gateways. Cause: a stored block was taken as stored for good. Now: what was stored counts as lost in a new epoch of the store. Remains: a block that was lifted within the age of the copy is back in the store, and a gateway that starts later imposes it until it expires.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -191,3 +191,9 @@
 def then_linked(context, seconds, name, peer):
     links = context.harness.gateways[name].context.peer_links
     run(context, context.harness.wait_until(lambda: peer in links, float(seconds)))
+
+
+@when("the store comes back from the copy, and {seconds:d} s pass")
+def when_restored_and_passed(context, seconds):
+    context.harness.store.restore(context.copy)
+    run(context, asyncio.sleep(seconds))
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -45,6 +45,17 @@
     And the gateway "gate-0" is added
     Then within 5 s "gate-0" is linked to "gate-2"
 
+  Scenario: A block of the quarantine that the copy lacks is stored again
+    Given a platform with 4 model engines and 1 plain servers
+    And 2 gateways in one zone
+    And the part bad crashes each model engine that begins to answer it, after 0 events
+    And a copy of the store, and 1 more versions that the gateway has read
+    When prompts with the parts aa/bad and harmless ones with the parts aa/ok reach all gateways for 4 s
+    And the store comes back from the copy, and 2 s pass
+    And all gateways are killed and start again
+    And 8 prompts with the parts aa/bad reach the second gateway
+    Then none of them reached an engine
+
   Scenario: A scan over several pages during which the store is restored is not a mixture of both
     Given a store with 1234 rows
     When the store is restored from a copy while the second page is read
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -120,6 +120,7 @@
             tables=tables,
             table=QUARANTINE,
             store_clock=lambda: tables.clock,
+            store_epoch=lambda: tables.epoch,
             routers=self.peer_links.keys,
             broadcast=self.broadcast,
             spawn=self.spawn,
--- a/src/bilberryshed/runtime/_context.py
+++ b/src/bilberryshed/runtime/_context.py
@@ -54,6 +54,7 @@
             tables=self.tables,
             table=QUARANTINE,
             store_clock=self.timers.wall_time,
+            store_epoch=lambda: 0,  # this table service reports no epoch
             routers=self.members.routers,
             broadcast=self.broadcast,
             spawn=self.spawn,
--- a/src/bilberryshed/transport/_quarantine_rows.py
+++ b/src/bilberryshed/transport/_quarantine_rows.py
@@ -30,6 +30,7 @@
     :param name: name of this router
     :param table: table of the stored blocks
     :param store_clock: clock of the stored expiries, in seconds
+    :param store_epoch: epoch of the store; in a new one, the latest writes are lost
     :param routers: returns the names of the linked routers
     :param broadcast: sends a message to all of them
     """
@@ -38,6 +39,7 @@
     tables: TableService
     table: str
     store_clock: Callable[[], float]
+    store_epoch: Callable[[], int]
     routers: Callable[[], Collection[str]]
     broadcast: Callable[[Any], None]
     spawn: Callable[[Coroutine[Any, Any, Any]], Any]
@@ -54,6 +56,7 @@
 
     :param first_seen: time at which this router first had a block, by suspect
     :param stored: expiry of the blocks that this router has stored or read, by suspect
+    :param epoch: epoch of the store in which they were
     :param loaded: whether the stored blocks have been read
     :param busy: whether a call to the store is in progress
     """
@@ -63,6 +66,7 @@
         self.quarantine = quarantine
         self.first_seen: dict[Suspect, float] = {}
         self.stored: dict[Suspect, float] = {}
+        self.epoch = ports.store_epoch()
         self.loaded = False
         self.busy = False
 
@@ -72,6 +76,9 @@
         self.first_seen = {suspect: self.first_seen.get(suspect, now) for suspect in blocks}
         if self.busy:
             return
+        if self.ports.store_epoch() != self.epoch:
+            self.epoch = self.ports.store_epoch()
+            self.stored.clear()
         task = self._next_task(now)
         if task is not None:
             self.busy = True
