The log of a request names the software version of its server, and the request that a take-up resumes

The adapter decodes the entry's version and the header Resumes (400 if it stands twice). No decision uses them.

--- a/src/bilberryshed/gateway/_dialect.py
+++ b/src/bilberryshed/gateway/_dialect.py
@@ -35,6 +35,7 @@
     :param key: API key of the customer, empty if there is none
     :param caller_timeout: seconds that the caller waits for the response
     :param last_event_id: id of the last event that the caller received, empty for a new stream
+    :param resumed_request: id of the caller's attempt that received the first event of the stream
     """
 
     id: str
@@ -47,6 +48,7 @@
     caller_timeout: float
     prompt: Prompt | None
     last_event_id: str
+    resumed_request: str = ""
 
     @property
     def path(self) -> str:
--- a/src/bilberryshed/platform/_backends.py
+++ b/src/bilberryshed/platform/_backends.py
@@ -35,6 +35,7 @@
                 started_at_ms=fields.integer(entry, "born", location, 0),
                 # "sequence" is the number of writes by the backend server.
                 sequence=fields.integer(entry, "sequence", location, 0),
+                version=str(entry.get("version", "")),
             )
         )
     except (ValueError, RecursionError) as error:
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -23,6 +23,7 @@
 TOKENS = "x-token-usage"  # prompt tokens and maximum output tokens
 PROMPT_PARTS = "x-prompt-prefix"  # all parts of the prompt, not only its prefix
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"  # the attempt of the caller that brought the first event of a stream
 SERVER = "x-target-instance"
 CUSTOMER = "x-tenant"
 PRIORITY = "x-request-priority"
@@ -75,6 +76,7 @@
     PROMPT_PARTS,
     MODEL,
     LAST_EVENT_ID,
+    RESUMES,
     "host",
     "content-length",
 )
@@ -123,6 +125,7 @@
                 caller_timeout=caller_timeout / 1000,
                 prompt=prompt,
                 last_event_id=values.get(LAST_EVENT_ID, ""),
+                resumed_request=values.get(RESUMES, ""),
             )
         )
 
--- a/src/bilberryshed/state/_routes.py
+++ b/src/bilberryshed/state/_routes.py
@@ -123,6 +123,7 @@
     :param id: id, unique among running backend servers
     :param started_at_ms: time of its start in milliseconds since the epoch, 0 if unknown
     :param sequence: increased with every entry that it writes
+    :param version: version of its software; streams of different versions cannot be joined
     :param slots: requests that it runs concurrently
     """
 
@@ -134,6 +135,7 @@
     draining: bool
     started_at_ms: int = 0
     sequence: int = 0
+    version: str = ""
 
     @property
     def incarnation(self) -> str:
