--- /dev/null
+++ b/features/steps/stream_versions_steps.py
@@ -0,0 +1,223 @@
+"""Steps for streams at model engines of several software versions."""
+
+import asyncio
+import re
+from collections import deque
+from dataclasses import dataclass
+
+from behave import given, then, when
+from crashing_part_steps import when_all_restart
+from gateway_steps import run
+from gateway_support import GatewayHarness, build_config, build_route
+
+VERSION = re.compile(rb"of (v\d+)")
+EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+ENTRY_TIME = 1.0  # seconds in which a gateway reads a changed entry
+
+
+@dataclass
+class BrokenStream:
+    """A stream that broke off.
+
+    :param answers: the responses to all attempts of its caller
+    """
+
+    id: str
+    last_event_id: str
+    answers: list
+
+
+def versions(answers):
+    """Return the software versions that wrote the events of answers."""
+    return {version for answer in answers for version in VERSION.findall(answer.body)}
+
+
+@given("a platform with model engines of the versions {listed}")
+def given_engines(context, listed):
+    async def start():
+        harness = context.harness
+        await harness.start()
+        routes = build_config()["routeTable"]
+        routes += [
+            build_route("single", "/single/", "model", "streaming", resumable=True, maxAttempts=1)
+        ]
+        harness.store.put("op", "config", build_config(2, routeTable=routes))
+        for number, version in enumerate(listed.split(", "), 1):
+            await add_engine(harness, f"i-model-{number}", version)
+        await harness.add_gateway()
+
+    context.harness = GatewayHarness()
+    run(context, start())
+    context.add_cleanup(lambda: run(context, context.harness.close()))
+
+
+async def add_engine(harness, id_, version):
+    """Start a model engine whose events name its version."""
+    backend = await harness.add_backend(id_, "model", streams=True, version=version, born=1)
+    backend.software = version
+
+
+@given("a second gateway that is linked to the first")
+def given_second_gateway(context):
+    async def add():
+        await context.harness.add_gateway("gate-2")
+        gateways = context.harness.gateways.values()
+        await context.harness.wait_until(lambda: all(g.context.peer_links for g in gateways))
+        await asyncio.sleep(0.3)
+
+    run(context, add())
+
+
+def set_faults(context, faults):
+    """Have the next requests meet these faults, at whichever engines they reach."""
+    shared = deque(faults)
+    for backend in context.harness.backends.values():
+        backend.script = shared
+
+
+def send_streams(context, count, fault, path):
+    """Send streams one after the other, the first attempt of each with a fault."""
+    answers = []
+    for number in range(count):
+        set_faults(context, [fault])
+        answers.append(run(context, send_prompt(context.harness, path, number)))
+    return answers
+
+
+def send_prompt(harness, path, number, gateway="gate-1", **overrides):
+    """Send a prompt that shares no part with those of other numbers."""
+    parts = ",".join(f"{part}{number:03x}:10" for part in "abc")
+    body = str(number).encode()
+    return harness.call(path, gateway, body=body, tokens="30,20", parts=parts, **overrides)
+
+
+@when("{count:d} streams break off after 2 events each, and the gateway may send each to 2 engines")
+def when_streams_break(context, count):
+    context.answers = send_streams(context, count, "cut 2", "/chat/1")
+
+
+@when(
+    "{count:d} streams break off before their first event, and the gateway may send each to 2 "
+    "engines"
+)
+def when_streams_break_early(context, count):
+    context.answers = send_streams(context, count, "cut 0", "/chat/1")
+
+
+@then("each answer has events of one version")
+def then_one_version(context):
+    assert all(len(versions([answer])) == 1 for answer in context.answers), [
+        answer.body for answer in context.answers
+    ]
+
+
+@then("{count:d} of the answers are complete")
+def then_complete(context, count):
+    assert sum(answer.complete for answer in context.answers) == count
+
+
+@when("the first gateway begins {count:d} streams that break off after 2 events")
+def when_streams_begin(context, count):
+    context.streams = []
+    for number in range(count):
+        id_ = context.harness.request_id()
+        set_faults(context, ["cut 2"])
+        answer = run(context, send_prompt(context.harness, "/single/1", number, id=id_))
+        assert answer.status == 200 and not answer.complete, answer
+        context.streams.append(BrokenStream(id_, "2", [answer]))
+    set_faults(context, [])
+
+
+@when("{seconds:g} s passes")
+def when_time_passes(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@when("the first gateway is killed")
+def when_first_killed(context):
+    run(context, asyncio.sleep(0.5))
+    run(context, context.harness.kill_gateway("gate-1"))
+
+
+@when("all gateways are killed and return")
+def when_all_killed(context):
+    run(context, asyncio.sleep(0.5))
+    when_all_restart(context)
+
+
+@when("engines of version {version} replace all others, all gateways are killed and return")
+def when_replaced_and_killed(context, version):
+    async def replace():
+        harness = context.harness
+        for id_ in tuple(harness.backends):
+            await add_engine(harness, f"{id_}-new", version)
+            harness.store.remove("servers", id_)
+
+    run(context, asyncio.sleep(0.5))
+    run(context, replace())
+    run(context, asyncio.sleep(0.1))
+    for id_ in [id_ for id_ in context.harness.backends if not id_.endswith("-new")]:
+        context.harness.backends.pop(id_).stop()
+    when_all_restart(context)
+
+
+@when("the engine starts again as version {version}")
+def when_engine_restarts(context, version):
+    context.harness.backends["i-model-1"].software = version
+    context.harness.register("i-model-1", "model", version=version, born=2)
+    run(context, asyncio.sleep(ENTRY_TIME))
+
+
+def take_up(context, gateways, names_request=True):
+    """Have the callers take their streams up again, at the gateways in turn."""
+    for number, stream in enumerate(context.streams):
+        gateway = gateways[number % len(gateways)]
+        headers = {"Last-Event-Id": stream.last_event_id}
+        if names_request:
+            headers["Resumes"] = stream.id
+        call = send_prompt(context.harness, "/single/1", number, gateway, headers=headers)
+        stream.answers.append(run(context, call))
+
+
+@when("their callers take them up again at {where}")
+def when_taken_up(context, where):
+    gateways = {
+        "the first gateway": ("gate-1",),
+        "the second gateway": ("gate-2",),
+        "both gateways": ("gate-1", "gate-2"),
+    }
+    take_up(context, gateways[where])
+
+
+@when("their callers take them up again without naming these requests")
+def when_taken_up_unnamed(context):
+    take_up(context, ("gate-1",), names_request=False)
+
+
+@then("no stream has events of two versions")
+def then_no_mixture(context):
+    mixed = [stream for stream in context.streams if len(versions(stream.answers)) > 1]
+    assert not mixed, f"{len(mixed)} of {len(context.streams)} streams, as {mixed[0]}"
+
+
+def count_continued(context):
+    """Return the number of streams whose take-up brought all the rest."""
+    rest = [b"3", b"4", b"5"]
+    last_answers = [stream.answers[-1] for stream in context.streams]
+    return sum(a.complete and EVENT_ID.findall(a.body) == rest for a in last_answers)
+
+
+@then("at least {least:d} of the take-ups go on")
+def then_go_on(context, least):
+    assert count_continued(context) >= least, count_continued(context)
+
+
+@then("none of the take-ups go on")
+def then_none_go_on(context):
+    assert count_continued(context) == 0, count_continued(context)
+
+
+@then("the take-ups have the status {status:d}")
+def then_take_up_status(context, status):
+    found = [stream.answers[-1].status for stream in context.streams]
+    assert set(found) == {status}, found
--- /dev/null
+++ b/features/stream_versions.feature
@@ -0,0 +1,79 @@
+Feature: A stream goes on only at the software version that began it
+  What two versions of a model engine write does not fit together, and engines do not check it. A
+  caller whose stream broke off names the request that brought its first event.
+
+  @known_red
+  Scenario Outline: A stream that breaks off within one answer, at engines of <versions>
+    Given a platform with model engines of the versions <versions>
+    When 8 streams break off after 2 events each, and the gateway may send each to 2 engines
+    Then each answer has events of one version
+    And <complete> of the answers are complete
+
+    Examples:
+      | versions       | complete |
+      | v1, v2         | 0        |
+      | v1, v1, v2, v2 | 8        |
+
+  Scenario: A stream that breaks off before its first event begins anew at any version
+    Given a platform with model engines of the versions v1, v2
+    When 4 streams break off before their first event, and the gateway may send each to 2 engines
+    Then each answer has events of one version
+    And 4 of the answers are complete
+
+  @known_red
+  Scenario Outline: Callers take streams up again at <where>
+    Given a platform with model engines of the versions v1, v1, v2, v2
+    And a second gateway that is linked to the first
+    When the first gateway begins 16 streams that break off after 2 events
+    And <what happens>
+    And their callers take them up again at <where>
+    Then no stream has events of two versions
+    And at least <least> of the take-ups go on
+
+    Examples:
+      | where              | what happens                       | least |
+      | the first gateway  | 1 s passes                         | 16    |
+      | the second gateway | 0.1 s passes                       | 16    |
+      | the second gateway | the first gateway is killed        | 12    |
+      | both gateways      | all gateways are killed and return | 12    |
+
+  @known_red
+  Scenario: The version that began streams has left when all gateways are killed
+    Given a platform with model engines of the versions v1, v1
+    And a second gateway that is linked to the first
+    When the first gateway begins 12 streams that break off after 2 events
+    And engines of version v2 replace all others, all gateways are killed and return
+    And their callers take them up again at both gateways
+    Then no stream has events of two versions
+
+  Scenario: All engines are of one version when all gateways are killed
+    Given a platform with model engines of the versions v1, v1
+    And a second gateway that is linked to the first
+    When the first gateway begins 12 streams that break off after 2 events
+    And all gateways are killed and return
+    And their callers take them up again at both gateways
+    Then at least 12 of the take-ups go on
+
+  @known_red
+  Scenario: The engine that began a stream starts again under its id with another version
+    Given a platform with model engines of the versions v1
+    When the first gateway begins 4 streams that break off after 2 events
+    And the engine starts again as version v2
+    And their callers take them up again at the first gateway
+    Then no stream has events of two versions
+    And none of the take-ups go on
+
+  Scenario Outline: A take-up that does not name the request that it resumes, at engines of <versions>
+    Given a platform with model engines of the versions <versions>
+    When the first gateway begins 2 streams that break off after 2 events
+    And their callers take them up again without naming these requests
+    Then the take-ups have the status <status>
+
+    Examples:
+      | versions | status |
+      | v1, v1   | 200    |
+
+    @known_red
+    Examples: the version of the stream is not known
+      | versions | status |
+      | v1, v2   | 503    |
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -70,6 +70,7 @@
     :param on_restart: called when the server is back
     :param crashes: monotonic times of the crashes, in seconds
     :param limit: requests a second that it names as its limit, ``None`` for none
+    :param software: version of its software, which its events name if it is not empty
     """
 
     id: str
@@ -86,6 +87,7 @@
     on_restart: Callable[[], None] = lambda: None
     crashes: list[float] = field(default_factory=list)
     limit: float | None = None
+    software: str = ""
     server: asyncio.Server | None = None
     tasks: set["asyncio.Task[None] | None"] = field(default_factory=set)
     address: str = ""
@@ -265,7 +267,8 @@
         head = "Content-Type: text/event-stream\r\n" + framing
         writer.write(_response_head(200, id_, head, kind != "unsigned", self.limit))
         for number in range(first, min(last, EVENTS) + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            source = f" of {self.software}" if self.software else ""
+            event = f"id: {number}\ndata: piece {number}{source}\n\n".encode()
             writer.write(_chunk(event) if is_framed else event)
             await writer.drain()
             if self.delay:
