--- a/src/bilberryshed_load/_soak.py
+++ b/src/bilberryshed_load/_soak.py
@@ -7,8 +7,11 @@
 import signal
 import subprocess
 import sys
+from collections import deque
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import h11
 
@@ -16,7 +19,7 @@
 from bilberryshed_load._plans import free_port
 from bilberryshed_load._soak_proxy import FaultyProxy, NetworkFault
 from bilberryshed_load._soak_record import ReceivedResponse, SentRequest, SoakRecord
-from bilberryshed_standins import EVENTS, RoutedBackend, RowStore, serve_row_store
+from bilberryshed_standins import EVENTS, RoutedBackend, RowStore, RowStoreCopy, serve_row_store
 
 HOST, KEY, CUSTOMER = "soak.example", "k-soak", "harbour"
 TOKENS_PER_EVENT = 4
@@ -27,6 +30,8 @@
 CALLER_TIMEOUT = 4.0  # seconds for one request
 DRAIN_TIME = 5.0  # seconds from SIGTERM to the end of a gateway, at most
 START_TIMEOUT = 10.0  # seconds, at most, to wait until a gateway is ready
+COPY_INTERVAL = 0.5  # seconds between copies of the store
+MAX_COPIES = 20  # copies kept, from which the store comes back
 BACKEND_FAULTS = ("full", "reset", "garbage", "unsigned", "error", "foreign", "extra", "cut 2")
 
 
@@ -86,6 +91,7 @@
     """One run of the soak test.
 
     :param folder: directory for settings and logs
+    :param copies: latest copies of the store
     :param prepaid: tokens that the customer has paid for so far
     :param version: version of the current configuration
     :param faults: faults injected so far
@@ -94,6 +100,7 @@
     seed: int
     folder: Path
     store: RowStore = field(default_factory=RowStore)
+    copies: deque[RowStoreCopy] = field(default_factory=lambda: deque(maxlen=MAX_COPIES))
     backends: dict[str, RoutedBackend] = field(default_factory=dict)
     backend_proxies: dict[str, FaultyProxy] = field(default_factory=dict)
     gateways: dict[str, GatewayProcess] = field(default_factory=dict)
@@ -118,10 +125,12 @@
             loop = asyncio.get_running_loop()
             end = loop.time() + seconds
             traffic = asyncio.ensure_future(self._run_traffic(end))
+            copying = asyncio.ensure_future(self._copy_store())
             while loop.time() < end:
                 await asyncio.sleep(self.rng.uniform(0.2, 1.5))
                 await self._inject_fault()
             await traffic
+            copying.cancel()
             await self._finish()
         finally:
             self.kill_all()
@@ -210,9 +219,7 @@
         rng = random.Random(self.seed)
         while asyncio.get_running_loop().time() < end:
             await asyncio.sleep(rng.expovariate(REQUEST_RATE))
-            task = asyncio.ensure_future(self._send_random_request(rng))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self._add_task(self._send_random_request(rng))
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=CALLER_TIMEOUT + 1)
 
@@ -249,7 +256,7 @@
     async def _inject_fault(self) -> None:
         rng = self.rng
         kinds = ("network", "network", "kill", "kill_all", "stop", "pause", "config", "top_up")
-        kind = rng.choice((*kinds, "backend", "backend", "store", "clear", "clear"))
+        kind = rng.choice((*kinds, "backend", "backend", "store", "restore", "clear", "clear"))
         gateway = self.gateways[rng.choice(GATEWAYS)]
         self.faults.append(f"{kind} {gateway.name}")
         if kind == "network":
@@ -269,11 +276,30 @@
             self._put_config()
         elif kind == "backend":
             self._inject_backend_fault(rng)
+        elif kind == "restore":
+            self._add_task(self._restore_store(rng.uniform(0.0, 2.0), rng.choice(self.copies)))
         elif kind == "store":
             self.store.fault = rng.choice(("busy", "lost", "late", "silent"))
         else:
             self._clear_faults()
 
+    def _add_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _copy_store(self) -> None:
+        while True:
+            self.copies.append(self.store.copy())
+            await asyncio.sleep(COPY_INTERVAL)
+
+    async def _restore_store(self, away: float, copy: RowStoreCopy) -> None:
+        """Have the store be away for some seconds, and come back from a copy."""
+        self.store.fault = "busy"
+        await asyncio.sleep(away)
+        self.store.restore(copy)
+        self.store.fault = "ok"
+
     def _inject_backend_fault(self, rng: random.Random) -> None:
         id_ = rng.choice(tuple(self.backends))
         if rng.random() < 0.5:
@@ -287,9 +313,7 @@
         if not gateway.stopping and gateway.alive:
             gateway.stopping = True
             gateway.signal(number)
-            task = asyncio.ensure_future(self._start_after_exit(gateway, number))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self._add_task(self._start_after_exit(gateway, number))
 
     async def _start_after_exit(self, gateway: GatewayProcess, number: signal.Signals) -> None:
         assert gateway.process is not None
--- a/src/bilberryshed_standins/__init__.py
+++ b/src/bilberryshed_standins/__init__.py
@@ -8,7 +8,7 @@
 from bilberryshed_standins._memory import MemoryObjects, MemoryTables
 from bilberryshed_standins._platform import LaggingVmList, PlatformStandin, WeightStore
 from bilberryshed_standins._routed_backend import EVENTS, ReceivedRequest, RoutedBackend, reset
-from bilberryshed_standins._row_store import RowStore, serve_row_store
+from bilberryshed_standins._row_store import RowStore, RowStoreCopy, serve_row_store
 
 __all__ = [
     "EVENTS",
@@ -22,6 +22,7 @@
     "ReceivedRequest",
     "RoutedBackend",
     "RowStore",
+    "RowStoreCopy",
     "WeightStore",
     "full_text",
     "reset",
