A stream goes on only at the software version that began it

Cause: no decision knew a server's version; Forwarder and take-ups chose among all servers of the service. Gateways remember who began a stream, ask hubs, and find in the store what the dead knew; a version is stored before it begins resumable streams; what is not certain is refused.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -8,7 +8,9 @@
 from behave import given, then, when
 from crashing_part_steps import when_all_restart
 from gateway_steps import run
-from gateway_support import GatewayHarness, build_config, build_route
+from gateway_support import API_KEY, HOST, GatewayHarness, build_config, build_route
+
+from bilberryshed.coordination import Origin, ServedVersions, StreamOrigins, VersionSpan
 
 VERSION = re.compile(rb"of (v\d+)")
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
@@ -221,3 +223,58 @@
 def then_take_up_status(context, status):
     found = [stream.answers[-1].status for stream in context.streams]
     assert set(found) == {status}, found
+
+
+# Decisions ----------------------------------------------------------------------------------
+
+NOW = 1000.0  # seconds
+SERVICE = "model"
+
+
+@given(
+    "a service that had version v1 from {since:d} s to {until:d} s, and has v2 since {start:d} s"
+)
+def given_spans(context, since, until, start):
+    spans = {"v1": VersionSpan(float(since), float(until)), "v2": VersionSpan(float(start))}
+    context.served = ServedVersions({SERVICE: spans})
+
+
+@when("another gateway has seen v1 from {since:d} s on, and no v2")
+def when_merged(context, since):
+    context.served.merge(ServedVersions({SERVICE: {"v1": VersionSpan(float(since))}}))
+
+
+@then("the versions that can have begun a stream up to {until:d} s are {listed}")
+def then_possible(context, until, listed):
+    assert context.served.possible(SERVICE, float(until)) == set(listed.split(", "))
+
+
+@given("a server that began a stream {first:d} s ago and one {second:d} s ago")
+def given_two_streams(context, first, second):
+    context.origins = StreamOrigins()
+    for key, age in ((1, first), (2, second)):
+        context.origins.remember(NOW - age, key, Origin(SERVICE, "v1"), "i-1")
+
+
+@when("its entry shows another version")
+def when_restart_shown(context):
+    context.origins.forget_restarted(NOW, "i-1")
+
+
+@then("the origin of the first stream is known, and that of the second is not")
+def then_known(context):
+    assert context.origins.get(1) == Origin(SERVICE, "v1") and context.origins.get(2) is None
+
+
+@when("a caller takes a stream up and names two requests")
+def when_two_names(context):
+    lines = [f"Host: {HOST}", "X-Attempt-Id: 01", f"X-Key: {API_KEY}", "Last-Event-Id: 2"]
+    lines += ["Resumes: 02", "Resumes: 03", "Content-Length: 0"]
+    data = "POST /single/1 HTTP/1.1\r\n" + "\r\n".join(lines) + "\r\n\r\n"
+    address = context.harness.gateways["gate-1"].settings.listen
+    context.response = run(context, context.harness.send_raw(address, data.encode()))
+
+
+@then("the caller gets {status:d}")
+def then_caller_gets(context, status):
+    assert context.response.status == status, context.response
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -2,7 +2,6 @@
   What two versions of a model engine write does not fit together, and engines do not check it. A
   caller whose stream broke off names the request that brought its first event.
 
-  @known_red
   Scenario Outline: A stream that breaks off within one answer, at engines of <versions>
     Given a platform with model engines of the versions <versions>
     When 8 streams break off after 2 events each, and the gateway may send each to 2 engines
@@ -20,7 +19,6 @@
     Then each answer has events of one version
     And 4 of the answers are complete
 
-  @known_red
   Scenario Outline: Callers take streams up again at <where>
     Given a platform with model engines of the versions v1, v1, v2, v2
     And a second gateway that is linked to the first
@@ -37,7 +35,6 @@
       | the second gateway | the first gateway is killed        | 12    |
       | both gateways      | all gateways are killed and return | 12    |
 
-  @known_red
   Scenario: The version that began streams has left when all gateways are killed
     Given a platform with model engines of the versions v1, v1
     And a second gateway that is linked to the first
@@ -54,7 +51,6 @@
     And their callers take them up again at both gateways
     Then at least 12 of the take-ups go on
 
-  @known_red
   Scenario: The engine that began a stream starts again under its id with another version
     Given a platform with model engines of the versions v1
     When the first gateway begins 4 streams that break off after 2 events
@@ -73,7 +69,32 @@
       | versions | status |
       | v1, v1   | 200    |
 
-    @known_red
-    Examples: the version of the stream is not known
+      Examples: the version of the stream is not known
       | versions | status |
       | v1, v2   | 503    |
+
+  Scenario Outline: Versions that can have begun a stream up to <until> s
+    Given a service that had version v1 from 1 s to 50 s, and has v2 since 48 s
+    Then the versions that can have begun a stream up to <until> s are <versions>
+
+    Examples: a stream may be taken up 40 s after its first event
+      | until | versions |
+      | 47    | v1       |
+      | 48    | v1, v2   |
+      | 90    | v1, v2   |
+      | 91    | v2       |
+
+  Scenario: Streams that a server began just before its entry showed a restart are forgotten
+    Given a server that began a stream 5 s ago and one 2 s ago
+    When its entry shows another version
+    Then the origin of the first stream is known, and that of the second is not
+
+  Scenario: Of two observers, the longer span of a version counts
+    Given a service that had version v1 from 1 s to 50 s, and has v2 since 48 s
+    When another gateway has seen v1 from 3 s on, and no v2
+    Then the versions that can have begun a stream up to 100 s are v1, v2
+
+  Scenario: A take-up that names two requests is refused
+    Given a platform with model engines of the versions v1
+    When a caller takes a stream up and names two requests
+    Then the caller gets 400
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -107,6 +107,14 @@
 from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
 from bilberryshed.coordination._spending_bounds import Bound, BoundsRecord, SpendingBounds
+from bilberryshed.coordination._stream_origins import (
+    ORIGIN_TIME,
+    Origin,
+    ServedVersions,
+    StreamOrigins,
+    VersionSpan,
+    stream_key,
+)
 from bilberryshed.coordination._submission import (
     Accepted,
     Conflict,
@@ -116,6 +124,12 @@
 )
 
 __all__ = [
+    "ORIGIN_TIME",
+    "Origin",
+    "ServedVersions",
+    "StreamOrigins",
+    "VersionSpan",
+    "stream_key",
     "CONFIRM_TIME",
     "PoolReading",
     "RouterRecovery",
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -127,10 +127,11 @@
         return removed
 
     def _is_restarted(self, new: BackendServer, old: BackendServer) -> bool:
-        return (new.started_at_ms, new.address, new.service) != (
+        return (new.started_at_ms, new.address, new.service, new.version) != (
             old.started_at_ms,
             old.address,
             old.service,
+            old.version,
         )
 
     def usable(self, service: str) -> list[BackendView]:
@@ -189,6 +190,7 @@
     def on_connection_refused(self, now: float, view: BackendView) -> None:
         """Back off exponentially after a connection that could not be opened."""
         view.refused_connections += 1
+        view.failed_at = now
         backoff = min(MAX_BACKOFF, REFUSED_BACKOFF * 2 ** (view.refused_connections - 1))
         view.backoff_until = max(view.backoff_until, now + backoff)
 
@@ -198,7 +200,9 @@
 
     def on_outcome(self, now: float, view: BackendView, failed: bool) -> None:
         """Update the failure rate with the outcome of a request that the backend server started."""
-        if not failed:
+        if failed:
+            view.failed_at = now
+        else:
             view.refused_connections = 0
         view.failure_rate += FAILURE_WEIGHT * (float(failed) - view.failure_rate)
         if view.failure_rate > EJECT_FAILURE_RATE:
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -39,6 +39,7 @@
     :param refused_connections: number of consecutive refused connections
     :param backoff_until: monotonic time before which it is sent no new work
     :param limited_until: monotonic time before which the limit that it names admits no request
+    :param failed_at: monotonic time of its last failure
     :param failure_rate: moving average of the share of failed requests, from 0 to 1
     :param ejected_until: monotonic time before which it is used only if no other is available
     :param wrong_sequence: sequence number of the entry when another backend server responded at its
@@ -58,6 +59,7 @@
     refused_connections: int = 0
     backoff_until: float = 0.0
     limited_until: float = 0.0
+    failed_at: float = -math.inf
     failure_rate: float = 0.0
     ejected_until: float = 0.0
     is_leaving: bool = False
--- /dev/null
+++ b/src/bilberryshed/coordination/_stream_origins.py
@@ -0,0 +1,177 @@
+"""Software versions of the backend servers that began streams.
+
+A stream can be resumed only at the version that began it. Each router remembers the streams that it
+relays. The versions that a service has had, and since when, tell of streams that nobody remembers.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import xxhash
+
+ORIGIN_TIME = 40.0  # seconds after its first event for which a stream may be taken up
+RESTART_TIME = 3.0  # seconds by which an entry may be older than the process of its server
+KEY_SHIFT = 16  # bits of a hash that a key lacks
+
+
+@dataclass(slots=True, frozen=True)
+class Origin:
+    """Service and software version of the backend server that began a stream."""
+
+    service: str
+    version: str
+
+
+@dataclass(slots=True, frozen=True)
+class _Record:
+    origin: Origin
+    server: str
+    at: float
+
+
+def stream_key(request: str) -> int:
+    """Return the key of the stream that the caller's request with this id began, of 48 bits."""
+    return xxhash.xxh3_64_intdigest(request.encode()) >> KEY_SHIFT
+
+
+class StreamOrigins:
+    """Origins of the streams that one router knows; times are monotonic, in seconds.
+
+    :param records: by key of the stream, oldest first
+    :param unreported: keys of the streams that were not reported to others
+    """
+
+    __slots__ = ("records", "unreported")
+
+    def __init__(self) -> None:
+        self.records: dict[int, _Record] = {}
+        self.unreported: set[int] = set()
+
+    def remember(self, now: float, key: int, origin: Origin, server: str) -> None:
+        """Remember a stream that this router has begun to relay.
+
+        :param server: id of the backend server
+        """
+        self.records.pop(key, None)
+        self.records[key] = _Record(origin, server, now)
+        self.unreported.add(key)
+
+    def learn(self, now: float, keys: Iterable[int], origin: Origin) -> None:
+        """Learn the origin of streams that other routers relay, unless it is known."""
+        for key in keys:
+            self.records.setdefault(key, _Record(origin, "", now))
+
+    def get(self, key: int) -> Origin | None:
+        """Return the origin of a stream, ``None`` if it is not known."""
+        record = self.records.get(key)
+        return record.origin if record else None
+
+    def forget_restarted(self, now: float, server: str) -> None:
+        """Forget the streams that a server began just before its entry showed a restart.
+
+        They may have been begun by the new process, which has another version.
+        """
+        began = now - RESTART_TIME
+        for key in [k for k, r in self.records.items() if r.server == server and r.at >= began]:
+            del self.records[key]
+        self.unreported &= self.records.keys()
+
+    def take_unreported(self) -> dict[Origin, list[int]]:
+        """Return and clear the streams that were not reported, by origin."""
+        found: dict[Origin, list[int]] = {}
+        for key in sorted(self.unreported & self.records.keys()):
+            found.setdefault(self.records[key].origin, []).append(key)
+        self.unreported.clear()
+        return found
+
+    def prune(self, now: float) -> None:
+        """Forget the streams that nobody takes up any more."""
+        while self.records:
+            key = next(iter(self.records))
+            if self.records[key].at >= now - ORIGIN_TIME:
+                break
+            del self.records[key]
+            self.unreported.discard(key)
+
+
+@dataclass(slots=True, frozen=True)
+class VersionSpan:
+    """Time in which a version of a service had backend servers, on the store's clock in seconds.
+
+    :param gone_at: ``None`` while it has any
+    """
+
+    since: float
+    gone_at: float | None = None
+
+    def overlaps(self, since: float, until: float) -> bool:
+        """Whether it had backend servers at any time of a period."""
+        return self.since <= until and (self.gone_at is None or self.gone_at >= since)
+
+    def merged(self, other: "VersionSpan") -> "VersionSpan":
+        """Return the span that covers both."""
+        ends = (self.gone_at, other.gone_at)
+        gone_at = None if None in ends else max(end for end in ends if end is not None)
+        return VersionSpan(min(self.since, other.since), gone_at)
+
+
+Spans = dict[str, dict[str, VersionSpan]]  # by service and version
+
+
+@dataclass(slots=True)
+class ServedVersions:
+    """The versions that each service has now or had a short time ago."""
+
+    spans: Spans = field(default_factory=dict)
+
+    @classmethod
+    def from_value(cls, value: dict[str, Any]) -> "ServedVersions":
+        """Parse the columns of a row."""
+        spans = {
+            str(service): {
+                str(version): VersionSpan(float(since), None if end is None else float(end))
+                for version, (since, end) in versions.items()
+            }
+            for service, versions in value.get("services", {}).items()
+        }
+        return cls(spans)
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the columns of a row."""
+        services = {
+            service: {version: [span.since, span.gone_at] for version, span in versions.items()}
+            for service, versions in self.spans.items()
+        }
+        return {"services": services}
+
+    def observe(self, clock: float, listed: Mapping[str, set[str]]) -> None:
+        """Update the spans from the versions that are listed now.
+
+        :param clock: clock of the store, in seconds
+        :param listed: versions by service
+        """
+        for service in listed.keys() | self.spans.keys():
+            known = self.spans.setdefault(service, {})
+            for version in listed.get(service, set()):
+                known[version] = VersionSpan(known[version].since if version in known else clock)
+            for version, span in list(known.items()):
+                if version not in listed.get(service, set()) and span.gone_at is None:
+                    known[version] = VersionSpan(span.since, clock)
+                elif span.gone_at is not None and span.gone_at < clock - ORIGIN_TIME:
+                    del known[version]
+
+    def merge(self, other: "ServedVersions") -> None:
+        """Add the spans that another router has observed."""
+        for service, versions in other.spans.items():
+            known = self.spans.setdefault(service, {})
+            for version, span in versions.items():
+                known[version] = known[version].merged(span) if version in known else span
+
+    def possible(self, service: str, until: float) -> set[str]:
+        """Return the versions that may have begun a stream up to a time, and not long before."""
+        return {
+            version
+            for version, span in self.spans.get(service, {}).items()
+            if span.overlaps(until - ORIGIN_TIME, until)
+        }
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -15,6 +15,7 @@
 from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
 from bilberryshed.gateway._server_limits import ServerLimits
+from bilberryshed.gateway._stream_directory import StreamDirectory
 from bilberryshed.state import Route, RoutedCustomer
 from bilberryshed.transport import logger
 
@@ -42,7 +43,7 @@
 class Admission:
     """Processes callers' requests from validation to settlement."""
 
-    __slots__ = ("context", "funds", "metrics", "forwarder")
+    __slots__ = ("context", "funds", "metrics", "streams", "forwarder")
 
     def __init__(
         self,
@@ -50,11 +51,13 @@
         funds: PrepaidFunds,
         metrics: GatewayMetrics,
         limits: ServerLimits,
+        streams: StreamDirectory,
     ) -> None:
         self.context = context
         self.funds = funds
         self.metrics = metrics
-        self.forwarder = Forwarder(context, limits)
+        self.streams = streams
+        self.forwarder = Forwarder(context, limits, streams)
 
     async def respond(self, exchange: CallerExchange) -> Refusal | None:
         """Process a request that has been read completely.
@@ -104,7 +107,16 @@
         """Reserve the maximum tokens of the request, forward it, and settle the actual use."""
         index = self.context.index
         assert index is not None
-        service = index.table.services[index.service(route, random.random())]
+        origin = None
+        name = index.service(route, random.random())
+        if request.last_event_id and route.resumable:
+            shares = tuple(share.service for share in route.shares)
+            origin = await self.streams.find(shares, request.resumed_request)
+            if origin is None or origin.service not in shares:
+                reason = "it is not known which version began the stream"
+                return Refusal(503, "origin", reason, RETRY_AFTER_UNAVAILABLE)
+            name = origin.service
+        service = index.table.services[name]
         job = Job(
             request,
             route,
@@ -114,6 +126,7 @@
             _fingerprint(request),
             started_at,
             started_at + min(request.caller_timeout, route.timeout),
+            origin=origin,
         )
         wait = self.context.quarantine.admit(job.fingerprint, job.shared_parts).wait
         if wait > 0:
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -73,7 +73,9 @@
 
     ``peers_with_store`` are the gateways that last reported that they reach the store and are not
     draining. ``listed`` is whether the store
-    has delivered the list of gateways. ``draining`` is set on SIGTERM, ``closing`` when new
+    has delivered the list of gateways, ``listed_at`` the monotonic time at which it last delivered
+    the backend servers. ``on_server_restart`` is called with the id of a backend server that has
+    started again with another version. ``draining`` is set on SIGTERM, ``closing`` when new
     requests start to be refused. ``on_load_change`` is called after each change of this gateway's
     load at backend servers.
     """
@@ -104,6 +106,8 @@
         self.peers_with_store: set[str] = set()
         self.known_gateways: set[str] = set()
         self.listed = False
+        self.listed_at = float("-inf")
+        self.on_server_restart: Callable[[str], None] = lambda server: None
         self.draining = False
         self.closing = False
         self.tasks = BackgroundTasks()
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -240,6 +240,7 @@
             logger().warning("store_restored", epoch=changes.epoch, entries=len(changes.rows))
             self.registry.on_restored(now)
         self.snapshot_received, self.epoch = True, changes.epoch
+        self.context.listed_at = now
         self.registry.on_reachable(now)
         for row in changes.rows:
             if row.data is None:
@@ -285,10 +286,13 @@
 
     def _apply(self) -> None:
         before = {id_: view.is_leaving for id_, view in self.context.backends.views.items()}
+        versions = {id_: v.server.version for id_, v in self.context.backends.views.items()}
         for view in self.context.backends.set_servers(self.registry.servers):
             self.context.connections.close_idle(view.server.id)
             logger().info("backend_gone", server=view.server.id, service=view.server.service)
         for id_, view in self.context.backends.views.items():
+            if versions.get(id_, view.server.version) != view.server.version:
+                self.context.on_server_restart(id_)
             if before.get(id_) != view.is_leaving:
                 logger().info(
                     "backend", server=id_, service=view.server.service, leaving=view.is_leaving
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -13,6 +13,7 @@
 from bilberryshed.gateway._dialect import BackendResponse, Dispatch
 from bilberryshed.gateway._job import AttemptOutcome, BackendLoad, Job, milliseconds
 from bilberryshed.gateway._server_limits import ServerLimits
+from bilberryshed.gateway._stream_directory import StreamDirectory
 from bilberryshed.state import Address, RouteKind
 from bilberryshed.transport import (
     BackendConnection,
@@ -36,11 +37,14 @@
 class Forwarder:
     """Runs requests at backend servers, with retries."""
 
-    __slots__ = ("context", "pool", "connections", "limits", "crash_reports")
+    __slots__ = ("context", "pool", "connections", "limits", "streams", "crash_reports")
 
-    def __init__(self, context: GatewayContext, limits: ServerLimits) -> None:
+    def __init__(
+        self, context: GatewayContext, limits: ServerLimits, streams: StreamDirectory
+    ) -> None:
         self.context = context
         self.limits = limits
+        self.streams = streams
         self.pool = context.backends
         self.connections = context.connections
         self.crash_reports = CrashReports(context)
@@ -76,6 +80,11 @@
             return False
         if self.context.quarantine.seconds_blocked(job.fingerprint, job.shared_parts):
             return False
+        if job.is_resumable and job.event_splitter.events:
+            job.origin = self.streams.known_origin(job.stream_id)
+            if job.origin is None:
+                self._log(job, "origin_unknown", result=result)
+                return False
         if job.sent == 0:
             return True
         allowed = self.context.retries.try_retry(
@@ -91,22 +100,40 @@
         until = min(job.deadline, self.context.timers.now() + max_wait)
         while True:
             now = self.context.timers.now()
-            view = self.pool.choose(now, job.service.name, job.demand, frozenset(job.excluded))
+            excluded = self._excluded(job)
+            view = self.pool.choose(now, job.service.name, job.demand, excluded)
             if view is not None:
                 wait = await self.limits.acquire(view.server)
                 if wait <= 0:
                     return view
                 view.limited_until = now + wait
                 continue
-            if self.pool.is_limited(until, job.service.name, frozenset(job.excluded)):
+            if self.pool.is_limited(until, job.service.name, excluded):
                 job.last_failure = "the backend servers take no more requests now"
                 return None
             if now + CHOICE_RETRY_INTERVAL > until or not self.pool.usable(job.service.name):
                 return None
-            if all(v.server.id in job.excluded for v in self.pool.usable(job.service.name)):
+            if all(v.server.id in excluded for v in self.pool.usable(job.service.name)):
                 return None
             await asyncio.sleep(CHOICE_RETRY_INTERVAL)
 
+    def _excluded(self, job: Job) -> frozenset[str]:
+        """Return the ids of the backend servers that must not run a request.
+
+        These are the ones that were tried, and for a stream that has begun those of other versions.
+        """
+        if not job.is_resumable:
+            return frozenset(job.excluded)
+        origin, streams = job.origin, self.streams
+        usable = self.pool.usable(job.service.name)
+        if origin is None:
+            other = {view.server.id for view in usable if not streams.may_begin(view)}
+            if len(other) == len(usable):
+                other.clear()  # all are of one new version, or the store does not respond
+        else:
+            other = {view.server.id for view in usable if not streams.may_resume(view, origin)}
+        return frozenset(job.excluded | other)
+
     # One attempt ----------------------------------------------------------------------------
 
     async def _attempt(self, job: Job, view: BackendView) -> AttemptOutcome:
@@ -349,6 +376,7 @@
             deadline = self._read_deadline(job, STALL_FACTOR)
             self._note_progress(job)
             if not exchange.started:
+                self._note_origin(job)
                 exchange.begin(response.status, response.headers)
                 job.first_event_at = self.context.timers.now()
             await exchange.write(events)
@@ -358,6 +386,15 @@
             exchange.begin(response.status, response.headers)
         exchange.end()
 
+    def _note_origin(self, job: Job) -> None:
+        """Remember at the first event which version writes a stream."""
+        if not job.is_resumable or job.run is None:
+            return
+        if job.origin is None:
+            job.origin = self.streams.remember(job.stream_id, job.run.view)
+        else:
+            self.streams.remember_origin(job.stream_id, job.origin)
+
     def _note_progress(self, job: Job) -> None:
         """Note an event; an answer that has been written for a while did not crash its server."""
         now = self.context.timers.now()
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -18,6 +18,7 @@
 from bilberryshed.gateway._predecessor_cleanup import PredecessorCleanup
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
 from bilberryshed.gateway._server_limits import ServerLimits
+from bilberryshed.gateway._stream_directory import StreamDirectory
 from bilberryshed.protocol import (
     BackendsNotice,
     BackendsRequest,
@@ -73,6 +74,8 @@
         self.load_sharing = LoadSharing(self.context)
         self.context.on_load_change = self.load_sharing.on_change
         self.limits = ServerLimits(self.context)
+        self.streams = StreamDirectory(self.context)
+        self.context.on_server_restart = self.streams.on_restart
         self.peers = Peers(self.context, self._message_handlers(), self.load_sharing.remove_peer)
         self.peers.initial_message_factories = [
             self.route_table_updater.announcement,
@@ -84,7 +87,9 @@
         self.http: HTTPServer | None = None
         self.running = 0
         self.metrics = GatewayMetrics(self.context)
-        self.admission = Admission(self.context, self.funds, self.metrics, self.limits)
+        self.admission = Admission(
+            self.context, self.funds, self.metrics, self.limits, self.streams
+        )
 
     # Lifecycle ------------------------------------------------------------------------------
 
@@ -107,6 +112,7 @@
         self.load_sharing.start()
         self.context.quarantine.start()
         self.limits.start()
+        self.streams.start()
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
         finished = await self._drain(http)
@@ -186,6 +192,7 @@
             **self.funds.handlers(),
             **self.context.quarantine.handlers(),
             **self.limits.handlers(),
+            **self.streams.handlers(),
             RouteTableVersion: self.route_table_updater.on_version,
             RouteTableRequest: self.route_table_updater.on_request,
             RouteTableResponse: self.route_table_updater.on_response,
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -3,7 +3,13 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from bilberryshed.coordination import OUTPUT_WEIGHT, BackendDemand, EventSplitter, InFlightRequest
+from bilberryshed.coordination import (
+    OUTPUT_WEIGHT,
+    BackendDemand,
+    EventSplitter,
+    InFlightRequest,
+    Origin,
+)
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._dialect import BackendResponse, CallerRequest
 from bilberryshed.state import Route, RoutedCustomer, RoutedService, RouteKind
@@ -47,6 +53,7 @@
     :param refused: number of refused connections
     :param excluded: ids of backend servers that are not tried again
     :param failed_response: last 5xx response, returned to the caller if no retry succeeds
+    :param origin: version that began the stream, ``None`` before its first event
     :param limit: limit in requests per second that the last response named
     :param status: HTTP status of the response to the caller
     :param run: current entry in the backend pool
@@ -75,6 +82,7 @@
     server: str = ""
     load: BackendLoad = BackendLoad()
     run: InFlightRequest | None = None
+    origin: Origin | None = None
     limit: float | None = None
     status: int = 0
     first_event_at: float | None = None
@@ -86,6 +94,16 @@
         """Whether the response is an event stream."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the caller's request that received the first event of the stream."""
+        return self.request.resumed_request or self.request.id
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether the response is an event stream that may go on at another backend server."""
+        return self.is_stream and self.route.resumable
+
     @property
     def first_ms(self) -> int | None:
         """Milliseconds from the start of the request to the first event relayed to the caller."""
--- /dev/null
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -0,0 +1,245 @@
+"""Tells which software version began a stream, so that it goes on only at that version."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from bilberryshed.coordination import BackendView, Origin, StreamOrigins, stream_key
+from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._stream_records import RECORD_INTERVAL, StreamRecords
+from bilberryshed.protocol import OriginRequest, OriginResponse, StreamGroup, StreamsNotice
+from bilberryshed.transport import Link, logger
+
+OBSERVE_INTERVAL = 0.1  # seconds between looks at the listed versions
+MAX_LIST_AGE = 2.0  # seconds since the last read of the entries up to which they are up to date
+UNSTORED_TIME = 1.0  # seconds after which a version that cannot be stored is used all the same
+PEER_TIMEOUT = 0.15  # seconds that hubs have to respond
+DOUBT_TIME = 10.0  # seconds before an outage in which a failure may have been a restart
+
+
+class StreamDirectory:
+    """Knows the streams that this gateway relays, and asks others about the rest.
+
+    :param origins: streams known to this gateway
+    :param records: what the store lists
+    :param first_listed_at: monotonic time at which each version was listed first
+    :param boots: boot ids of the linked gateways
+    :param changed_at: clock of the store at the last start or end of any gateway, in seconds
+    """
+
+    def __init__(self, context: GatewayContext) -> None:
+        self.context = context
+        self.origins = StreamOrigins()
+        self.records = StreamRecords(context, self.origins)
+        self.first_listed_at: dict[Origin, float] = {}
+        self.boots: dict[str, str] = {}
+        self.changed_at = 0.0
+        self.storing = False
+        self.pending: dict[str, asyncio.Future[OriginResponse]] = {}
+        self.next_id = 1
+
+    def start(self) -> None:
+        """Subscribe to timers."""
+        self.context.timers.subscribe(OBSERVE_INTERVAL, self._observe)
+        self.context.timers.subscribe(RECORD_INTERVAL, self._report)
+
+    def handlers(self) -> dict[type, Callable[[Link, Any], None]]:
+        """Return the message handlers by message class."""
+        return {
+            StreamsNotice: self._on_notice,
+            OriginRequest: self._on_request,
+            OriginResponse: self._on_response,
+        }
+
+    # Versions in service --------------------------------------------------------------------
+
+    def _listed(self) -> dict[str, set[str]]:
+        """Return the versions of the listed servers by service."""
+        listed: dict[str, set[str]] = {}
+        for view in self.context.backends.views.values():
+            listed.setdefault(view.server.service, set()).add(view.server.version)
+        return listed
+
+    def _observe(self, now: float) -> None:
+        """Note versions that came or went, and gateways that started or ended."""
+        clock = self.context.ports.tables.clock
+        if not clock:
+            return
+        if not self.changed_at:
+            self.changed_at = clock - (now - self.context.started_at)
+        boots = {name: link.peer.boot for name, link in self.context.peer_links.items()}
+        known = self.boots.keys() & boots.keys()
+        if any(boots[name] != self.boots[name] for name in known) or self.boots.keys() - boots:
+            self.changed_at = clock
+        self.boots |= boots
+        listed = self._listed()
+        for service, versions in listed.items():
+            for version in versions:
+                self.first_listed_at.setdefault(Origin(service, version), now)
+        self.records.served.observe(clock, listed)
+        if not self.storing and not self.records.is_current():
+            self.storing = True
+            self.context.spawn(self._store(listed))
+
+    async def _store(self, listed: dict[str, set[str]]) -> None:
+        try:
+            await self.records.store_versions(listed)
+        finally:
+            self.storing = False
+
+    def may_begin(self, view: BackendView) -> bool:
+        """Whether a server may begin a stream that can be resumed.
+
+        Its version has to be stored before, as a gateway that starts later cannot know it
+        otherwise.
+        """
+        server = view.server
+        if self.records.is_stored({server.service: {server.version}}):
+            return True
+        listed_at = self.first_listed_at.get(Origin(server.service, server.version))
+        return listed_at is not None and self._now() >= listed_at + UNSTORED_TIME
+
+    def may_resume(self, view: BackendView, origin: Origin) -> bool:
+        """Whether a server certainly has the version that began a stream.
+
+        While the entries cannot be read, a server that failed may have started again with another
+        version.
+        """
+        server = view.server
+        if (server.service, server.version) != (origin.service, origin.version):
+            return False
+        return self._is_up_to_date() or view.failed_at < self.context.listed_at - DOUBT_TIME
+
+    def _is_up_to_date(self) -> bool:
+        return self._now() <= self.context.listed_at + MAX_LIST_AGE
+
+    def _now(self) -> float:
+        return self.context.timers.now()
+
+    # Streams --------------------------------------------------------------------------------
+
+    def remember(self, request: str, view: BackendView) -> Origin:
+        """Remember the server that has sent the first event of a stream."""
+        origin = Origin(view.server.service, view.server.version)
+        self.origins.remember(self._now(), stream_key(request), origin, view.server.id)
+        return origin
+
+    def remember_origin(self, request: str, origin: Origin) -> None:
+        """Remember the origin of a stream that is taken up."""
+        self.origins.learn(self._now(), (stream_key(request),), origin)
+
+    def known_origin(self, request: str) -> Origin | None:
+        """Return the origin of a stream that this gateway knows."""
+        return self.origins.get(stream_key(request))
+
+    def on_restart(self, server: str) -> None:
+        """Forget streams that may have been begun by a process that has taken a server's id."""
+        self.origins.forget_restarted(self._now(), server)
+
+    async def find(self, services: tuple[str, ...], request: str) -> Origin | None:
+        """Return the origin of a stream.
+
+        :param services: services that may have begun it
+        :param request: id of the request that received its first event, empty if it is not named
+        :returns: ``None`` if it is not certain
+        """
+        key = stream_key(request) if request else None
+        if self.records.epoch < 0:
+            await self.records.store_versions(self._listed())
+        found = self._find_here(services, key)
+        if found is None and key is not None:
+            found = await self._ask_hubs(services, key)
+        if found is None and key is not None and await self.records.read():
+            found = self.origins.get(key) or self._derive(services)
+        if found is None:
+            logger().info("origin_unknown", resumes=request, services=services)
+        return found
+
+    def _find_here(self, services: tuple[str, ...], key: int | None) -> Origin | None:
+        """Return the origin if this gateway knows it, or if all servers are of one version."""
+        found = self.origins.get(key) if key is not None else None
+        if found is not None or not self._is_up_to_date() or self.records.epoch < 0:
+            return found
+        return self._only(services, self.context.ports.tables.clock)
+
+    def _only(self, services: tuple[str, ...], until: float) -> Origin | None:
+        """Return the only version that can have begun a stream until a time of the store."""
+        served = self.records.served
+        possible = [Origin(s, version) for s in services for version in served.possible(s, until)]
+        return possible[0] if len(possible) == 1 else None
+
+    def _derive(self, services: tuple[str, ...]) -> Origin | None:
+        """Return the origin of a stream that no running gateway relays.
+
+        It was begun before the last gateway ended, so at a version that was in service then.
+        """
+        linked = self.context.peer_links.keys() | {self.context.settings.name}
+        is_alone = bool(self.context.known_gateways - linked)
+        if is_alone or not self._is_up_to_date() or self.records.epoch < 0:
+            return None
+        return self._only(services, self.changed_at)
+
+    # Other gateways -------------------------------------------------------------------------
+
+    def _report(self, now: float) -> None:
+        """Report new streams of services with several versions to the hub, or store them."""
+        self.origins.prune(now)
+        if not self._is_mixed():
+            return
+        groups = self.origins.take_unreported()
+        link = self.context.peer_links.get(self.context.hubs.own)
+        if not groups:
+            return
+        if link is None:
+            self.context.spawn(self.records.write(groups))
+            return
+        link.send(
+            StreamsNotice(
+                tuple(StreamGroup(o.service, o.version, tuple(k)) for o, k in groups.items())
+            )
+        )
+
+    def _is_mixed(self) -> bool:
+        clock, served = self.context.ports.tables.clock, self.records.served
+        return any(len(served.possible(service, clock)) > 1 for service in served.spans)
+
+    def _on_notice(self, link: Link, notice: StreamsNotice) -> None:
+        now = self._now()
+        for group in notice.groups:
+            origin = Origin(group.service, group.version)
+            for key in group.keys:
+                self.origins.remember(now, key, origin, "")
+
+    async def _ask_hubs(self, services: tuple[str, ...], key: int) -> Origin | None:
+        names = sorted(self.context.hubs.names & self.context.peer_links.keys())
+        answers = [self._ask(name, services, key) for name in names]
+        for response in await asyncio.gather(*answers):
+            if response is not None and response.version is not None:
+                origin = Origin(response.service, response.version)
+                self.origins.learn(self._now(), (key,), origin)
+                return origin
+        return None
+
+    async def _ask(self, name: str, services: tuple[str, ...], key: int) -> OriginResponse | None:
+        ask = f"{self.context.boot}.o{self.next_id}"
+        self.next_id += 1
+        future = self.pending[ask] = asyncio.get_running_loop().create_future()
+        self.context.peer_links[name].send(OriginRequest(ask, key, services))
+        try:
+            return await asyncio.wait_for(future, PEER_TIMEOUT)
+        except TimeoutError:
+            return None
+        finally:
+            del self.pending[ask]
+
+    def _on_request(self, link: Link, request: OriginRequest) -> None:
+        found = self._find_here(request.services, request.key)
+        if found is None:
+            link.send(OriginResponse(request.ask, "", None))
+        else:
+            link.send(OriginResponse(request.ask, found.service, found.version))
+
+    def _on_response(self, link: Link, response: OriginResponse) -> None:
+        future = self.pending.get(response.ask)
+        if future is not None and not future.done():
+            future.set_result(response)
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -74,8 +74,18 @@
     CrashReport,
     QuarantineSummary,
 )
+from bilberryshed.protocol._stream_messages import (
+    OriginRequest,
+    OriginResponse,
+    StreamGroup,
+    StreamsNotice,
+)
 
 __all__ = [
+    "OriginRequest",
+    "OriginResponse",
+    "StreamGroup",
+    "StreamsNotice",
     "AttemptQuery",
     "BackendEntry",
     "BackendsNotice",
--- /dev/null
+++ b/src/bilberryshed/protocol/_stream_messages.py
@@ -0,0 +1,53 @@
+"""Messages about the software versions that began streams."""
+
+from dataclasses import dataclass
+
+from bilberryshed.protocol._codec import register_message
+
+
+@register_message(95)
+@dataclass(slots=True, frozen=True)
+class StreamGroup:
+    """Streams that servers of one version of a service began.
+
+    :param keys: keys of the streams
+    """
+
+    service: str
+    version: str
+    keys: tuple[int, ...]
+
+
+@register_message(96)
+@dataclass(slots=True, frozen=True)
+class StreamsNotice:
+    """Report of streams that a gateway relays, to its hub."""
+
+    groups: tuple[StreamGroup, ...]
+
+
+@register_message(97)
+@dataclass(slots=True, frozen=True)
+class OriginRequest:
+    """Question which version began a stream.
+
+    :param ask: id of this request
+    :param services: services that may have begun it
+    """
+
+    ask: str
+    key: int
+    services: tuple[str, ...]
+
+
+@register_message(98)
+@dataclass(slots=True, frozen=True)
+class OriginResponse:
+    """Response to :class:`OriginRequest`.
+
+    :param version: ``None`` if the origin is not known
+    """
+
+    ask: str
+    service: str
+    version: str | None
