An ended gateway counts as closed only in pools that show it; confirmation of grants in a module of its own

Cause: the pools to close were listed before the lock, from rows of the epoch before; none was closed in the new epoch, as the grant was not confirmed yet, but all were reported as closed, so that a later closing counted no use. Now they are listed under the lock, and only those whose row shows it are reported.

--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -75,6 +75,8 @@
 class UnresponsiveTables:
     """Tables whose transactions never return a response."""
 
+    epoch = 0
+
     async def transact(self, puts):
         """Return a failure with unknown outcome."""
         return Failure(RESPONSE_LOST)
@@ -258,7 +260,7 @@
 def given_unconfirmed(context, tokens, smaller_grant):
     gateway = GatewayContext(settings_for("gate-1"), ports_for(UnresponsiveTables()), 0.0)
     context.sync = PoolSync(gateway, BoundsRecorder(gateway))
-    context.sync.confirmed.add("harbour")
+    context.sync.confirmation.confirmed.add("harbour")
     context.row = PoolRow(0, {gateway.boot: tokens}, revision=1)
     context.sync.update_pool("harbour", context.row)
     context.sync.record_unconfirmed("harbour", context.row.stamp, smaller_grant)
--- a/features/steps/restored_grants_steps.py
+++ b/features/steps/restored_grants_steps.py
@@ -8,7 +8,7 @@
 from restored_grants_support import TopUpSimulation, run_restore
 
 from bilberryshed.coordination import BoundsRecord, PoolRow, confirm_grant
-from bilberryshed.gateway import _pool_sync
+from bilberryshed.gateway import _grant_confirmation
 from bilberryshed.gateway._epoch_recovery import EpochRecovery
 
 ZONES = {"hubs only": None, "one hub and others": 1}
@@ -43,7 +43,7 @@
 FAULTS = {
     "all gateways count as confirmed": (EpochRecovery, "all_confirmed", confirm_all),
     "records of an earlier epoch are trusted": (BoundsRecord, "from_value", trust_record),
-    "grants are not confirmed after a restore": (_pool_sync, "confirm_grant", accept_row),
+    "grants are not confirmed after a restore": (_grant_confirmation, "confirm_grant", accept_row),
 }
 
 
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -2,20 +2,14 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
-
-from returns.result import Failure, Success
-
-from bilberryshed.coordination import (
-    PoolReading,
-    PoolRow,
-    can_be_closed,
-    confirm_grant,
-    end_confirmation,
-    incarnation_vm,
-)
+from dataclasses import dataclass
+
+from returns.result import Failure
+
+from bilberryshed.coordination import PoolRow, can_be_closed
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._grant_confirmation import GrantConfirmation, RowUpdate
 from bilberryshed.gateway._pool_requests import PoolRequests
 from bilberryshed.gateway._pool_table import MAX_CONFLICTS, pool_refs, row_batches
 from bilberryshed.protocol import PoolChange
@@ -27,13 +21,10 @@
 READ_INTERVAL = 0.45  # seconds between routine reads of the rows, for a few holders
 READ_PEERS_PER_STEP = 6  # hubs per additional READ_INTERVAL, which bounds the store's load
 MEMBER_READ_INTERVAL = 5.0  # seconds between reads by a gateway that borrows from its hub
-RESTORATION_CHECK_INTERVAL = 0.25  # seconds between checks whether a restoration can end
 RESYNC_DELAY = 0.05  # seconds until the next sync while a lowered total is exceeded
 STORE_WAIT_TIMEOUT = 0.35  # seconds; longest wait of a request for the store
 STORE_BACKOFF = 0.5  # seconds after a failed call; requests do not wait for the store meanwhile
 
-RowUpdate = Callable[[str, PoolRow], PoolRow]
-
 
 @dataclass(slots=True, frozen=True)
 class _Unconfirmed:
@@ -59,10 +50,7 @@
 
     :param known_rows: latest rows read, by customer
     :param unconfirmed: changes without a response, by customer
-    :param epoch: epoch of the store in which the grants are confirmed
-    :param confirmed: customers whose grants are confirmed in that epoch
-    :param restoration_checked_at: monotonic time of the last check whether all gateways have
-        confirmed their grants
+    :param confirmation: confirms the grants in each epoch of the store
     :param failed_at: monotonic time of the last failed sync
     :param has_failed: whether the last sync failed
     :param read_at: monotonic time of the last read of all rows
@@ -83,9 +71,7 @@
         self.read_at = float("-inf")
         self.initial_read = asyncio.Event()
         self.closed = False
-        self.epoch = 0
-        self.confirmed: set[str] = set()
-        self.restoration_checked_at = float("-inf")
+        self.confirmation = GrantConfirmation(context, recorder, self.known_rows)
 
     def start(self) -> None:
         """Subscribe to timers."""
@@ -98,7 +84,7 @@
         Until its grants and bounds are recorded there, all tokens of a gateway count as used when
         it dies.
         """
-        if self.has_failed or self.context.ports.tables.epoch != self.epoch:
+        if self.has_failed or not self.confirmation.is_current():
             self._sync_soon()
 
     async def sync_with_timeout(self, needs: dict[str, int]) -> bool:
@@ -120,7 +106,7 @@
     def _is_sync_due(self) -> bool:
         """Whether this gateway holds tokens, or has not read the rows for a long time."""
         accounts = self.book.accounts.values()
-        if self.context.ports.tables.epoch != self.epoch:
+        if not self.confirmation.is_current():
             return True
         if self.context.is_holder() or self.unconfirmed or any(a.granted for a in accounts):
             return True
@@ -160,18 +146,30 @@
                 direct.append(name)
             elif desired_change:
                 changes.append(self._change_request(name, desired_change))
-        if changes and not await self._is_use_recorded():
+        if changes and not await self.confirmation.is_use_recorded():
             return False
         direct += await self._request_changes(changes, totals)
         done = [await self._write_batch(names, needs) for names in row_batches(direct)]
         self._schedule_resync(totals)
         return all(done)
 
-    async def _is_use_recorded(self) -> bool:
-        """Whether bounds are recorded in this epoch, which must precede any grant."""
-        if self.recorder.recorded_epoch != self.epoch:
-            await self.recorder.record({})
-        return self.recorder.recorded_epoch == self.epoch
+    async def _confirm_grants(self, totals: dict[str, int]) -> bool:
+        """Confirm the grants that are not confirmed in this epoch, which settles open changes."""
+        names = await self.confirmation.confirm(totals)
+        if names is None:
+            return False
+        for name in names:
+            self.unconfirmed.pop(name, None)
+        return True
+
+    async def _end_restorations(self, totals: dict[str, int]) -> None:
+        """Let pools grant tokens again once all gateways have confirmed their grants."""
+        step = await self.confirmation.next_step(totals)
+        if step is None:
+            return
+        due = [name for name, row in self.known_rows.items() if step(name, row) is not row]
+        if due and await self._update_rows(due, step):
+            logger().warning("restorations_ended", customers=len(due))
 
     def _schedule_resync(self, totals: dict[str, int]) -> None:
         """Sync again soon if more than a lowered total is granted and some of it is held here."""
@@ -275,17 +273,20 @@
         :returns: the customers in whose pools it was closed, ``None`` if the store did not accept
             the change
         """
-        names = sorted(name for name, row in self.known_rows.items() if can_be_closed(row, boot))
-        changes = [PoolChange(name, boot, 0, used=used(name)) for name in names]
         async with self.lock:
+            rows = self.known_rows
+            names = sorted(name for name, row in rows.items() if can_be_closed(row, boot))
+            changes = [PoolChange(name, boot, 0, used=used(name)) for name in names]
             for name, pool in (await self.requests.change(changes)).items():
                 self.update_pool(name, pool)
-            remaining = [name for name in names if can_be_closed(self.known_rows[name], boot)]
+            remaining = [name for name in names if can_be_closed(rows[name], boot)]
 
             def close(name: str, pool: PoolRow) -> PoolRow:
                 return pool.close_holder(boot, used(name)) if can_be_closed(pool, boot) else pool
 
-            return set(names) if await self._update_rows(remaining, close) else None
+            if not await self._update_rows(remaining, close):
+                return None
+            return {name for name in names if boot not in rows[name].holders}
 
     def record_unconfirmed(self, name: str, stamp: int, granted: int) -> None:
         """Record a change without a response; of several on one row, any may be applied."""
@@ -301,7 +302,7 @@
         epoch says nothing about the grants that this gateway has still to confirm.
         """
         is_older = name in self.known_rows and pool.stamp < self.known_rows[name].stamp
-        if name not in self.confirmed or pool.epoch != self.epoch or is_older:
+        if is_older or not self.confirmation.covers(name, pool):
             return
         self.known_rows[name] = pool
         granted = pool.holders.get(self.context.boot, 0)
@@ -325,101 +326,11 @@
 
     def _update_from_row(self, row: Row) -> PoolRow | None:
         """Update the grant from a row; ``None`` if its grant is not confirmed in this epoch."""
-        name = row.ref.key
-        if self.context.ports.tables.epoch != self.epoch or name not in self.confirmed:
-            return None
-        pool = PoolRow.from_value(row.value)
-        if not row.version:
-            pool = replace(pool, epoch=self.epoch)
-        if pool.epoch != self.epoch:
-            self.confirmed.discard(name)
-            return None
-        self.update_pool(name, pool)
+        pool = self.confirmation.current_pool(row)
+        if pool is not None:
+            self.update_pool(row.ref.key, pool)
         return pool
 
-    # After a restore of the store -----------------------------------------------------------
-
-    async def _confirm_grants(self, totals: dict[str, int]) -> bool:
-        """Confirm the grants that are not confirmed in the current epoch of the store.
-
-        :returns: whether all are
-        """
-        tables, recovery = self.context.ports.tables, self.context.recovery
-        is_current = tables.epoch == self.epoch and recovery.is_confirmed()
-        if is_current and totals.keys() <= self.confirmed:
-            return True
-        if not await recovery.begin():
-            return False
-        if tables.epoch != self.epoch:
-            self.epoch = tables.epoch
-            self.confirmed.clear()
-        names = (totals.keys() | self.known_rows.keys()) - self.confirmed
-        for batch in row_batches(names):
-            if not await self._confirm_batch(batch):
-                return False
-        if any(account.granted for account in self.book.accounts.values()):
-            await self._is_use_recorded()
-        return recovery.is_confirmed() or await recovery.report()
-
-    async def _confirm_batch(self, names: tuple[str, ...]) -> bool:
-        for _ in range(MAX_CONFLICTS):
-            confirmed = await self._confirm_batch_once(names)
-            if confirmed is not None:
-                return confirmed
-        return False
-
-    async def _confirm_batch_once(self, names: tuple[str, ...]) -> bool | None:
-        """Confirm the grants of some customers; ``None`` on a version conflict."""
-        tables, recovery = self.context.ports.tables, self.context.recovery
-        rows = await tables.read(pool_refs(names))
-        if isinstance(rows, Failure) or tables.epoch != self.epoch:
-            return False
-        puts: list[Put] = []
-        pools: dict[str, PoolRow] = {}
-        for row in rows.unwrap():
-            name, stored = row.ref.key, PoolRow.from_value(row.value)
-            reading = PoolReading(stored, self.epoch, tables.clock, recovery.is_complete())
-            known = self.known_rows.get(name, PoolRow())
-            granted = self.book.account(name).granted
-            pools[name] = confirm_grant(reading, known, self.context.boot, granted)
-            if pools[name] is not stored and pools[name] != PoolRow(epoch=self.epoch):
-                pools[name] = pools[name].written()
-                puts.append(Put(row.ref, row.version, pools[name].to_value()))
-        written = await tables.transact(tuple(puts)) if puts else Success(0)
-        if isinstance(written, Failure) or tables.epoch != self.epoch:
-            return False
-        if written.unwrap() is None:
-            return None
-        for name, pool in pools.items():
-            self.known_rows[name] = pool
-            self.unconfirmed.pop(name, None)
-        self.confirmed |= pools.keys()
-        if puts:
-            logger().info("grants_confirmed", epoch=self.epoch, customers=len(puts))
-        return True
-
-    async def _end_restorations(self, totals: dict[str, int]) -> None:
-        """Let pools grant tokens again once all gateways have confirmed their grants."""
-        restoring = [name for name, row in self.known_rows.items() if row.restoration]
-        now = self.context.timers.now()
-        if not restoring or now < self.restoration_checked_at + RESTORATION_CHECK_INTERVAL:
-            return
-        self.restoration_checked_at = now
-        holders = {boot for name in restoring for boot in self.known_rows[name].holders}
-        required = {incarnation_vm(boot) for boot in holders} | self.context.peer_links.keys()
-        complete = await self.context.recovery.all_confirmed(required)
-        if complete is None:
-            return
-        clock = self.context.ports.tables.clock
-
-        def end(name: str, pool: PoolRow) -> PoolRow:
-            return end_confirmation(pool, totals.get(name, 0), clock, complete)
-
-        rows = self.known_rows
-        due = [name for name in restoring if end(name, rows[name]) is not rows[name]]
-        if due and await self._update_rows(due, end):
-            logger().warning("restorations_ended", customers=len(due), complete=complete)
-
     # Direct writes --------------------------------------------------------------------------
 
     async def _write_batch(self, names: tuple[str, ...], needs: dict[str, int]) -> bool:
--- a/src/bilberryshed/gateway/_predecessor_cleanup.py
+++ b/src/bilberryshed/gateway/_predecessor_cleanup.py
@@ -56,8 +56,8 @@
     async def _close(self, boot: str) -> None:
         if boot not in self.used and not await self._read_bounds(boot):
             return
-        if self.epoch != self.pool_sync.epoch:
-            self.epoch = self.pool_sync.epoch
+        if self.epoch != self.pool_sync.confirmation.epoch:
+            self.epoch = self.pool_sync.confirmation.epoch
             self.closed.clear()
         closed, bounds = self.closed.setdefault(boot, set()), self.used[boot]
 
