Grants that were lost in one restore stay withheld when others follow before the pool is settled

All gateways were killed around a first restore, and four more restores followed within 10 s, each before the time to confirm was over. Cause: that a gateway was lost counted for one further epoch only. Now a row's restoration carries the epoch in which it began, through all that follow, and ends only if no gateway was lost since then. Test: two decisions in restored_grants.feature, and more histories.

--- a/features/restored_grants.feature
+++ b/features/restored_grants.feature
@@ -11,6 +11,7 @@
       | hubs only          | 1     | 8    |
       | hubs only          | 9     | 16   |
       | one hub and others | 1     | 8    |
+      | one hub and others | 17    | 24   |
 
   Scenario Outline: Random histories with restores detect a fleet where <fault>
     Given a fleet that restores wrongly, where <fault>
@@ -38,6 +39,18 @@
     Then no customer spent more tokens than it has paid for
     And all tokens that are left can be granted within 9.5 s
 
+  Scenario: Restores that follow each other do not make lost grants free
+    A gateway that was lost in the first restore counts until the pool has been settled.
+
+    Given a pool that is restored in epoch 2, in which a gateway is lost
+    When the store is restored again in epochs 3 and 4 before the time to confirm is over
+    Then the pool grants nothing although all gateways have confirmed their grants in epoch 4
+    And after 4 s all tokens but those of a later top-up are withheld
+
+  Scenario: An account is closed for good only in a pool that shows it
+    Given a pool of which an ended gateway holds 50 tokens as in the copy
+    Then it can not be closed before the time to confirm is over, and can be afterwards
+
   Scenario: Grants that nobody confirms are not granted again
     When the store comes back from a copy that is 9 s old and all gateways were killed before
     Then no customer spent more tokens than it has paid for
--- a/features/steps/restored_grants_steps.py
+++ b/features/steps/restored_grants_steps.py
@@ -7,7 +7,15 @@
 from prepaid_support import run_random_history
 from restored_grants_support import TopUpSimulation, run_restore
 
-from bilberryshed.coordination import BoundsRecord, PoolRow, confirm_grant
+from bilberryshed.coordination import (
+    CONFIRM_TIME,
+    BoundsRecord,
+    PoolReading,
+    PoolRow,
+    can_be_closed,
+    confirm_grant,
+    end_confirmation,
+)
 from bilberryshed.gateway import _grant_confirmation
 from bilberryshed.gateway._epoch_recovery import EpochRecovery
 
@@ -135,3 +143,51 @@
     assert simulation.served_before_top_up == 0, simulation.served_before_top_up
     spent = simulation.used("harbour") - simulation.spent_before_top_up
     assert 0 < spent <= simulation.topped_up, (spent, simulation.topped_up)
+
+
+# Decisions ----------------------------------------------------------------------------------
+
+PREPAID = 1000  # tokens
+ENDED = "gate-1.a"
+
+
+def restore_pool(row, epoch, clock=0.0):
+    """Return the row after a gateway without grants has confirmed that in a new epoch."""
+    reading = PoolReading(row, epoch, clock, is_complete=False)
+    return confirm_grant(reading, PoolRow(), "gate-2.b", 0)
+
+
+@given("a pool that is restored in epoch 2, in which a gateway is lost")
+def given_restored_pool(context):
+    context.pool = restore_pool(PoolRow(100, {ENDED: 50}, epoch=1, revision=5), 2)
+    context.lost_epoch = 2
+
+
+@when("the store is restored again in epochs 3 and 4 before the time to confirm is over")
+def when_restored_again(context):
+    for epoch in (3, 4):
+        context.pool = restore_pool(context.pool, epoch)
+
+
+@then("the pool grants nothing although all gateways have confirmed their grants in epoch 4")
+def then_grants_nothing(context):
+    after = end_confirmation(context.pool, PREPAID, 1.0, context.lost_epoch)
+    assert after is context.pool and after.free(PREPAID) == 0, after
+
+
+@then("after {seconds:d} s all tokens but those of a later top-up are withheld")
+def then_withheld(context, seconds):
+    after = end_confirmation(context.pool, PREPAID, float(seconds), context.lost_epoch)
+    assert after.free(PREPAID) == 0 and after.free(PREPAID + 70) == 70, after
+
+
+@given("a pool of which an ended gateway holds 50 tokens as in the copy")
+def given_copied_holder(context):
+    context.pool = restore_pool(PoolRow(100, {ENDED: 50}, epoch=1, revision=5), 2)
+
+
+@then("it can not be closed before the time to confirm is over, and can be afterwards")
+def then_can_be_closed(context):
+    assert not can_be_closed(context.pool, ENDED)
+    settled = end_confirmation(context.pool, PREPAID, CONFIRM_TIME, None)
+    assert can_be_closed(settled, ENDED), settled
--- a/src/bilberryshed/coordination/_pool_restore.py
+++ b/src/bilberryshed/coordination/_pool_restore.py
@@ -58,10 +58,26 @@
     if reading.is_complete and base.epoch == 0:
         return replace(base, epoch=reading.epoch)
     closed = base.closed + base.withheld
-    restoration = PoolRestoration(base.stamp, closed, reading.clock, tuple(sorted(base.holders)))
+    restoration = PoolRestoration(
+        _open_epoch(base, reading.epoch),
+        base.stamp,
+        closed,
+        reading.clock,
+        tuple(sorted(base.holders)),
+    )
     return PoolRow(closed, dict(base.holders), reading.epoch, base.revision, restoration)
 
 
+def _open_epoch(row: PoolRow, epoch: int) -> int:
+    """Return the epoch in which the restoration of a row began if it has not ended, else another.
+
+    :param epoch: the epoch to return if there is none
+    """
+    restoration = row.restoration
+    is_open = restoration is not None and restoration.withheld is None
+    return min(epoch, restoration.epoch) if restoration and is_open else epoch
+
+
 def _merge(row: PoolRow, restoration: PoolRestoration, known: PoolRow) -> PoolRow:
     """Replace what stems from an older row by a newer one that a router knows."""
     if known.epoch >= row.epoch or known.stamp <= restoration.base:
@@ -77,6 +93,7 @@
         holders=unconfirmed | confirmed,
         restoration=replace(
             restoration,
+            epoch=_open_epoch(known, restoration.epoch),
             base=known.stamp,
             base_closed=closed,
             unconfirmed=tuple(sorted(unconfirmed)),
@@ -97,17 +114,18 @@
     return replace(row.with_holder(boot, granted), restoration=restoration)
 
 
-def end_confirmation(row: PoolRow, prepaid: int, clock: float, is_complete: bool) -> PoolRow:
+def end_confirmation(row: PoolRow, prepaid: int, clock: float, lost_epoch: int | None) -> PoolRow:
     """Return the row after a step towards the end of its restoration, unchanged if none is due.
 
     :param prepaid: total of the tokens paid for
     :param clock: clock of the store, in seconds
-    :param is_complete: whether all routers have confirmed their grants, and none is lost
+    :param lost_epoch: latest epoch before which grants of any router are lost, 0 for none;
+        ``None`` if not all routers have confirmed their grants
     """
     restoration = row.restoration
     if restoration is None:
         return row
-    if is_complete:
+    if lost_epoch is not None and lost_epoch < restoration.epoch:
         return replace(row, restoration=None)
     if restoration.withheld is None and clock >= restoration.started_at + CONFIRM_TIME:
         withheld = max(0, row.free(prepaid, while_restoring=True))
@@ -149,11 +167,3 @@
     def to_value(self) -> dict[str, Any]:
         """Return the columns of a row."""
         return asdict(self)
-
-    def is_lost(self, epoch: int) -> bool:
-        """Whether grants are unknown in an epoch; also if a second restore followed the first."""
-        return self.lost_epoch > 0 and epoch - 1 <= self.lost_epoch
-
-    def is_confirmed(self, epoch: int) -> bool:
-        """Whether all grants of this router are known in an epoch."""
-        return self.epoch == epoch and not self.is_lost(epoch)
--- a/src/bilberryshed/coordination/_prepaid.py
+++ b/src/bilberryshed/coordination/_prepaid.py
@@ -58,6 +58,7 @@
     """
     withheld = value["withheld"]
     return PoolRestoration(
+        int(value["epoch"]),
         int(value["base"]),
         int(value["base_closed"]),
         float(value["started_at"]),
--- a/src/bilberryshed/gateway/_epoch_recovery.py
+++ b/src/bilberryshed/gateway/_epoch_recovery.py
@@ -49,17 +49,17 @@
     :param name: name of this gateway
     :param current: the current epoch, ``None`` before it has been read
     :param own: this gateway's entry, ``None`` before it has been read
-    :param has_lost: whether grants of some gateway are lost in the current epoch
+    :param lost_epoch: latest epoch before which grants of some gateway are lost, 0 for none
     """
 
-    __slots__ = ("tables", "name", "current", "own", "has_lost")
+    __slots__ = ("tables", "name", "current", "own", "lost_epoch")
 
     def __init__(self, tables: ClockedTableService, name: str) -> None:
         self.tables = tables
         self.name = name
         self.current: EpochRow | None = None
         self.own: RouterRecovery | None = None
-        self.has_lost = False
+        self.lost_epoch = 0
 
     def is_complete(self) -> bool:
         """Whether the rows from before this epoch are known, so that an absent one is new."""
@@ -140,7 +140,9 @@
         return True
 
     async def all_confirmed(self, required: Collection[str]) -> bool | None:
-        """Whether all gateways have confirmed their grants in the current epoch.
+        """Whether all gateways have confirmed their grants in the current epoch, as far as known.
+
+        It also updates ``lost_epoch``.
 
         :param required: names of gateways that must have an entry
         :returns: ``None`` if the store did not respond
@@ -150,6 +152,6 @@
         if isinstance(rows, Failure) or self.tables.epoch != epoch:
             return None
         entries = {row.ref.key: RouterRecovery.from_value(row.value) for row in rows.unwrap()}
-        self.has_lost = any(entry.is_lost(epoch) for entry in entries.values())
+        self.lost_epoch = max((entry.lost_epoch for entry in entries.values()), default=0)
         is_known = entries.keys() >= set(required)
-        return is_known and all(entry.is_confirmed(epoch) for entry in entries.values())
+        return is_known and all(entry.epoch == epoch for entry in entries.values())
--- a/src/bilberryshed/gateway/_grant_confirmation.py
+++ b/src/bilberryshed/gateway/_grant_confirmation.py
@@ -173,5 +173,5 @@
         complete = await self.recovery.all_confirmed(required)
         if complete is None:
             return None
-        clock = self.tables.clock
-        return lambda name, row: end_confirmation(row, totals.get(name, 0), clock, complete)
+        clock, lost_epoch = self.tables.clock, self.recovery.lost_epoch if complete else None
+        return lambda name, row: end_confirmation(row, totals.get(name, 0), clock, lost_epoch)
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -162,8 +162,9 @@
         if customer not in self.context.prepaid_totals():
             return Shortage.UNREACHABLE
         row = self.pool_sync.known_rows.get(customer, PoolRow())
-        if row.restoration and not (row.withheld and self.context.recovery.has_lost):
-            return Shortage.UNREACHABLE
+        restoration, lost_epoch = row.restoration, self.context.recovery.lost_epoch
+        if restoration and not (row.withheld and lost_epoch >= restoration.epoch):
+            return Shortage.UNREACHABLE  # the tokens that are withheld may be granted again
         left = row.free(self.context.prepaid_totals().get(customer, 0)) >= lacking
         if left or self.peers.unacknowledged or not row.is_acknowledged_by_all(granted):
             return Shortage.UNREACHABLE
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -137,6 +137,8 @@
 class PoolRestoration:
     """State of a pool that the store brought back from a copy, until all gateways confirm it.
 
+    :param epoch: epoch of the store in which this began; a further restore before its end continues
+        it
     :param base: stamp of the row that it is restored from
     :param base_closed: tokens that this row counts as used by incarnations that have ended
     :param started_at: clock of the store at the start, in seconds
@@ -145,6 +147,7 @@
         no token is granted
     """
 
+    epoch: int
     base: int
     base_closed: int
     started_at: float
