--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import sys
+import traceback
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent))
@@ -22,6 +23,13 @@
     context.add_cleanup(context.loop.close)
 
 
+def after_step(context, step):
+    """Print the traceback of an unexpected exception, which the JSON report lacks."""
+    if step.exception is not None and not isinstance(step.exception, AssertionError):
+        print(f"\n{step.location} {step.name!r}:", file=sys.__stderr__)
+        traceback.print_exception(step.exception, file=sys.__stderr__)
+
+
 def after_scenario(context, scenario):
     """Stop the fleet of the scenario, unless the scenarios of its feature share it."""
     fleet = getattr(context, "fleet", None)
