Keys of streams wait for a store that does not respond, and take-ups do not

Found on reading the change: while the store is silent, each 0.1 s one more write of keys queued behind the call under way and was then lost, and a take-up waited for that queue. Now keys are kept until a write succeeds, one write is under way at a time, and a take-up waits 0.35 s at most. Runs: stream_versions.feature, 19 scenarios pass.

--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -1,7 +1,7 @@
 """Tells which software version began a stream, so that it goes on only at that version."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from bilberryshed.coordination import BackendView, Origin, StreamOrigins, stream_key
@@ -13,6 +13,7 @@
 OBSERVE_INTERVAL = 0.1  # seconds between looks at the listed versions
 MAX_LIST_AGE = 2.0  # seconds since the last read of the entries up to which they are up to date
 UNSTORED_TIME = 1.0  # seconds after which a version that cannot be stored is used all the same
+STORE_WAIT_TIMEOUT = 0.35  # seconds; longest wait of a take-up for the store
 PEER_TIMEOUT = 0.15  # seconds that hubs have to respond
 DOUBT_TIME = 10.0  # seconds before an outage in which a failure may have been a restart
 
@@ -25,6 +26,8 @@
     :param first_listed_at: monotonic time at which each version was listed first
     :param boots: boot ids of the linked gateways
     :param changed_at: clock of the store at the last start or end of any gateway, in seconds
+    :param storing: whether the listed versions are being stored
+    :param pending: futures of the responses of hubs, by request id
     """
 
     def __init__(self, context: GatewayContext) -> None:
@@ -145,16 +148,22 @@
         """
         key = stream_key(request) if request else None
         if self.records.epoch < 0:
-            await self.records.store_versions(self._listed())
+            await self._within(self.records.store_versions(self._listed()))
         found = self._find_here(services, key)
         if found is None and key is not None:
             found = await self._ask_hubs(services, key)
-        if found is None and key is not None and await self.records.read():
+        if found is None and key is not None and await self._within(self.records.read()):
             found = self.origins.get(key) or self._derive(services)
         if found is None:
             logger().info("origin_unknown", resumes=request, services=services)
         return found
 
+    async def _within(self, call: Coroutine[Any, Any, bool]) -> bool:
+        """Return the result of a call to the store, ``False`` if it takes too long."""
+        task = self.context.spawn(call)
+        done, _ = await asyncio.wait({task}, timeout=STORE_WAIT_TIMEOUT)
+        return task in done and bool(task.result())
+
     def _find_here(self, services: tuple[str, ...], key: int | None) -> Origin | None:
         """Return the origin if this gateway knows it, or if all servers are of one version."""
         found = self.origins.get(key) if key is not None else None
@@ -174,8 +183,8 @@
         It was begun before the last gateway ended, so at a version that was in service then.
         """
         linked = self.context.peer_links.keys() | {self.context.settings.name}
-        is_alone = bool(self.context.known_gateways - linked)
-        if is_alone or not self._is_up_to_date() or self.records.epoch < 0:
+        all_linked = self.context.known_gateways <= linked
+        if not all_linked or not self._is_up_to_date() or self.records.epoch < 0:
             return None
         return self._only(services, self.changed_at)
 
@@ -184,14 +193,15 @@
     def _report(self, now: float) -> None:
         """Report new streams of services with several versions to the hub, or store them."""
         self.origins.prune(now)
-        if not self._is_mixed():
+        link = self.context.peer_links.get(self.context.hubs.own)
+        is_busy = link is None and self.records.lock.locked()
+        if is_busy or not self._is_mixed():
             return
         groups = self.origins.take_unreported()
-        link = self.context.peer_links.get(self.context.hubs.own)
         if not groups:
             return
         if link is None:
-            self.context.spawn(self.records.write(groups))
+            self.context.spawn(self._write(groups))
             return
         link.send(
             StreamsNotice(
@@ -199,7 +209,14 @@
             )
         )
 
+    async def _write(self, groups: dict[Origin, list[int]]) -> None:
+        """Store streams; those that the store did not take are reported again."""
+        if not await self.records.write(groups):
+            for keys in groups.values():
+                self.origins.unreported.update(keys)
+
     def _is_mixed(self) -> bool:
+        """Whether any service has several versions now, or had them a short time ago."""
         clock, served = self.context.ports.tables.clock, self.records.served
         return any(len(served.possible(service, clock)) > 1 for service in served.spans)
 
--- a/src/bilberryshed/gateway/_stream_records.py
+++ b/src/bilberryshed/gateway/_stream_records.py
@@ -102,21 +102,24 @@
 
     # Streams --------------------------------------------------------------------------------
 
-    async def write(self, groups: Mapping[Origin, list[int]]) -> None:
-        """Write the keys of streams to the next row of the ring, at most ``MAX_KEYS`` of them."""
+    async def write(self, groups: Mapping[Origin, list[int]]) -> bool:
+        """Write the keys of streams to the next row of the ring, at most ``MAX_KEYS`` of them.
+
+        :returns: whether they are stored
+        """
         async with self.lock:
-            await self._write_row(
+            return await self._write_row(
                 [
                     [origin.service, origin.version, _pack_keys(keys[:MAX_KEYS])]
                     for origin, keys in groups.items()
                 ]
             )
 
-    async def _write_row(self, groups: list[list[str]]) -> None:
+    async def _write_row(self, groups: list[list[str]]) -> bool:
         if self.row_versions is None or self.rows_epoch != self.tables.epoch:
             rows = await self.tables.scan(STREAM_TABLE, f"{self._vm()}/", "", RING_ROWS)
             if isinstance(rows, Failure):
-                return
+                return False
             self.row_versions = {row.ref.key: row.version for row in rows.unwrap()}
             self.rows_epoch = self.tables.epoch
         key = f"{self._vm()}/{self.slot:03d}"
@@ -127,8 +130,9 @@
         if isinstance(written, Failure) or written.unwrap() is None:
             self.row_versions = None
             logger().warning("streams_not_stored", groups=len(groups))
-        else:
-            self.row_versions[key] = written.unwrap() or 0
+            return False
+        self.row_versions[key] = written.unwrap() or 0
+        return True
 
     def _vm(self) -> str:
         return self.context.settings.name
