--- a/features/soak.feature
+++ b/features/soak.feature
@@ -23,6 +23,8 @@
       | an event of a stream is repeated              | got events           |
       | a truncated stream appears complete           | a whole answer with  |
       | a truncated stream appears truncated          | nothing              |
+      | a stream is taken up at the version that began it | nothing  |
+      | a stream is taken up at another version | events of the versions |
       | more tokens are used than were paid for       | and paid for         |
       | a gateway serves an older configuration       | serves configuration |
       | a restarted gateway serves an older one       | nothing              |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -56,6 +56,14 @@
     record.record_version("gate-1#1", 4)
 
 
+def take_up(record, version):
+    """Have the caller of a truncated stream take it up again, at a version."""
+    record.responses["chat"] = ReceivedResponse("chat", 200, b"id: 1\ndata: x of v1\n\n", False)
+    record.sent["rest"] = SentRequest("rest", True, True, 10, "chat", 1)
+    events = b"".join(b"id: %d\ndata: x of %s\n\n" % (n, version) for n in (2, 3))
+    record.responses["rest"] = ReceivedResponse("rest", 200, events, True)
+
+
 def replace_stream(record, *numbers, complete=True):
     """Replace the received stream in the observations."""
     record.responses["chat"] = ReceivedResponse("chat", 200, event_stream(*numbers), complete)
@@ -74,6 +82,8 @@
     "an event of a stream is repeated": lambda r: replace_stream(r, 1, 2, 2, 3),
     "a truncated stream appears complete": lambda r: replace_stream(r, 1, 2),
     "a truncated stream appears truncated": lambda r: replace_stream(r, 1, 2, complete=False),
+    "a stream is taken up at the version that began it": lambda r: take_up(r, b"v1"),
+    "a stream is taken up at another version": lambda r: take_up(r, b"v2"),
     "more tokens are used than were paid for": lambda r: r.sent.update(
         chat=SentRequest("chat", True, True, 190)
     ),
--- a/src/bilberryshed_load/_soak.py
+++ b/src/bilberryshed_load/_soak.py
@@ -18,7 +18,12 @@
 from bilberryshed.state import Address
 from bilberryshed_load._plans import free_port
 from bilberryshed_load._soak_proxy import FaultyProxy, NetworkFault
-from bilberryshed_load._soak_record import ReceivedResponse, SentRequest, SoakRecord
+from bilberryshed_load._soak_record import (
+    ReceivedResponse,
+    SentRequest,
+    SoakRecord,
+    event_numbers,
+)
 from bilberryshed_standins import EVENTS, RoutedBackend, RowStore, RowStoreCopy, serve_row_store
 
 HOST, KEY, CUSTOMER = "soak.example", "k-soak", "harbour"
@@ -30,6 +35,8 @@
 CALLER_TIMEOUT = 4.0  # seconds for one request
 DRAIN_TIME = 5.0  # seconds from SIGTERM to the end of a gateway, at most
 START_TIMEOUT = 10.0  # seconds, at most, to wait until a gateway is ready
+ENGINE_VERSIONS = ("v1", "v1", "v2")  # software versions of the model engines
+TAKE_UP_DELAY = 1.0  # seconds at most until a caller takes up a stream that broke off
 COPY_INTERVAL = 0.5  # seconds between copies of the store
 MAX_COPIES = 20  # copies kept, from which the store comes back
 BACKEND_FAULTS = ("full", "reset", "garbage", "unsigned", "error", "foreign", "extra", "cut 2")
@@ -145,22 +152,26 @@
 
     async def set_up(self, store_port: int) -> None:
         """Start backend servers and gateways; wait up to ``START_TIMEOUT`` for their readiness."""
-        for number in range(1, 4):
-            await self._add_backend(f"i-model-{number}", "model", True)
+        for number, version in enumerate(ENGINE_VERSIONS, 1):
+            await self._add_backend(f"i-model-{number}", "model", True, version)
             await self._add_backend(f"i-desk-{number}", "desk", False)
         self._put_config()
         for name in GATEWAYS:
             await self._add_gateway(name, store_port)
         await asyncio.gather(*(self._wait_ready(g) for g in self.gateways.values()))
 
-    async def _add_backend(self, id_: str, service: str, is_streaming: bool) -> None:
+    async def _add_backend(
+        self, id_: str, service: str, is_streaming: bool, version: str = ""
+    ) -> None:
         backend = RoutedBackend(id_, is_streaming, delay=0.05 if is_streaming else 0.0)
+        backend.software = version
         await backend.start()
         address = Address.parse(backend.address)
         proxy = FaultyProxy((address.host, address.port), random.Random(self.seed))
         await proxy.start()
         self.backends[id_], self.backend_proxies[id_] = backend, proxy
         entry = {"service": service, "address": proxy.address, "zone": "quay", "slots": 8}
+        entry |= {"version": version, "born": 1}
         self.store.put("servers", id_, {**entry, "state": "serving", "sequence": 1})
 
     async def _add_gateway(self, name: str, store_port: int) -> None:
@@ -241,6 +252,25 @@
         self.record.responses[id_] = response
         if kind == "gen" and response.status == 200 and gateway.boot == boot:
             self.record.record_version(boot, version)
+        if kind == "chat" and response.status == 200 and not response.complete:
+            await self._take_up(rng, sent, response)
+
+    async def _take_up(
+        self, rng: random.Random, sent: SentRequest, response: ReceivedResponse
+    ) -> None:
+        """Request the rest of a stream that broke off, at any gateway."""
+        numbers = event_numbers(response.body)
+        if not numbers:
+            return
+        await asyncio.sleep(rng.uniform(0.05, TAKE_UP_DELAY))
+        id_ = f"{self.next_id:016x}"
+        self.next_id += 1
+        rest = SentRequest(id_, True, True, sent.tokens, sent.id, numbers[-1])
+        self.record.sent[id_] = rest
+        gateway = self.gateways[rng.choice(GATEWAYS)]
+        answer = await self._send_request(gateway, "POST", "/chat/x", rest)
+        if answer is not None:
+            self.record.responses[id_] = answer
 
     async def _send_request(
         self, gateway: GatewayProcess, method: str, path: str, sent: SentRequest
@@ -372,6 +402,8 @@
     framing = h11.Connection(h11.CLIENT)
     headers = [("Host", HOST), ("X-Key", KEY), ("X-Attempt-Id", sent.id)]
     headers += [("X-Deadline-Ms", str(int(CALLER_TIMEOUT * 1000))), ("Content-Length", "0")]
+    if sent.resumed:
+        headers += [("Last-Event-Id", str(sent.after)), ("Resumes", sent.resumed)]
     if sent.tokens:
         headers.append(("X-Token-Usage", f"{sent.tokens},{EVENTS * TOKENS_PER_EVENT}"))
     status, body = 0, b""
--- a/src/bilberryshed_load/_soak_record.py
+++ b/src/bilberryshed_load/_soak_record.py
@@ -7,6 +7,7 @@
 from bilberryshed.protocol import Finding
 
 _EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+_VERSION = re.compile(rb"^data: .* of (v\d+)$", re.MULTILINE)
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -17,12 +18,16 @@
     :param retryable: whether it may be executed more than once
     :param is_stream: whether its response is a stream
     :param tokens: prompt tokens, 0 for a plain call
+    :param resumed: id of the request that received the first event of this stream, empty for none
+    :param after: id of the last event that it received
     """
 
     id: str
     retryable: bool
     is_stream: bool
     tokens: int = 0
+    resumed: str = ""
+    after: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,7 +110,7 @@
         for id_, sent in self.sent.items():
             if sent.tokens and self.runs.get(id_):
                 response = self.responses.get(id_)
-                events = len(_EVENT_ID.findall(response.body)) if response else 0
+                events = len(event_numbers(response.body)) if response else 0
                 total += sent.tokens + events * self.tokens_per_event
         return total
 
@@ -114,7 +119,7 @@
         if response.status in NOT_RUN_STATUSES and runs and not sent.retryable:
             self._add_finding(sent.id, f"was refused with {response.status} as not run, and ran")
         if response.status == 200 and sent.is_stream:
-            self._check_stream(sent.id, response)
+            self._check_stream(sent, response)
         elif (
             response.status == 200
             and response.complete
@@ -122,16 +127,26 @@
         ):
             self._add_finding(sent.id, f"got {response.body[:60]!r}")
 
-    def _check_stream(self, id_: str, response: ReceivedResponse) -> None:
-        numbers = [int(number) for number in _EVENT_ID.findall(response.body)]
-        if numbers != list(range(1, len(numbers) + 1)):
-            self._add_finding(id_, f"got events {numbers}")
-        elif response.complete and len(numbers) != self.events:
-            self._add_finding(id_, f"got a whole answer with events {numbers}")
+    def _check_stream(self, sent: SentRequest, response: ReceivedResponse) -> None:
+        numbers = event_numbers(response.body)
+        if numbers != list(range(sent.after + 1, sent.after + len(numbers) + 1)):
+            self._add_finding(sent.id, f"got events {numbers}")
+        elif response.complete and sent.after + len(numbers) != self.events:
+            self._add_finding(sent.id, f"got a whole answer with events {numbers}")
+        begun = self.responses.get(sent.resumed)
+        text = response.body + (begun.body if begun else b"")
+        versions = sorted(set(_VERSION.findall(text)))
+        if len(versions) > 1:
+            self._add_finding(sent.id, f"got events of the versions {versions}")
 
     def _add_finding(self, location: str, text: str) -> None:
         self.findings.append(Finding("soak", location, text))
 
 
+def event_numbers(body: bytes) -> list[int]:
+    """Return the ids of the events in a stream."""
+    return [int(number) for number in _EVENT_ID.findall(body)]
+
+
 def _expected_plain_body(id_: str) -> bytes:
     return f"answer to {id_}".encode()
