Broken variants of a restore are caught by a scenario that does not depend on the hash seed; measurements

Found by a run of prepaid to restored_grants in one process: random histories did not catch the variant that trusts old records for one hash seed of seven, and the one that counts all gateways as confirmed for one of six.

--- a/features/restored_grants.feature
+++ b/features/restored_grants.feature
@@ -20,8 +20,6 @@
 
     Examples:
       | fault                                        |
-      | all gateways count as confirmed              |
-      | records of an earlier epoch are trusted      |
       | grants are not confirmed after a restore     |
 
   Scenario: Tokens are granted again soon after a restore that no gateway missed
@@ -39,6 +37,17 @@
     Then no customer spent more tokens than it has paid for
     And all tokens that are left can be granted within 9.5 s
 
+  Scenario Outline: A fleet where <fault> grants what nobody confirmed
+    Given a fleet that restores wrongly, where <fault>
+    When the store comes back from a copy that is 9 s old and all gateways were killed before
+    Then tokens are granted before a later top-up
+
+    Examples:
+      | fault                                    |
+      | all gateways count as confirmed          |
+      | records of an earlier epoch are trusted  |
+      | grants are not confirmed after a restore |
+
   Scenario: Restores that follow each other do not make lost grants free
     A gateway that was lost in the first restore counts until the pool has been settled.
 
--- a/features/steps/restored_grants_steps.py
+++ b/features/steps/restored_grants_steps.py
@@ -137,6 +137,11 @@
     assert context.simulation.overcounted <= tokens, context.simulation.overcounted
 
 
+@then("tokens are granted before a later top-up")
+def then_granted_before_top_up(context):
+    assert context.simulation.served_before_top_up > 0
+
+
 @then("only tokens of a later top-up are granted")
 def then_only_top_up(context):
     simulation = context.simulation
