Simulated time works in a process with more than 1,024 open files

The simulated loop polled with select(), and by then the process has that many descriptors, from the scenarios with gateways before. Run alone they pass. Now the system's default selector. Not traced: which scenarios leave descriptors open.

--- a/features/load_tool.feature
+++ b/features/load_tool.feature
@@ -13,3 +13,7 @@
     When a test report with a failed step "the fleet starts" and the message "no answer on /live" is counted
     Then the output names features/x.feature:7, the step and the message
     And the last output line is "1 passed, 1 failed"
+
+  Scenario: Simulated time in a process with many open files
+    Given 1100 open files
+    Then a sleep of 5 s in simulated time ends 5 s later
--- a/features/steps/load_tool_steps.py
+++ b/features/steps/load_tool_steps.py
@@ -1,15 +1,19 @@
 """Steps for the load tool's ports and the test scripts."""
 
+import asyncio
+import contextlib
 import json
+import os
 import socket
 import subprocess
 import sys
 import tempfile
 from pathlib import Path
 
-from behave import then, when
+from behave import given, then, when
 
 from bilberryshed_load import free_port
+from bilberryshed_load._simulated_time import run_in_simulated_time
 
 EPHEMERAL_PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 
@@ -71,3 +75,22 @@
 @then('the last output line is "{line}"')
 def then_last_line(context, line):
     assert context.output.splitlines()[-1] == line, context.output
+
+
+@given("{count:d} open files")
+def given_open_files(context, count):
+    files = contextlib.ExitStack()
+    for _ in range(count):
+        files.enter_context(Path(os.devnull).open())
+    context.add_cleanup(files.close)
+
+
+@then("a sleep of {seconds:d} s in simulated time ends {elapsed:d} s later")
+def then_sleeps(context, seconds, elapsed):
+    async def sleep():
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        await asyncio.sleep(seconds)
+        return loop.time() - start
+
+    assert abs(run_in_simulated_time(sleep()) - elapsed) < 1e-6
--- a/src/bilberryshed_load/_simulated_time.py
+++ b/src/bilberryshed_load/_simulated_time.py
@@ -10,9 +10,11 @@
 T = TypeVar("T")
 
 
-class _SkippingSelector(selectors.SelectSelector):
+class _SkippingSelector(selectors.DefaultSelector):
     """Advances the clock by the timeout of each select call instead of blocking.
 
+    ``SelectSelector`` would fail in a process with more than 1,024 open files.
+
     :param simulated_time: initial simulated time, in seconds
     """
 
