--- a/features/steps/load_tool_steps.py
+++ b/features/steps/load_tool_steps.py
@@ -1,7 +1,6 @@
 """Steps for the load tool's ports and the test scripts."""
 
 import asyncio
-import contextlib
 import json
 import os
 import socket
@@ -79,10 +78,8 @@
 
 @given("{count:d} open files")
 def given_open_files(context, count):
-    files = contextlib.ExitStack()
-    for _ in range(count):
-        files.enter_context(Path(os.devnull).open())
-    context.add_cleanup(files.close)
+    descriptors = [os.open(os.devnull, os.O_RDONLY) for _ in range(count)]
+    context.add_cleanup(lambda: [os.close(descriptor) for descriptor in descriptors])
 
 
 @then("a sleep of {seconds:d} s in simulated time ends {elapsed:d} s later")
