Whether a version is stored is asked without building a mapping for each server

On reading the change again: each resumable request asked this for each usable server with a dict and a set made for it. Behaviour as before.

--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -97,7 +97,7 @@
         otherwise.
         """
         server = view.server
-        if self.records.is_stored({server.service: {server.version}}):
+        if self.records.is_stored(server.service, server.version):
             return True
         listed_at = self.first_listed_at.get(Origin(server.service, server.version))
         return listed_at is not None and self._now() >= listed_at + UNSTORED_TIME
--- a/src/bilberryshed/gateway/_stream_records.py
+++ b/src/bilberryshed/gateway/_stream_records.py
@@ -53,11 +53,9 @@
 
     # Versions -------------------------------------------------------------------------------
 
-    def is_stored(self, listed: Mapping[str, set[str]]) -> bool:
-        """Whether the store lists these versions, by service, in its current epoch."""
-        if self.epoch != self.tables.epoch:
-            return False
-        return all(found <= self.stored.get(service, set()) for service, found in listed.items())
+    def is_stored(self, service: str, version: str) -> bool:
+        """Whether the store lists a version of a service in its current epoch."""
+        return self.epoch == self.tables.epoch and version in self.stored.get(service, ())
 
     def is_current(self) -> bool:
         """Whether the store lists all spans as this gateway knows them."""
