--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -137,6 +137,8 @@
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str, str], tuple[bytes | None, int]] = {}
         self.version = 0
+        self.era = 1
+        self.is_away = False
         self.started_at = time.monotonic()
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -170,6 +172,29 @@
         self.version += 1
         self.rows[address] = (data, self.version)
 
+    def copy(self) -> tuple[dict[tuple[str, str, str], tuple[bytes | None, int]], int]:
+        """Return a copy of all rows, and the version at which it was made."""
+        return dict(self.rows), self.version
+
+    def go_away(self) -> None:
+        """Close all channels, and answer no call, until :meth:`restore`."""
+        self.is_away = True
+        for writer in tuple(self.writers):
+            reset(writer)
+
+    def restore(
+        self, copy: tuple[dict[tuple[str, str, str], tuple[bytes | None, int]], int]
+    ) -> None:
+        """Come back from a copy; what the operator and the engines wrote is written again."""
+        current, (rows, version) = self.rows, copy
+        self.rows, self.version = dict(rows), version
+        self.era += 1
+        for address, (data, _) in sorted(current.items(), key=lambda item: item[1][1]):
+            if address[0] in ("op", "servers") and self.rows.get(address, (None, 0))[0] != data:
+                self._set(address, data)
+        self.is_away = False
+        self._notify()
+
     def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
@@ -185,14 +210,14 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         with contextlib.suppress(ConnectionError):
-            while (request := await read_request(reader)) is not None:
+            while (request := await read_request(reader)) is not None and not self.is_away:
                 status, body = await self._answer(request)
                 body |= {
                     "rowVersion": self.version,
                     "serverTimeMs": int((time.monotonic() - self.started_at) * 1000),
                 }
                 data = json.dumps(body).encode()
-                headers = {"Content-Type": "application/json", "Store-Era": "1"}
+                headers = {"Content-Type": "application/json", "Store-Era": str(self.era)}
                 writer.write(response(status, headers, data))
                 await writer.drain()
         self.writers.discard(writer)
@@ -223,6 +248,8 @@
             return 200, {"rows": rows, "hasMore": len(found) > most}
         if path == "/rows-feed":
             after = int(query["after"])
+            if after > self.version:
+                return 410, {}
             deadline = time.monotonic() + int(query.get("waitMs", "0")) / 1000
             while True:
                 new = sorted(
@@ -569,6 +596,7 @@
     store: Store
     gateways: list[Gateway] = field(default_factory=list)
     engines: list[Engine] = field(default_factory=list)
+    traffic_at: float = 0.0
 
     async def add_gateway(self, name: str, zone: str = "harbour-a") -> Gateway:
         """Start a gateway."""
