--- a/review/3/check.py
+++ b/review/3/check.py
@@ -1,141 +1,208 @@
-"""A late second copy of a rejection makes the gateway send a booking that runs to a second engine.
+"""A gateway that the store turns away takes streams up at another software version.
 
-Two engines take bookings, each with two slots and a queue of two; a full engine rejects a request
-as ``fleetbench wire`` shows it: 503 with ``X-Not-Executed``. The disruption is ``garble``, ``extra
-late``: one of the two engines sends a second copy of 3 in 100 of its answers, at the point where
-the next answer on that channel is expected, in spells of 5 s. The pages leave open which answers
-those are; here they are rejections.
+Three gateways and six model engines of version v1 serve a resumable streaming route. A release
+begins: three engines of version v2 start, three of the old ones drain. At that moment the store
+turns one gateway away, with 503. A second gateway, which has begun streams at v2, is killed 1.3 s
+later. Requesters take its streams up at the two other ones.
 """
 
 import asyncio
 import random
+import re
+import signal
 import sys
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 import kit  # noqa: E402
 
-SECONDS = 80.0
-BURST = (1, 10)  # bookings that come at once at one gateway, drawn each time
-BURST_INTERVAL = 0.12  # seconds between bursts
-WORK = 0.06  # seconds of a booking
-SLOTS, QUEUE = 2, 2
-EXTRA_SHARE = 0.03  # of the answers that a faulty engine sends once more, at most
-SPELL, PAUSE = 5.0, 5.0  # seconds of a spell of this trouble, and between two spells
+RATE = 25.0  # new streams a second at each gateway
+EVENTS, EVENT_GAP = 25, 0.1  # events of a stream, and seconds between them
+TURNED_AWAY_AT, TURNED_AWAY = 8.0, 5.0  # seconds from the start of traffic, and how long
+RELEASE_AT, RELEASED, DRAIN_TIME = 8.1, 3, 5.0  # seconds, engines that are replaced, seconds
+KILL_AT, RESTART = 9.3, 1.0  # seconds
+SECONDS = 18.0  # of traffic
+TIMEOUT = 15.0  # seconds, X-Deadline-Ms
+MAX_TRIES = 3  # of a requester that takes a stream up
+MAX_MIXED = 2  # streams of two versions that the rule allows
+HOST, KEY = "review.example", "k1"
 CONFIG = {
     "version": 1,
     "routeTable": [
         {
-            "name": "book",
-            "host": "review.example",
-            "pathPrefix": "/book/",
-            "kind": "non_idempotent",
-            "timeoutMs": 2000,
-            "targetLatencyMs": 300,
-            "priority": 2,
-            "service": "desk",
-            "maxAttempts": 1,
-            "anonymous": True,
+            "name": "review",
+            "host": HOST,
+            "pathPrefix": "/review/",
+            "kind": "streaming",
+            "timeoutMs": 15000,
+            "targetLatencyMs": 600,
+            "priority": 0,
+            "service": "model",
+            "maxAttempts": 2,
+            "anonymous": False,
+            "sticky": True,
+            "resumable": True,
+            "targetItlMs": 300,
         }
     ],
-    "services": [{"name": "desk", "healthPath": "/healthz", "maxConnections": 100}],
-    "limits": {
-        "maxHeaderBytes": 16384,
-        "maxBodyBytes": 4194304,
-        "headerTimeoutMs": 3000,
-        "idleTimeoutMs": 15000,
-    },
+    "services": [{"name": "model", "maxConnections": 360, "backend": {"slots": 64, "stride": 4}}],
+    "tenants": [{"name": "harbour", "apiKeys": [KEY], "priority": 1}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "idleTimeoutMs": 15000},
 }
 
 
-class Desk:
-    """A booking engine's work: slots, a queue, and the answers that it sends once more."""
+async def write_stream(
+    engine: kit.Engine, request: kit.Request, writer: asyncio.StreamWriter
+) -> bool:
+    """Write the events after ``Last-Event-Id``, each with the version that wrote it."""
+    engine.run(request)
+    writer.write(kit.stream_head(engine, request))
+    for number in range(int(request.headers.get("last-event-id", "0")) + 1, EVENTS + 1):
+        writer.write(kit.chunk(kit.event(number, f"piece of {engine.version}")))
+        await asyncio.sleep(EVENT_GAP)
+        if writer.transport.is_closing():
+            return False
+    writer.write(b"0\r\n\r\n")
+    return True
 
-    def __init__(self, is_faulty: bool) -> None:
-        self.is_faulty = is_faulty
-        self.slots = asyncio.Semaphore(SLOTS)
-        self.present = 0
-        self.extra: dict[asyncio.StreamWriter, bytes] = {}
-        self.budget = 0.0
 
-    def sends_again(self, answer: bytes, now: float) -> bool:
-        """Whether an answer is one of the 3 in 100 that are sent once more."""
-        if not self.is_faulty or now % (SPELL + PAUSE) >= SPELL:
-            return False
-        self.budget += EXTRA_SHARE
-        if self.budget < 1 or b" 503 " not in answer[:16]:
-            return False
-        self.budget -= 1
-        return True
-
-    async def behave(
-        self, engine: kit.Engine, request: kit.Request, writer: asyncio.StreamWriter
-    ) -> bool:
-        """Run a booking, or reject it while slots and queue are full."""
-        late = self.extra.pop(writer, None)
-        if late is not None:
-            engine.record.line(
-                f"engine {engine.id} sends a second copy of an earlier answer "
-                f"({late[:40]!r}) where that to {request.id} is due"
+class Requester:
+    """One stream, which is taken up at another gateway if its channel breaks."""
+
+    def __init__(self, world: kit.World, number: int) -> None:
+        self.world, self.number = world, number
+        self.answers: list[kit.Answer] = []
+
+    @property
+    def versions(self) -> list[str]:
+        """Versions of the events that the requester got, over all of its tries."""
+        text = b"".join(answer.body for answer in self.answers)
+        return sorted({found.decode() for found in re.findall(rb"piece of (\S+)\n", text)})
+
+    async def run(self, gateway: kit.Gateway) -> None:
+        """Read the stream; take it up at another gateway if it broke off after an event."""
+        deadline = self.world.record.now() + TIMEOUT
+        first = await self._send(gateway, deadline, "", "")
+        last = max(first.events, default=0)
+        if first.complete or not last:
+            return
+        others = [other for other in self.world.gateways if other is not gateway]
+        for _ in range(MAX_TRIES):
+            answer = await self._send(random.choice(others), deadline, str(last), first.id)
+            if answer.events or answer.status == 200:
+                return
+            left = deadline - self.world.record.now()
+            wait = float(answer.headers.get("retry-after", "0.2"))
+            await asyncio.sleep(min(wait, left / 3))
+
+    async def _send(
+        self, gateway: kit.Gateway, deadline: float, last: str, resumes: str
+    ) -> kit.Answer:
+        left = deadline - self.world.record.now()
+        parts = f"5c1e07a2:600,{self.number % 40:04x}:200,{self.number:08x}:100"
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": kit.new_id(),
+            "X-Deadline-Ms": str(int(left * 1000)),
+            "X-Key": KEY,
+            "X-Model-Name": "m",
+            "X-Token-Usage": "900,100",
+            "X-Prompt-Prefix": parts,
+        }
+        if last:
+            headers |= {"Last-Event-Id": last, "Resumes": resumes}
+        sent_at = self.world.record.now()
+        try:
+            answer = await kit.call(
+                gateway.frontend,
+                "POST",
+                f"/review/{self.number}",
+                headers,
+                f"{{{self.number}}}".encode(),
+                timeout=left,
             )
-            writer.write(late)
-        if self.present >= SLOTS + QUEUE:
-            answer = kit.response(503, {"X-Not-Executed": "1"})
-            engine.record.line(f"engine {engine.id} rejects {request.id}")
-        else:
-            self.present += 1
-            async with self.slots:
-                engine.run(request)
-                await asyncio.sleep(WORK)
-            self.present -= 1
-            answer = kit.response(200, engine.head(request), b"booked " + request.id.encode())
-        writer.write(answer)
-        if self.sends_again(answer, engine.record.now()):
-            self.extra[writer] = answer
-        return True
+        except OSError:
+            answer = kit.Answer(headers["X-Attempt-Id"])
+        self.answers.append(answer)
+        events = answer.events
+        versions = sorted(set(re.findall(rb"piece of (\S+)\n", answer.body)))
+        self.world.record.line(
+            f"stream {self.number} at {gateway.name}, sent at {sent_at:.3f}, after event "
+            f"{last or 0}: status {answer.status}, events {events[:1]} to {events[-1:]} of "
+            f"{versions}, complete {answer.complete}"
+        )
+        return answer
+
+
+async def disturb(world: kit.World, front: kit.StoreFront) -> None:
+    """Replace engines as planned; turn one gateway away from the store, kill another one."""
+    killed = world.gateways[0]
+
+    async def until(seconds: float) -> None:
+        await asyncio.sleep(max(0.0, world.traffic_at + seconds - world.record.now()))
+
+    await until(TURNED_AWAY_AT)
+    if kit.trouble():
+        world.record.line("the store rejects the calls of edge-b-1")
+        front.is_busy = True
+    await until(RELEASE_AT)
+    old = world.engines[:RELEASED]
+    for number in range(1, RELEASED + 1):
+        world.record.line(f"engine i-new-{number} of version v2 starts")
+        await world.add_engine(f"i-new-{number}", "model", write_stream, version="v2")
+    await asyncio.sleep(0.3)
+    for engine in old:
+        engine.drain(DRAIN_TIME)
+    await until(KILL_AT)
+    if kit.trouble():
+        world.record.line(f"SIGKILL to {killed.name}")
+        killed.signal(signal.SIGKILL)
+        await asyncio.sleep(RESTART)
+        world.record.line(f"{killed.name} is started again")
+        await killed.start()
+    await until(TURNED_AWAY_AT + TURNED_AWAY)
+    front.is_busy = False
+    world.record.line("the store serves edge-b-1 again")
 
 
 async def check(world: kit.World) -> bool:
-    """Send bookings; whether none ran more than once."""
+    """Whether hardly any stream holds events of two versions."""
     world.store.put("op", "config", CONFIG)
-    for number in (1, 2):
-        desk = Desk(is_faulty=kit.trouble() and number == 1)
-        await world.add_engine(f"i-desk-{number}", "desk", desk.behave)
-    for zone in ("a", "b", "c"):
-        await world.add_gateway(f"edge-{zone}-1", f"harbour-{zone}")
+    for number in range(1, 7):
+        await world.add_engine(f"i-old-{number}", "model", write_stream)
+    front = await world.store.add_front()
+    await world.add_gateway("edge-a-1", "harbour-a")
+    await world.add_gateway("edge-b-1", "harbour-b", front)
+    await world.add_gateway("edge-c-1", "harbour-c")
     for gateway in world.gateways:
         await gateway.wait_ready()
-    calls: list[asyncio.Task[kit.Answer]] = []
-    deadline = world.record.now() + SECONDS
-    while world.record.now() < deadline:
-        gateway = random.choice(world.gateways)
-        for _ in range(random.randint(*BURST)):
-            id_ = kit.new_id()
-            headers = {"Host": "review.example", "X-Attempt-Id": id_, "X-Deadline-Ms": "4000"}
-            calls.append(
-                asyncio.create_task(kit.call(gateway.frontend, "POST", "/book/1", headers, b"{}"))
-            )
-        await asyncio.sleep(BURST_INTERVAL)
-    answers = await asyncio.gather(*calls)
-    await asyncio.sleep(1.0)
-    runs = Counter(id_ for engine in world.engines for id_, _ in engine.runs)
-    for answer in answers:
-        world.record.line(
-            f"requester {answer.id}: status {answer.status}, ran {runs[answer.id]} times"
-        )
-    statuses = Counter(answer.status for answer in answers)
-    repeated = [answer for answer in answers if runs[answer.id] > 1]
-    refused = [a for a in answers if a.status in (429, 503, 408, 421) and runs[a.id]]
+    await asyncio.sleep(3.0)
+    world.traffic_at = world.record.now()
+    disturbing = asyncio.create_task(disturb(world, front))
+    requesters: list[Requester] = []
+    tasks: list[asyncio.Task[None]] = []
+    while world.record.now() < world.traffic_at + SECONDS:
+        for gateway in world.gateways:
+            requester = Requester(world, len(requesters))
+            requesters.append(requester)
+            tasks.append(asyncio.create_task(requester.run(gateway)))
+        await asyncio.sleep(1 / RATE)
+    await asyncio.gather(*tasks, disturbing)
+    mixed = [r for r in requesters if len(r.versions) > 1]
+    for requester in mixed:
+        world.record.line(f"stream {requester.number} holds events of {requester.versions}")
+    begun = sum(bool(r.answers[0].events) for r in requesters)
+    taken_up = sum(len(r.answers) > 1 for r in requesters)
+    by_v2 = sum("v2" in r.versions for r in requesters)
     summary = (
-        f"{len(answers)} bookings, answers {dict(statuses)}, "
-        f"ran more than once: {len(repeated)}, refused although run: {len(refused)}"
+        f"{len(requesters)} streams, {begun} began, {by_v2} with events of v2; {taken_up} taken up; "
+        f"with events of two versions: {len(mixed)}, allowed: {MAX_MIXED}"
     )
     world.record.line(summary)
     print(summary)
-    if not statuses[200]:
-        raise RuntimeError("no booking was served")
-    return not repeated and not refused
+    if not by_v2 or begun * 2 < len(requesters):
+        raise RuntimeError("too few streams")
+    return len(mixed) <= MAX_MIXED
 
 
 if __name__ == "__main__":
--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -131,6 +131,17 @@
 # Store --------------------------------------------------------------------------------------
 
 
+@dataclass(slots=True)
+class StoreFront:
+    """An address of the store for one machine.
+
+    :param is_busy: whether its calls are rejected with 503
+    """
+
+    address: str = ""
+    is_busy: bool = False
+
+
 class Store:
     """The platform's store: rows, transactions under conditions, ranges and a feed."""
 
@@ -142,6 +153,7 @@
         self.started_at = time.monotonic()
         self.changed = asyncio.Event()
         self.server: asyncio.Server | None = None
+        self.front_servers: list[asyncio.Server] = []
         self.writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
@@ -150,10 +162,24 @@
         self.server = await asyncio.start_server(self._serve, ip, 0, limit=LIMIT)
         self.address = f"{ip}:{self.server.sockets[0].getsockname()[1]}"
 
+    async def add_front(self) -> "StoreFront":
+        """Listen on one more port, whose callers can be turned away."""
+        front = StoreFront()
+        ip = self.address.partition(":")[0]
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._serve(reader, writer, front)
+
+        server = await asyncio.start_server(serve, ip, 0, limit=LIMIT)
+        front.address = f"{ip}:{server.sockets[0].getsockname()[1]}"
+        self.front_servers.append(server)
+        return front
+
     async def end(self) -> None:
         """Stop listening and close all channels."""
-        if self.server is not None:
-            self.server.close()
+        for server in (self.server, *self.front_servers):
+            if server is not None:
+                server.close()
         for writer in tuple(self.writers):
             writer.transport.abort()
         await asyncio.sleep(0.05)
@@ -207,10 +233,18 @@
             return {**row, "deleted": True}
         return {**row, "data": base64.b64encode(data).decode()}
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        front: "StoreFront | None" = None,
+    ) -> None:
         self.writers.add(writer)
         with contextlib.suppress(ConnectionError):
             while (request := await read_request(reader)) is not None and not self.is_away:
+                if front is not None and front.is_busy:
+                    writer.write(response(503, {"Store-Era": str(self.era)}))
+                    continue
                 status, body = await self._answer(request)
                 body |= {
                     "rowVersion": self.version,
@@ -313,6 +347,7 @@
         self.arrivals: list[tuple[str, float]] = []
         self.server: asyncio.Server | None = None
         self.address = ""
+        self.state = "serving"
         self.born = 0
         self.sequence = 0
         self.writers: set[asyncio.StreamWriter] = set()
@@ -340,7 +375,7 @@
             "zone": self.zone,
             "version": self.version,
             "slots": 64,
-            "state": "serving",
+            "state": self.state,
             "coldRemainingMs": 0,
             "sequence": self.sequence,
             "born": self.born,
@@ -353,6 +388,20 @@
                 self.register()
             await asyncio.sleep(HEARTBEAT)
 
+    def drain(self, seconds: float) -> None:
+        """Report ``draining``, go on serving for some seconds, and end as planned."""
+        self.record.line(f"engine {self.id} drains, ends in {seconds} s")
+        self.state = "draining"
+        self.register()
+
+        def leave() -> None:
+            self.store.remove("servers", self.id)
+            if self.server is not None:
+                self.server.close()
+                self.server = None
+
+        asyncio.get_running_loop().call_later(seconds, leave)
+
     def crash(self, restart: float) -> None:
         """End as a process that is killed does, and start again after some seconds."""
         self.record.line(f"engine {self.id} crashes, back in {restart} s")
@@ -423,7 +472,7 @@
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
-    def __init__(self, name: str, zone: str, store: Store, folder: Path) -> None:
+    def __init__(self, name: str, zone: str, store: str, folder: Path) -> None:
         self.name, self.zone, self.folder = name, zone, folder
         self.ip = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
         ports = [free_port(self.ip) for _ in range(3)]
@@ -439,7 +488,7 @@
             "limits.cpuShare": "0.817",
             "limits.cpuCores": "1",
             "limits.linkMbps": "1000.0",
-            "platform.address": store.address,
+            "platform.address": store,
             **{f"bounds.{key}": str(value) for key, value in BOUNDS.items()},
         }
         template = (ROOT / "deploy" / "gateway.ini").read_text(encoding="utf-8")
@@ -598,9 +647,12 @@
     engines: list[Engine] = field(default_factory=list)
     traffic_at: float = 0.0
 
-    async def add_gateway(self, name: str, zone: str = "harbour-a") -> Gateway:
-        """Start a gateway."""
-        gateway = Gateway(name, zone, self.store, self.folder)
+    async def add_gateway(
+        self, name: str, zone: str = "harbour-a", front: StoreFront | None = None
+    ) -> Gateway:
+        """Start a gateway, which reaches the store at an address of its own if there is one."""
+        store = self.store.address if front is None else front.address
+        gateway = Gateway(name, zone, store, self.folder)
         self.gateways.append(gateway)
         await gateway.start()
         return gateway
