A gateway that had left no longer holds back all prepaid tokens after a restore of the store

Cause: the pools grant nothing after a restore until every gateway has confirmed its grants, and "every gateway" was every row ever written to "recovered" and every VM with an open account. A gateway that has left never confirms; after 4 s the rest of each pool is withheld for good.

Fix: a gateway that stops as planned says so, in its row and to its peers. For one that was killed, the others know whether it may have been granted tokens that they have not read: not if it was neither linked nor renewed its record of use for 5 s before the pools were last read. Each gateway names with its confirmation whom it has seen since; those are still waited for.

Related paths: removal without SIGTERM, removal after the copy was made, and the entries for links, which were kept for ever.

Before: features/restored_grants.feature, "A gateway ... before the restore does not hold back any tokens": 5 of 5 examples failed on the code before. A broken variant that takes every gateway for departed is caught by the scenario of a gateway that was killed 2.5 s before the restore; 39 random histories did not catch it.

--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -42,6 +42,7 @@
 COPY_INTERVAL = 0.5  # seconds between copies of the store
 MAX_COPY_AGE = 12.0  # seconds, the age of the oldest copy that the store comes back from
 MAX_AWAY_TIME = 2.0  # seconds at most for which the store is away before it comes back from a copy
+FAREWELL_TIME = 0.05  # seconds for which a stopped gateway's last messages are delivered
 MAX_WRITE_DELAY = 6.0  # seconds at most until a write whose response was lost is applied
 START_TIME = 1000.0  # seconds of simulated time at the start of a run
 STORE_DOWN = StoreError(False, "down")
@@ -200,6 +201,9 @@
         )
         return True
 
+    async def flush(self):
+        """Return at once: a message that was sent is under way."""
+
     def _deliver(self, message):
         if self.simulation.rng.random() < self.simulation.link_loss_rate:
             return
@@ -228,6 +232,7 @@
         self.name = name
         self.zone = simulation.zone_of(name)
         self.alive = True
+        self.accepting = True
         self.store = FaultyStore(simulation.store, simulation.rng)
         self.store.loss_rate = simulation.loss_rate
         started_at = asyncio.get_running_loop().time()
@@ -265,6 +270,18 @@
             self.simulation.spent[request.customer] += request.reserved
         self.in_flight.clear()
 
+    async def stop(self):
+        """Stop as planned: finish the requests in flight and close the accounts."""
+        self.accepting = False
+        self.context.draining = self.context.book.draining = True
+        while self.in_flight and self.alive:
+            await asyncio.sleep(FAREWELL_TIME)
+        if self.alive:
+            await self.funds.close()
+            await asyncio.sleep(FAREWELL_TIME)
+        if self.alive:
+            self.kill()
+
     async def request(self, customer, tokens, duration, fraction):
         """Reserve tokens, run a request, and settle it; count it as refused without a reservation.
 
@@ -316,11 +333,16 @@
         that each is its own hub
     :param restores: whether the store comes back from copies; what the accounts in the store count
         is then not checked, as they lack the latest writes
+    :param removals: whether gateways are stopped or killed for good, until half are left
     """
 
-    def __init__(self, seed, loss_rate, names=GATEWAY_NAMES, zones=None, restores=False):
+    def __init__(
+        self, seed, loss_rate, names=GATEWAY_NAMES, zones=None, restores=False, removals=False
+    ):
         self.names = names
         self.restores = restores
+        self.removals = removals
+        self.removed = set()
         self.copies = deque(maxlen=int(MAX_COPY_AGE / COPY_INTERVAL))
         self.zones = zones or len(names)
         self.link_loss_rate = LINK_LOSS_RATE
@@ -496,7 +518,7 @@
             await asyncio.sleep(self.rng.expovariate(rate))
             names = self.rng.choices(self.names, weights[: len(self.names)])
             gateway = self.gateways[names[0]]
-            if not gateway.alive:
+            if not (gateway.alive and gateway.accepting):
                 continue
             customer = self.rng.choices(tuple(self.prepaid), (4, 1))[0]
             tokens = int(self.rng.lognormvariate(7.2, 0.8)) + 50
@@ -515,7 +537,9 @@
             "top_up",
             "busy",
         ]
-        kind = self.rng.choice(kinds + ["restore"] * 3 if self.restores else kinds)
+        kinds += ["restore"] * 3 if self.restores else []
+        kinds += ["remove"] * 2 if self.removals else []
+        kind = self.rng.choice(kinds)
         name = self.rng.choice(GATEWAY_NAMES)
         self.faults.append(f"{kind} {name}")
         if kind == "kill":
@@ -531,6 +555,8 @@
             self.isolated = {name}
         elif kind == "clear":
             self._clear_faults()
+        elif kind == "remove":
+            self.remove(name, planned=self.rng.random() < 0.5)
         elif kind == "restore":
             away = self.rng.uniform(0.0, MAX_AWAY_TIME)
             copy = self.rng.choice(tuple(self.copies))
@@ -539,10 +565,24 @@
             self._top_up()
         self.update_links()
 
+    def remove(self, name, planned):
+        """Stop or kill a gateway for good, unless half of them are removed.
+
+        :param planned: whether it finishes its requests and closes its accounts
+        """
+        gateway = self.gateways[name]
+        if not gateway.alive or 2 * len(self.removed) >= len(self.names):
+            return
+        self.removed.add(name)
+        if planned:
+            self.tasks.append(asyncio.ensure_future(gateway.stop()))
+        else:
+            gateway.kill()
+
     def _kill(self, names):
         loop = asyncio.get_running_loop()
         for name in names:
-            if self.gateways[name].alive:
+            if self.gateways[name].alive and name not in self.removed:
                 self.gateways[name].kill()
                 loop.call_later(self.rng.uniform(0.2, MAX_DOWNTIME), self.start_gateway, name)
 
@@ -553,17 +593,20 @@
             gateway.context.index = RouteIndex(self.table())
 
 
-def run_random_history(seed, seconds=40.0, loss_rate=0.1, zones=None, restores=False):
+def run_random_history(
+    seed, seconds=40.0, loss_rate=0.1, zones=None, restores=False, removals=False
+):
     """Run one random history.
 
     :param zones: as for :class:`Simulation`
     :param restores: as for :class:`Simulation`
+    :param removals: as for :class:`Simulation`
     :param seconds: duration of the faults, in simulated time
     :param loss_rate: fraction of the store's write responses that are lost
     :returns: the simulation
     :raises AssertionError: if an invariant is violated
     """
-    simulation = Simulation(seed, loss_rate, zones=zones, restores=restores)
+    simulation = Simulation(seed, loss_rate, zones=zones, restores=restores, removals=removals)
     run_simulation(simulation, lambda: simulation.run_random_history(seconds))
     return simulation
 
--- a/features/restored_grants.feature
+++ b/features/restored_grants.feature
@@ -27,6 +27,52 @@
     Then all tokens that are left can be granted within 1.5 s
     And at most 2 in 100 of the subsequent requests are refused
 
+  Scenario Outline: A gateway <removed> <seconds> s before the restore does not hold back any tokens
+    Guards against: the entry of a machine that had left for good froze all pools after a restore.
+
+    When a gateway is <removed> <seconds> s before the store comes back from a copy that is 9 s old
+    Then no customer spent more tokens than it has paid for
+    And all tokens that are left can be granted within 1.5 s
+    And at most 2 in 100 of the subsequent requests are refused
+
+    Examples:
+      | removed | seconds |
+      | stopped | 13.5    |
+      | stopped | 6       |
+      | stopped | 4       |
+      | killed  | 13.5    |
+      | killed  | 8       |
+
+  Scenario: A gateway that was killed just before the restore holds back what it may have been granted
+    When a gateway is killed 2.5 s before the store comes back from a copy that is 9 s old
+    Then no customer spent more tokens than it has paid for
+    And the tokens that are left are not granted
+
+  Scenario Outline: A gateway of which is known: <events>, has <departed> when the store is restored
+    Given a gateway that watches from <since> s on
+    When it notes of another gateway: <events>, and reads the pools at 20 s before a restore
+    Then the other gateway has <departed>
+
+    Examples:
+      | since | events                                       | departed     |
+      | 0     | a seen at 10                                 | departed     |
+      | 0     | a seen at 16                                 | not departed |
+      | 0     | nothing                                      | departed     |
+      | 17    | nothing                                      | not departed |
+      | 0     | a seen at 18, a closed at 19                 | departed     |
+      | 0     | a seen at 18, a closed at 19, a seen at 19.2 | departed     |
+      | 0     | a seen at 18, a closed at 20.5               | not departed |
+      | 0     | a seen at 18, a closed at 19, b seen at 19.5 | not departed |
+
+  Scenario Outline: Random histories with restores and removals of gateways, <gateways>, from seed <first> to <last>
+    When random histories of 25 s with restores, removals and seeds <first> to <last> are run with <gateways>
+    Then no customer spent more tokens than it has paid for
+
+    Examples:
+      | gateways           | first | last |
+      | hubs only          | 1     | 8    |
+      | one hub and others | 1     | 8    |
+
   Scenario: All gateways are killed just after a restore
     When the store comes back from a copy that is 9 s old and all gateways are killed 0.7 s later
     Then no customer spent more tokens than it has paid for
--- a/features/restored_grants_support.py
+++ b/features/restored_grants_support.py
@@ -26,7 +26,9 @@
         self.restored_after = None
         self.refused_fraction = None
 
-    async def run_restore(self, age, kill_delay=None, late_gateway=None, late_by=0.0):
+    async def run_restore(
+        self, age, kill_delay=None, late_gateway=None, late_by=0.0, removal_at=None, planned=True
+    ):
         """Serve, restore the store, and observe.
 
         :param age: age of the copy in seconds
@@ -34,6 +36,9 @@
             negative for a kill while it is away; ``None`` for no kill
         :param late_gateway: name of a gateway that does not reach the store meanwhile
         :param late_by: seconds after the return at which it does again
+        :param removal_at: seconds of traffic after which one gateway is removed for good, ``None``
+            if none is
+        :param planned: whether that gateway is stopped as planned, otherwise killed
         """
         loop = asyncio.get_running_loop()
         for name in self.names:
@@ -42,6 +47,8 @@
         copying = asyncio.ensure_future(self._copy_store())
         end = loop.time() + TRAFFIC_TIME + AWAY_TIME + OBSERVED_TIME
         traffic = asyncio.ensure_future(self._generate_traffic(end, REQUEST_RATE))
+        if removal_at is not None:
+            loop.call_later(removal_at, self._remove_last, planned)
         await asyncio.sleep(TRAFFIC_TIME)
         copying.cancel()
         copy = self.copies[-int(age / COPY_INTERVAL)]
@@ -62,6 +69,10 @@
             gateway.kill()
         self.check_invariants()
 
+    def _remove_last(self, planned):
+        self.remove(self.names[-1], planned)
+        self.update_links()
+
     async def _kill_all(self, delay):
         if delay is None:
             return
--- a/features/steps/restored_grants_steps.py
+++ b/features/steps/restored_grants_steps.py
@@ -1,15 +1,17 @@
 """Steps for grants of a store that comes back from a copy."""
 
+import re
 from unittest import mock
 
 from behave import given, then, when
 from prepaid_steps import run_without_logs
 from prepaid_support import run_random_history
-from restored_grants_support import TopUpSimulation, run_restore
+from restored_grants_support import AWAY_TIME, TRAFFIC_TIME, TopUpSimulation, run_restore
 
 from bilberryshed.coordination import (
     CONFIRM_TIME,
     BoundsRecord,
+    Departures,
     PoolReading,
     PoolRow,
     can_be_closed,
@@ -68,10 +70,23 @@
     "{gateways}"
 )
 def when_histories_run(context, seconds, first, last, gateways):
+    run_histories(context, seconds, first, last, gateways, removals=False)
+
+
+@when(
+    "random histories of {seconds:d} s with restores, removals and seeds {first:d} to {last:d} are "
+    "run with {gateways}"
+)
+def when_histories_with_removals_run(context, seconds, first, last, gateways):
+    run_histories(context, seconds, first, last, gateways, removals=True)
+
+
+def run_histories(context, seconds, first, last, gateways, removals):
+    """Run random histories with restores."""
     context.simulations = [
         run_without_logs(
             lambda seed=seed: run_random_history(
-                seed, float(seconds), zones=ZONES[gateways], restores=True
+                seed, float(seconds), zones=ZONES[gateways], restores=True, removals=removals
             )
         )
         for seed in range(first, last + 1)
@@ -126,6 +141,21 @@
     restore(context, age, simulation_class=TopUpSimulation, kill_delay=-1.0)
 
 
+@when(
+    "a gateway is {removed:w} {seconds:g} s before the store comes back from a copy that is "
+    "{age:d} s old"
+)
+def when_removed_and_restored(context, removed, seconds, age):
+    removal_at = TRAFFIC_TIME + AWAY_TIME - seconds
+    restore(context, age, removal_at=removal_at, planned=removed == "stopped")
+
+
+@then("the tokens that are left are not granted")
+def then_not_granted(context):
+    assert context.simulation.restored_after is None, context.simulation.restored_after
+    assert context.simulation.pool.withheld > 0, context.simulation.pool
+
+
 @then("all tokens that are left can be granted within {limit:g} s")
 def then_granted_within(context, limit):
     restored_after = context.simulation.restored_after
@@ -186,6 +216,32 @@
     assert after.free(PREPAID) == 0 and after.free(PREPAID + 70) == 70, after
 
 
+@given("a gateway that watches from {since:d} s on")
+def given_watch(context, since):
+    context.departures = Departures(float(since))
+
+
+@when(
+    "it notes of another gateway: {events}, and reads the pools at {read_at:d} s before a restore"
+)
+def when_noted(context, events, read_at):
+    notes = {"seen": context.departures.saw, "closed": context.departures.on_closed}
+    for incarnation, note, at in re.findall(r"(\w) (seen|closed) at ([\d.]+)", events):
+        notes[note](float(at), f"gate-2.{incarnation}")
+    context.departures.on_pools_read(float(read_at))
+    context.departures.on_restored()
+
+
+@then("the other gateway has {departed}")
+def then_has_departed(context, departed):
+    has_departed = context.departures.has_departed("gate-2")
+    assert has_departed == (departed == "departed")
+    was_seen = "gate-2" in context.departures.seen_at
+    assert context.departures.recently_seen() == (
+        {"gate-2"} if was_seen and not has_departed else set()
+    )
+
+
 @given("a pool of which an ended gateway holds 50 tokens as in the copy")
 def given_copied_holder(context):
     context.pool = restore_pool(PoolRow(100, {ENDED: 50}, epoch=1, revision=5), 2)
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -9,6 +9,8 @@
 from platform_steps import TABLE
 from returns.result import Failure
 
+from bilberryshed.gateway._peers import GATEWAY_TABLE
+
 FOLLOW_TIME = 1.6  # seconds in which a gateway reads the newest version of each table
 AWAY_TIME = 0.3  # seconds for which the store is away
 APPLY_TIMEOUT = 3.0  # seconds in which a gateway must apply a change
@@ -197,3 +199,20 @@
 def when_restored_and_passed(context, seconds):
     context.harness.store.restore(context.copy)
     run(context, asyncio.sleep(seconds))
+
+
+@when("the second gateway is stopped as planned")
+def when_second_gateway_stopped(context):
+    harness = context.harness
+    harness.stop_events["gate-2"].set()
+    run(context, harness.tasks["gate-2"])
+
+
+@then("the store has {count:d} entries of gateways, and the first gateway knows of {known:d}")
+def then_entries_of_gateways(context, count, known):
+    found = run(
+        context,
+        context.harness.gateways["gate-1"].context.ports.tables.scan(GATEWAY_TABLE, "", "", 10),
+    )
+    assert len(found.unwrap()) == count, found
+    assert context.harness.gateways["gate-1"].context.gateway_count() == known
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -45,6 +45,14 @@
     And the gateway "gate-0" is added
     Then within 5 s "gate-0" is linked to "gate-2"
 
+  Scenario: A gateway that has left is not looked for any more
+    Guards against: entries of machines that left for good were kept in the store for ever.
+
+    Given a platform with 1 model engines and 1 plain servers
+    And 2 gateways in one zone
+    When the second gateway is stopped as planned
+    Then the store has 1 entries of gateways, and the first gateway knows of 1
+
   Scenario: A block of the quarantine that the copy lacks is stored again
     Given a platform with 4 model engines and 1 plain servers
     And 2 gateways in one zone
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -20,6 +20,7 @@
     WriteClaim,
     claim_ref,
 )
+from bilberryshed.coordination._departures import Departures
 from bilberryshed.coordination._event_stream import EventSplitter
 from bilberryshed.coordination._fair_queue import FairQueue, QueueEntry
 from bilberryshed.coordination._funding import (
@@ -124,6 +125,7 @@
 )
 
 __all__ = [
+    "Departures",
     "ORIGIN_TIME",
     "Origin",
     "ServedVersions",
--- a/src/bilberryshed/coordination/_pool_restore.py
+++ b/src/bilberryshed/coordination/_pool_restore.py
@@ -154,15 +154,25 @@
     :param epoch: epoch in which it last confirmed its grants
     :param lost_epoch: epoch before which an earlier process on its VM may have had grants that
         nobody confirmed, 0 for none
+    :param has_left: whether it has closed its accounts and ended
+    :param seen: VMs whose routers it had seen shortly before that epoch; they may have been granted
+        tokens that the pools do not show
     """
 
     epoch: int = 0
     lost_epoch: int = 0
+    has_left: bool = False
+    seen: tuple[str, ...] = ()
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "RouterRecovery":
         """Parse the columns of a row; an absent row is a router that never confirmed any."""
-        return cls(int(value.get("epoch", 0)), int(value.get("lost_epoch", 0)))
+        return cls(
+            int(value.get("epoch", 0)),
+            int(value.get("lost_epoch", 0)),
+            bool(value.get("has_left", False)),
+            tuple(str(vm) for vm in value.get("seen", ())),
+        )
 
     def to_value(self) -> dict[str, Any]:
         """Return the columns of a row."""
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -10,6 +10,7 @@
 from bilberryshed import PROCESS_STARTED_AT
 from bilberryshed.coordination import (
     BackendPool,
+    Departures,
     Hubs,
     PrepaidBook,
     QuarantinePolicy,
@@ -97,7 +98,8 @@
         )
         self.book = PrepaidBook(self.boot, settings.grant_horizon)
         self.spending_bounds = SpendingBounds(self.book)
-        self.recovery = EpochRecovery(ports.tables, settings.name)
+        self.departures = Departures(self.started_at)
+        self.recovery = EpochRecovery(ports.tables, settings.name, self.departures)
         self.index: RouteIndex | None = None
         self.table_data = b""
         self.peer_links: dict[str, Link] = {}
--- a/src/bilberryshed/gateway/_epoch_recovery.py
+++ b/src/bilberryshed/gateway/_epoch_recovery.py
@@ -2,16 +2,17 @@
 
 The store has one row for its current epoch and one for each gateway, which says in which epoch the
 gateway last confirmed its grants. Only when all gateways have confirmed theirs in the current epoch
-is it known which tokens of a pool are free.
+is it known which tokens of a pool are free. A gateway that had departed before, see
+:class:`Departures`, has none to confirm.
 """
 
 from collections.abc import Collection
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from typing import Any
 
 from returns.result import Failure
 
-from bilberryshed.coordination import CONFIRM_TIME, RouterRecovery
+from bilberryshed.coordination import CONFIRM_TIME, Departures, RouterRecovery
 from bilberryshed.state import ClockedTableService, Put, RowRef
 from bilberryshed.transport import logger
 
@@ -47,19 +48,23 @@
     """This gateway's part in the recovery.
 
     :param name: name of this gateway
+    :param departures: what this gateway has seen of the others
     :param current: the current epoch, ``None`` before it has been read
     :param own: this gateway's entry, ``None`` before it has been read
     :param lost_epoch: latest epoch before which grants of some gateway are lost, 0 for none
+    :param awaited: gateways that had not confirmed their grants at the last look
     """
 
-    __slots__ = ("tables", "name", "current", "own", "lost_epoch")
+    __slots__ = ("tables", "name", "departures", "current", "own", "lost_epoch", "awaited")
 
-    def __init__(self, tables: ClockedTableService, name: str) -> None:
+    def __init__(self, tables: ClockedTableService, name: str, departures: Departures) -> None:
         self.tables = tables
         self.name = name
+        self.departures = departures
         self.current: EpochRow | None = None
         self.own: RouterRecovery | None = None
         self.lost_epoch = 0
+        self.awaited: set[str] = set()
 
     def is_complete(self) -> bool:
         """Whether the rows from before this epoch are known, so that an absent one is new."""
@@ -127,11 +132,29 @@
 
         :returns: whether it is stored
         """
+        if self.own is None:
+            return False
+        seen = tuple(sorted(self.departures.recently_seen()))
+        return await self._write(RouterRecovery(self.tables.epoch, self.own.lost_epoch, seen=seen))
+
+    async def leave(self) -> bool:
+        """Record that this gateway has closed its accounts and has none to confirm any more.
+
+        :returns: whether it is stored
+        """
+        if self.own is None:
+            return False
+        return await self._write(replace(self.own, has_left=True, seen=()))
+
+    async def _write(self, entry: RouterRecovery) -> bool:
+        """Write this gateway's entry.
+
+        :returns: whether it is stored, in the epoch in which the call began
+        """
         ref, epoch = RowRef(RECOVERY_TABLE, self.name), self.tables.epoch
         rows = await self.tables.read((ref,))
-        if isinstance(rows, Failure) or self.own is None:
+        if isinstance(rows, Failure):
             return False
-        entry = RouterRecovery(epoch, self.own.lost_epoch)
         put = Put(ref, rows.unwrap()[0].version, entry.to_value())
         written = await self.tables.write((put,))
         if isinstance(written, Failure) or not written.unwrap() or self.tables.epoch != epoch:
@@ -144,7 +167,7 @@
 
         It also updates ``lost_epoch``.
 
-        :param required: names of gateways that must have an entry
+        :param required: names of gateways that must have confirmed them, unless they have departed
         :returns: ``None`` if the store did not respond
         """
         epoch = self.tables.epoch
@@ -153,5 +176,24 @@
             return None
         entries = {row.ref.key: RouterRecovery.from_value(row.value) for row in rows.unwrap()}
         self.lost_epoch = max((entry.lost_epoch for entry in entries.values()), default=0)
-        is_known = entries.keys() >= set(required)
-        return is_known and all(entry.epoch == epoch for entry in entries.values())
+        confirmed = {name: entry for name, entry in entries.items() if entry.epoch == epoch}
+        seen = {name for entry in confirmed.values() for name in entry.seen}
+        missing = (entries.keys() | set(required)) - confirmed.keys()
+        awaited = {
+            name
+            for name in missing
+            if name in seen or not self._has_departed(name, entries.get(name))
+        }
+        self._log_awaited(awaited)
+        return not awaited
+
+    def _log_awaited(self, awaited: set[str]) -> None:
+        if awaited != self.awaited:
+            logger().info(
+                "confirmations_awaited", epoch=self.tables.epoch, gateways=",".join(sorted(awaited))
+            )
+        self.awaited = awaited
+
+    def _has_departed(self, name: str, entry: RouterRecovery | None) -> bool:
+        has_left = entry is not None and entry.has_left
+        return has_left or self.departures.has_departed(name)
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -150,10 +150,8 @@
         while self.running and self.context.timers.now() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         remaining = self.running
-        await self.funds.loans.close()
-        settled = await self.funds.pool_sync.close()
-        if settled:
-            await self.recorder.delete_record()
+        await self.peers.unregister()
+        settled = await self.funds.close()
         logger().info("drained", unfinished=remaining, settled=settled)
         await self.peers.close()
         await http.close_all_connections()
--- a/src/bilberryshed/gateway/_grant_confirmation.py
+++ b/src/bilberryshed/gateway/_grant_confirmation.py
@@ -100,6 +100,7 @@
         if not self.is_current():
             self.epoch = self.tables.epoch
             self.confirmed.clear()
+            self.context.departures.on_restored()
         names = (totals.keys() | self.known_rows.keys()) - self.confirmed
         for batch in row_batches(names):
             if not await self._confirm_batch(batch):
--- a/src/bilberryshed/gateway/_peers.py
+++ b/src/bilberryshed/gateway/_peers.py
@@ -34,6 +34,7 @@
     :param clients: address and client of each link that this gateway opened, by peer name
     :param registered_epoch: epoch of the store in which this gateway has written its entry, -1
         before; an entry of an earlier epoch may be lost
+    :param leaving: whether its entry is being deleted, so that it is not written again
     :param initial_message_factories: create the messages for a peer that has just linked; ``None``
         is not sent
     """
@@ -54,6 +55,7 @@
         self.server = LinkServer(self.hello, self.handlers, None, ping_interval=None)
         self.clients: dict[str, tuple[str, LinkClient]] = {}
         self.registered_epoch = -1
+        self.leaving = False
         self.polling = False
         self.ticks = 0
         self.initial_message_factories: list[Any] = []
@@ -100,8 +102,19 @@
         finally:
             self.polling = False
 
+    async def unregister(self) -> None:
+        """Delete this gateway's entry, so that gateways that start later do not look for it."""
+        self.leaving = True
+        tables, ref = self.context.ports.tables, RowRef(GATEWAY_TABLE, self.context.settings.name)
+        rows = await tables.read((ref,))
+        if isinstance(rows, Failure):
+            return
+        row = rows.unwrap()[0]
+        if row.version and row.value.get("boot") == self.context.boot:
+            await tables.write((Put(ref, row.version, None),))
+
     def _is_registered(self) -> bool:
-        return self.registered_epoch == self.context.ports.tables.epoch
+        return self.leaving or self.registered_epoch == self.context.ports.tables.epoch
 
     async def _register(self) -> None:
         settings, tables = self.context.settings, self.context.ports.tables
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -200,6 +200,7 @@
             if any(self._update_from_row(row) is None for row in rows.unwrap()):
                 return False
         self.read_at = self.context.timers.now()
+        self.context.departures.on_pools_read(self.read_at)
         self.recorder.on_store_response()
         self.initial_read.set()
         return True
--- a/src/bilberryshed/gateway/_prepaid_funds.py
+++ b/src/bilberryshed/gateway/_prepaid_funds.py
@@ -10,6 +10,7 @@
 from bilberryshed.coordination import PoolRow, Shortage
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._departure_watch import DepartureWatch
 from bilberryshed.gateway._loans import Loans
 from bilberryshed.gateway._pool_sync import PoolSync
 from bilberryshed.gateway._token_peers import PREFERRED_PEERS, TokenPeers
@@ -47,6 +48,7 @@
             context, recorder, self.pool_sync, self._acquire_from_store, self._on_credit
         )
         self.loans = Loans(context, self.peers, self.reserve)
+        self.departures = DepartureWatch(context, self.pool_sync.known_rows)
         self.locks: dict[str, asyncio.Lock] = {}
         self.cached_shortages: dict[str, _CachedShortage] = {}
 
@@ -55,10 +57,27 @@
         self.pool_sync.start()
         self.peers.start()
         self.loans.start()
+        self.departures.start()
+
+    async def close(self) -> bool:
+        """Close this incarnation's accounts after its last request has ended, and say so.
+
+        :returns: whether the store accepted the change
+        """
+        await self.loans.close()
+        settled = await self.pool_sync.close()
+        if settled:
+            await self.recorder.delete_record()
+            await self.departures.announce()
+        return settled
 
     def handlers(self) -> dict[type, Callable[[Link, Any], None]]:
         """Return the message handlers by message class."""
-        return {**self.peers.handlers(), **self.loans.handlers()}
+        return {
+            **self.peers.handlers(),
+            **self.loans.handlers(),
+            **self.departures.handlers(),
+        }
 
     def on_table(self) -> None:
         """Discard cached shortages and sync the grants: a new route table may change totals."""
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -43,6 +43,7 @@
 )
 from bilberryshed.protocol._outcomes import Finding, Outcome, Refusal, RefusalCode
 from bilberryshed.protocol._peer_messages import (
+    AccountsClosed,
     BackendEntry,
     BackendsNotice,
     BackendsRequest,
@@ -82,6 +83,7 @@
 )
 
 __all__ = [
+    "AccountsClosed",
     "OriginRequest",
     "OriginResponse",
     "StreamGroup",
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -238,6 +238,17 @@
     parts: tuple[PrefixSent, ...]
 
 
+@register_message(99)
+@dataclass(slots=True, frozen=True)
+class AccountsClosed:
+    """Report that the sender has closed its accounts in all pools, and ends.
+
+    :param boot: boot id of the sender
+    """
+
+    boot: str
+
+
 @register_message(80)
 @dataclass(slots=True, frozen=True)
 class LinkProbe:
