A gateway that is out of step takes no stream up at another software version

Cause: a list of servers counted as up to date for 2 s after it was read, also when later reads had failed or the gateway had stood still, and told which version had begun a stream that nobody here knew. Hubs answered the questions of others from such lists, too, and the server for the rest of a stream was chosen by them. Ruled out: the stored versions named the new one in time.

Fix: servers and versions are read anew, by a read that begins after the take-up came or the stream broke off; calls that come together share it. What was read before an event cannot decide about it. Hubs answer other questions from memory only.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -137,10 +137,75 @@
 
 @when("the first gateway is killed")
 def when_first_killed(context):
-    run(context, asyncio.sleep(0.5))
+    when_first_killed_after(context, 0.5)
+
+
+@when("the first gateway is killed {delay:g} s later")
+def when_first_killed_after(context, delay):
+    run(context, asyncio.sleep(delay))
     run(context, context.harness.kill_gateway("gate-1"))
 
 
+@given("a third gateway")
+def given_third_gateway(context):
+    async def add():
+        gateway = await context.harness.add_gateway("gate-3")
+        await context.harness.wait_until(lambda: len(gateway.context.peer_links) == 2)
+        await asyncio.sleep(0.6)  # seconds in which all report that they reach the store
+
+    run(context, add())
+
+
+@when("the second gateway does not reach the store")
+def when_second_turned_away(context):
+    context.harness.gateways["gate-2"].context.ports.tables.base_url = "http://127.0.0.1:1"
+
+
+@when("the second gateway reads no servers for {seconds:d} s")
+def when_second_stands_still(context, seconds):
+    stop_polling(context.harness.gateways["gate-2"], seconds)
+    run(context, asyncio.sleep(ENTRY_TIME))
+
+
+@when("the gateway reads no servers for {seconds:d} s")
+def when_gateway_stands_still(context, seconds):
+    stop_polling(context.harness.gateways["gate-1"], seconds)
+    run(context, asyncio.sleep(ENTRY_TIME))
+
+
+def stop_polling(gateway, seconds):
+    """Have a gateway read the servers so late as if it had stood still meanwhile."""
+    gateway.backend_updater.follower.poll_interval = seconds
+
+
+@when("{count:d} engines of version {version} replace two others")
+def when_some_replaced(context, count, version):
+    async def replace():
+        harness = context.harness
+        for number in range(1, count + 1):
+            await add_engine(harness, f"i-new-{number}", version)
+            harness.store.remove("servers", f"i-model-{number}")
+        first = harness.gateways["gate-1"]
+        await harness.wait_until(
+            lambda: first.streams.records.is_stored("model", version)
+            and "i-model-1" not in first.context.backends.views
+        )
+
+    run(context, replace())
+
+
+@when("a stream of the first engine breaks off after the other one came back as version {version}")
+def when_other_restarts(context, version):
+    harness = context.harness
+    harness.backends["i-model-2"].software = version
+    harness.register("i-model-2", "model", version=version, born=2)
+    context.answers = []
+    for number in range(4):
+        harness.backends["i-model-1"].script = deque(["cut 2"])
+        harness.backends["i-model-2"].script = deque()
+        context.answers.append(run(context, send_prompt(harness, "/chat/1", number)))
+
+
 @when("all gateways are killed and return")
 def when_all_killed(context):
     run(context, asyncio.sleep(0.5))
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -35,6 +35,41 @@
       | the second gateway | the first gateway is killed        | 12    |
       | both gateways      | all gateways are killed and return | 12    |
 
+  Scenario Outline: Engines of another version join while <a gateway> is out of step with the others
+    Guards against: a list of servers that was read before a stream began told which version began it.
+
+    Given a platform with model engines of the versions v1, v1, v1, v1
+    And a second gateway that is linked to the first
+    When the second gateway <is out of step>
+    And 2 engines of version v2 replace two others
+    And the first gateway begins 24 streams that break off after 2 events
+    And the first gateway is killed <delay> s later
+    And their callers take them up again at the second gateway
+    Then no stream has events of two versions
+    And at least <least> of the take-ups go on
+
+    Examples: a gateway that stood still reads the store at once; one that is turned away cannot
+      | a gateway                              | is out of step            | delay | least |
+      | a gateway that stood still             | reads no servers for 3 s  | 0.5   | 20    |
+      | a gateway that the store turned away   | does not reach the store  | 0.5   | 0     |
+
+  Scenario: A gateway that the store turns away asks one that reaches it who began a stream
+    Given a platform with model engines of the versions v1, v1, v2, v2
+    And a second gateway that is linked to the first
+    And a third gateway
+    When the second gateway does not reach the store
+    And the first gateway begins 16 streams that break off after 2 events
+    And the first gateway is killed 0.5 s later
+    And their callers take them up again at the second gateway
+    Then no stream has events of two versions
+    And at least 12 of the take-ups go on
+
+  Scenario: An engine starts again under its id with another version, and a stream breaks off elsewhere
+    Given a platform with model engines of the versions v1, v1
+    When the gateway reads no servers for 3 s
+    And a stream of the first engine breaks off after the other one came back as version v2
+    Then each answer has events of one version
+
   Scenario: The version that began streams has left when all gateways are killed
     Given a platform with model engines of the versions v1, v1
     And a second gateway that is linked to the first
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -127,6 +127,7 @@
             started_at,
             started_at + min(request.caller_timeout, route.timeout),
             origin=origin,
+            broken_at=started_at,
         )
         wait = self.context.quarantine.admit(job.fingerprint, job.shared_parts).wait
         if wait > 0:
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -73,12 +73,12 @@
         predecessor had ended; by default the start of the process
 
     ``peers_with_store`` are the gateways that last reported that they reach the store and are not
-    draining. ``listed`` is whether the store
-    has delivered the list of gateways, ``listed_at`` the monotonic time at which it last delivered
-    the backend servers. ``on_server_restart`` is called with the id of a backend server that has
-    started again with another version. ``draining`` is set on SIGTERM, ``closing`` when new
-    requests start to be refused. ``on_load_change`` is called after each change of this gateway's
-    load at backend servers.
+    draining. ``listed`` is whether the store has delivered the list of gateways, ``listed_at`` the
+    monotonic time at which the last read of the backend servers began that the store answered.
+    ``on_server_restart`` is called with the id of a backend server that has started again with
+    another version. ``draining`` is set on SIGTERM, ``closing`` when new requests start to be
+    refused. ``on_load_change`` is called after each change of this gateway's load at backend
+    servers.
     """
 
     def __init__(
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -1,6 +1,7 @@
 """Follows the route table and the list of backend servers in the store and at peers."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from returns.result import Failure
@@ -38,6 +39,9 @@
     :param version: version of the table as last read, -1 if a snapshot is to be read
     :param epoch: epoch of the store in which it was read
     :param store_up: whether the store responded to the last call
+    :param begun: number of calls begun so far
+    :param begun_at: monotonic time at which the last one began
+    :param waiting: callers of :meth:`refresh`, each with the number of the call that it waits for
     """
 
     __slots__ = (
@@ -50,6 +54,10 @@
         "version",
         "epoch",
         "store_up",
+        "begun",
+        "begun_at",
+        "waiting",
+        "poll_now",
     )
 
     def __init__(
@@ -70,11 +78,36 @@
         self.version = -1
         self.epoch = 0
         self.store_up = True
+        self.begun = 0
+        self.begun_at = float("-inf")
+        self.waiting: list[tuple[int, asyncio.Future[bool]]] = []
+        self.poll_now = asyncio.Event()
+
+    async def refresh(self) -> bool:
+        """Wait for a call that begins after this one, without waiting for its turn.
+
+        :returns: whether the store responded to it, so that all changes up to now are applied
+        """
+        future = asyncio.get_running_loop().create_future()
+        self.waiting.append((self.begun + 1, future))
+        self.poll_now.set()
+        return await future
+
+    def _end_refreshes(self, done: bool) -> None:
+        """Answer those that wait for the call that has just ended."""
+        ended = [future for number, future in self.waiting if number <= self.begun]
+        self.waiting = [item for item in self.waiting if item[0] > self.begun]
+        for future in ended:
+            if not future.done():
+                future.set_result(done)
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
             feed = self.context.ports.feed
+            self.begun += 1
+            self.begun_at = self.context.timers.now()
+            self.poll_now.clear()
             if self.version < 0:
                 changes = await feed.snapshot(self.table)
             else:
@@ -82,6 +115,7 @@
             if isinstance(changes, Failure):
                 self._set_store_up(False, changes.failure().detail)
                 self.on_outage()
+                self._end_refreshes(False)
                 await asyncio.sleep(ERROR_BACKOFF)
                 continue
             self._set_store_up(True, "")
@@ -91,7 +125,14 @@
                 continue
             self.version, self.epoch = batch.version, batch.epoch
             self.on_changes(batch)
-            await asyncio.sleep(self.poll_interval)
+            self._end_refreshes(True)
+            await self._wait_for_turn()
+
+    async def _wait_for_turn(self) -> None:
+        """Wait until the next call is due, or one is asked for."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.poll_interval):
+                await self.poll_now.wait()
 
     def _set_store_up(self, store_up: bool, detail: str) -> None:
         if store_up != self.store_up:
@@ -198,18 +239,30 @@
     def __init__(self, context: GatewayContext) -> None:
         self.context = context
         self.registry = BackendRegistry()
+        self.follower = TableFollower(
+            context,
+            context.ports.server_table,
+            0.0,
+            SERVER_POLL_INTERVAL,
+            self._on_changes,
+            self._on_outage,
+        )
         self.entries: dict[str, bytes] = {}
         self.snapshot_received = False
         self.epoch = 0
         self.requests = 0
 
-    def follower(self) -> TableFollower:
-        """Return a follower of the backend servers' entries in the store."""
+    async def run(self) -> None:
+        """Follow the entries in the store until cancelled."""
         self.context.timers.subscribe(EXPIRY_CHECK_INTERVAL, self._expire)
-        name = self.context.ports.server_table
-        return TableFollower(
-            self.context, name, 0.0, SERVER_POLL_INTERVAL, self._on_changes, self._on_outage
-        )
+        await self.follower.run()
+
+    async def refresh(self) -> bool:
+        """Read the entries anew.
+
+        :returns: whether the store responded, so that all changes up to now are applied
+        """
+        return await self.follower.refresh()
 
     def _on_outage(self) -> None:
         """Ask a peer for the entries if neither the store nor a peer has delivered any."""
@@ -240,7 +293,7 @@
             logger().warning("store_restored", epoch=changes.epoch, entries=len(changes.rows))
             self.registry.on_restored(now)
         self.snapshot_received, self.epoch = True, changes.epoch
-        self.context.listed_at = now
+        self.context.listed_at = self.follower.begun_at
         self.registry.on_reachable(now)
         for row in changes.rows:
             if row.data is None:
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -65,10 +65,10 @@
             if view is None:
                 return result if job.runs else AttemptOutcome.NOT_RUN
             result = await self._attempt(job, view)
-            if result is AttemptOutcome.DONE or not self._may_retry(job, result):
+            if result is AttemptOutcome.DONE or not await self._may_retry(job, result):
                 return result
 
-    def _may_retry(self, job: Job, result: AttemptOutcome) -> bool:
+    async def _may_retry(self, job: Job, result: AttemptOutcome) -> bool:
         now = self.context.timers.now()
         if job.deadline - now < MIN_TIME_LEFT or job.refused > MAX_REFUSED_CONNECTIONS:
             return False
@@ -80,20 +80,28 @@
             return False
         if self.context.quarantine.seconds_blocked(job.fingerprint, job.shared_parts):
             return False
-        if job.is_resumable and job.event_splitter.events:
-            job.origin = self.streams.known_origin(job.stream_id)
-            if job.origin is None:
-                self._log(job, "origin_unknown", result=result)
-                return False
+        if job.is_resumable and job.event_splitter.events and not await self._may_resume(job):
+            self._log(job, "origin_unknown", result=result)
+            return False
         if job.sent == 0:
             return True
         allowed = self.context.retries.try_retry(
-            now, job.service.name, self.context.gateway_count()
+            self.context.timers.now(), job.service.name, self.context.gateway_count()
         )
         if not allowed:
             self._log(job, "retry_not_allowed", result=result)
         return allowed
 
+    async def _may_resume(self, job: Job) -> bool:
+        """Whether it is certain which version began a stream that has just broken off.
+
+        Servers may have started again with another version since their entries were last read.
+        """
+        job.broken_at = self.context.timers.now()
+        await self.streams.refresh()
+        job.origin = self.streams.known_origin(job.stream_id)
+        return job.origin is not None
+
     async def _choose(self, job: Job) -> BackendView | None:
         """Choose a backend server; wait for a short time while all are busy or restarting."""
         max_wait = CHOICE_WAIT_FRACTION * job.route.latency_target
@@ -131,7 +139,8 @@
             if len(other) == len(usable):
                 other.clear()  # all are of one new version, or the store does not respond
         else:
-            other = {view.server.id for view in usable if not streams.may_resume(view, origin)}
+            since = job.broken_at
+            other = {v.server.id for v in usable if not streams.may_resume(v, origin, since)}
         return frozenset(job.excluded | other)
 
     # One attempt ----------------------------------------------------------------------------
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -74,7 +74,7 @@
         self.load_sharing = LoadSharing(self.context)
         self.context.on_load_change = self.load_sharing.on_change
         self.limits = ServerLimits(self.context)
-        self.streams = StreamDirectory(self.context)
+        self.streams = StreamDirectory(self.context, self.backend_updater.refresh)
         self.context.on_server_restart = self.streams.on_restart
         self.peers = Peers(self.context, self._message_handlers(), self.load_sharing.remove_peer)
         self.peers.initial_message_factories = [
@@ -106,7 +106,7 @@
         self.recorder.start()
         self.funds.start()
         self.spawn(self.predecessor_cleanup.run())
-        for follower in (self.route_table_updater.follower(), self.backend_updater.follower()):
+        for follower in (self.route_table_updater.follower(), self.backend_updater):
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
         self.load_sharing.start()
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -1,5 +1,6 @@
 """A request in flight and the state of its attempts at backend servers."""
 
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -54,6 +55,7 @@
     :param excluded: ids of backend servers that are not tried again
     :param failed_response: last 5xx response, returned to the caller if no retry succeeds
     :param origin: version that began the stream, ``None`` before its first event
+    :param broken_at: monotonic time by which the stream to be resumed had broken off
     :param limit: limit in requests per second that the last response named
     :param status: HTTP status of the response to the caller
     :param run: current entry in the backend pool
@@ -83,6 +85,7 @@
     load: BackendLoad = BackendLoad()
     run: InFlightRequest | None = None
     origin: Origin | None = None
+    broken_at: float = math.inf
     limit: float | None = None
     status: int = 0
     first_event_at: float | None = None
--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -1,20 +1,30 @@
-"""Tells which software version began a stream, so that it goes on only at that version."""
+"""Tells which software version began a stream, so that it goes on only at that version.
+
+A gateway may be out of step with the others: its list of servers is as old as its last read. What
+that list says of a stream that another gateway relayed holds only once it has been read anew.
+"""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any
 
 from bilberryshed.coordination import BackendView, Origin, StreamOrigins, stream_key
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._stream_records import RECORD_INTERVAL, StreamRecords
-from bilberryshed.protocol import OriginRequest, OriginResponse, StreamGroup, StreamsNotice
+from bilberryshed.protocol import (
+    OriginRequest,
+    OriginResponse,
+    OriginSearch,
+    StreamGroup,
+    StreamsNotice,
+)
 from bilberryshed.transport import Link, logger
 
 OBSERVE_INTERVAL = 0.1  # seconds between looks at the listed versions
-MAX_LIST_AGE = 2.0  # seconds since the last read of the entries up to which they are up to date
 UNSTORED_TIME = 1.0  # seconds after which a version that cannot be stored is used all the same
 STORE_WAIT_TIMEOUT = 0.35  # seconds; longest wait of a take-up for the store
 PEER_TIMEOUT = 0.15  # seconds that hubs have to respond
+SEARCH_TIMEOUT = 0.6  # seconds that a hub has to respond that asks the store first
 DOUBT_TIME = 10.0  # seconds before an outage in which a failure may have been a restart
 
 
@@ -27,11 +37,18 @@
     :param boots: boot ids of the linked gateways
     :param changed_at: clock of the store at the last start or end of any gateway, in seconds
     :param storing: whether the listed versions are being stored
+    :param read_servers: reads the backend servers anew; returns whether the store responded
+    :param refreshing: the next refresh, which has not begun
     :param pending: futures of the responses of hubs, by request id
     """
 
-    def __init__(self, context: GatewayContext) -> None:
+    def __init__(
+        self, context: GatewayContext, read_servers: Callable[[], Awaitable[bool]]
+    ) -> None:
         self.context = context
+        self.read_servers = read_servers
+        self.refreshing: asyncio.Future[bool] | None = None
+        self.refresh_lock = asyncio.Lock()
         self.origins = StreamOrigins()
         self.records = StreamRecords(context, self.origins)
         self.first_listed_at: dict[Origin, float] = {}
@@ -51,6 +68,7 @@
         return {
             StreamsNotice: self._on_notice,
             OriginRequest: self._on_request,
+            OriginSearch: self._on_search,
             OriginResponse: self._on_response,
         }
 
@@ -102,19 +120,37 @@
         listed_at = self.first_listed_at.get(Origin(server.service, server.version))
         return listed_at is not None and self._now() >= listed_at + UNSTORED_TIME
 
-    def may_resume(self, view: BackendView, origin: Origin) -> bool:
+    def may_resume(self, view: BackendView, origin: Origin, since: float) -> bool:
         """Whether a server certainly has the version that began a stream.
 
-        While the entries cannot be read, a server that failed may have started again with another
-        version.
+        Unless the entries were read after the stream broke off, a server that failed may have
+        started again with another version.
+
+        :param since: monotonic time by which the stream had broken off
         """
         server = view.server
         if (server.service, server.version) != (origin.service, origin.version):
             return False
-        return self._is_up_to_date() or view.failed_at < self.context.listed_at - DOUBT_TIME
+        listed_at = self.context.listed_at
+        return listed_at >= since or view.failed_at < listed_at - DOUBT_TIME
+
+    async def refresh(self) -> bool:
+        """Read the backend servers and the versions in service anew.
 
-    def _is_up_to_date(self) -> bool:
-        return self._now() <= self.context.listed_at + MAX_LIST_AGE
+        Calls that come while a refresh is under way share the next one.
+
+        :returns: whether the store responded in time
+        """
+        if self.refreshing is None:
+            self.refreshing = self.context.spawn(self._refresh())
+        return await self._within(self.refreshing)
+
+    async def _refresh(self) -> bool:
+        async with self.refresh_lock:
+            self.refreshing = None
+            if not await self.read_servers():
+                return False
+            return await self.records.store_versions(self._listed())
 
     def _now(self) -> float:
         return self.context.timers.now()
@@ -147,29 +183,39 @@
         :returns: ``None`` if it is not certain
         """
         key = stream_key(request) if request else None
-        if self.records.epoch < 0:
-            await self._within(self.records.store_versions(self._listed()))
-        found = self._find_here(services, key)
+        is_fresh = await self.refresh()
+        found = self.origins.get(key) if key is not None else None
+        if found is None and is_fresh:
+            found = self._only(services, self.context.ports.tables.clock)
         if found is None and key is not None:
-            found = await self._ask_hubs(services, key)
-        if found is None and key is not None and await self._within(self.records.read()):
-            found = self.origins.get(key) or self._derive(services)
+            found = await self._ask_hubs(key, lambda ask: OriginRequest(ask, key, services))
+        if found is None and key is not None:
+            found = await self._search(services, key, is_fresh)
         if found is None:
-            logger().info("origin_unknown", resumes=request, services=services)
+            logger().info(
+                "origin_unknown", resumes=request, services=services, store_reached=is_fresh
+            )
         return found
 
-    async def _within(self, call: Coroutine[Any, Any, bool]) -> bool:
+    async def _search(self, services: tuple[str, ...], key: int, is_fresh: bool) -> Origin | None:
+        """Look a stream up that no hub knows, in the store or through a hub that reaches it."""
+        if is_fresh:
+            return await self._find_stored(services, key)
+        with_store = self.context.peers_with_store
+        return await self._ask_hubs(
+            key, lambda ask: OriginSearch(ask, key, services), with_store, SEARCH_TIMEOUT
+        )
+
+    async def _within(self, call: "asyncio.Future[bool]") -> bool:
         """Return the result of a call to the store, ``False`` if it takes too long."""
-        task = self.context.spawn(call)
-        done, _ = await asyncio.wait({task}, timeout=STORE_WAIT_TIMEOUT)
-        return task in done and bool(task.result())
+        done, _ = await asyncio.wait({call}, timeout=STORE_WAIT_TIMEOUT)
+        return call in done and bool(call.result())
 
-    def _find_here(self, services: tuple[str, ...], key: int | None) -> Origin | None:
-        """Return the origin if this gateway knows it, or if all servers are of one version."""
-        found = self.origins.get(key) if key is not None else None
-        if found is not None or not self._is_up_to_date() or self.records.epoch < 0:
-            return found
-        return self._only(services, self.context.ports.tables.clock)
+    async def _find_stored(self, services: tuple[str, ...], key: int) -> Origin | None:
+        """Return the origin by what the store lists; the servers have just been read."""
+        if not await self._within(self.context.spawn(self.records.read())):
+            return None
+        return self.origins.get(key) or self._derive(services)
 
     def _only(self, services: tuple[str, ...], until: float) -> Origin | None:
         """Return the only version that can have begun a stream until a time of the store."""
@@ -184,9 +230,7 @@
         """
         linked = self.context.peer_links.keys() | {self.context.settings.name}
         all_linked = self.context.known_gateways <= linked
-        if not all_linked or not self._is_up_to_date() or self.records.epoch < 0:
-            return None
-        return self._only(services, self.changed_at)
+        return self._only(services, self.changed_at) if all_linked else None
 
     # Other gateways -------------------------------------------------------------------------
 
@@ -227,9 +271,22 @@
             for key in group.keys:
                 self.origins.remember(now, key, origin, "")
 
-    async def _ask_hubs(self, services: tuple[str, ...], key: int) -> Origin | None:
-        names = sorted(self.context.hubs.names & self.context.peer_links.keys())
-        answers = [self._ask(name, services, key) for name in names]
+    async def _ask_hubs(
+        self,
+        key: int,
+        question: Callable[[str], OriginRequest | OriginSearch],
+        among: Collection[str] | None = None,
+        timeout: float = PEER_TIMEOUT,
+    ) -> Origin | None:
+        """Ask hubs for the origin of a stream.
+
+        :param question: returns the message with a request id
+        :param among: names of the hubs to ask, all by default
+        :param timeout: seconds that a hub has to respond
+        """
+        names = self.context.hubs.names & self.context.peer_links.keys()
+        asked = sorted(name for name in names if among is None or name in among)
+        answers = [self._ask(name, question, timeout) for name in asked]
         for response in await asyncio.gather(*answers):
             if response is not None and response.version is not None:
                 origin = Origin(response.service, response.version)
@@ -237,24 +294,40 @@
                 return origin
         return None
 
-    async def _ask(self, name: str, services: tuple[str, ...], key: int) -> OriginResponse | None:
+    async def _ask(
+        self, name: str, question: Callable[[str], OriginRequest | OriginSearch], timeout: float
+    ) -> OriginResponse | None:
         ask = f"{self.context.boot}.o{self.next_id}"
         self.next_id += 1
         future = self.pending[ask] = asyncio.get_running_loop().create_future()
-        self.context.peer_links[name].send(OriginRequest(ask, key, services))
+        self.context.peer_links[name].send(question(ask))
         try:
-            return await asyncio.wait_for(future, PEER_TIMEOUT)
+            return await asyncio.wait_for(future, timeout)
         except TimeoutError:
             return None
         finally:
             del self.pending[ask]
 
     def _on_request(self, link: Link, request: OriginRequest) -> None:
-        found = self._find_here(request.services, request.key)
+        """Answer from memory: what this gateway's list of servers implies may be out of date."""
+        self._answer(link, request.ask, self.origins.get(request.key))
+
+    def _on_search(self, link: Link, request: OriginSearch) -> None:
+        """Answer a gateway that does not reach the store."""
+        self.context.spawn(self._search_for(link, request))
+
+    async def _search_for(self, link: Link, request: OriginSearch) -> None:
+        found = self.origins.get(request.key)
+        if found is None and await self.refresh():
+            found = self._only(request.services, self.context.ports.tables.clock)
+            found = found or await self._find_stored(request.services, request.key)
+        self._answer(link, request.ask, found)
+
+    def _answer(self, link: Link, ask: str, found: Origin | None) -> None:
         if found is None:
-            link.send(OriginResponse(request.ask, "", None))
+            link.send(OriginResponse(ask, "", None))
         else:
-            link.send(OriginResponse(request.ask, found.service, found.version))
+            link.send(OriginResponse(ask, found.service, found.version))
 
     def _on_response(self, link: Link, response: OriginResponse) -> None:
         future = self.pending.get(response.ask)
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -78,6 +78,7 @@
 from bilberryshed.protocol._stream_messages import (
     OriginRequest,
     OriginResponse,
+    OriginSearch,
     StreamGroup,
     StreamsNotice,
 )
@@ -86,6 +87,7 @@
     "AccountsClosed",
     "OriginRequest",
     "OriginResponse",
+    "OriginSearch",
     "StreamGroup",
     "StreamsNotice",
     "AttemptQuery",
--- a/src/bilberryshed/protocol/_stream_messages.py
+++ b/src/bilberryshed/protocol/_stream_messages.py
@@ -40,10 +40,26 @@
     services: tuple[str, ...]
 
 
+@register_message(100)
+@dataclass(slots=True, frozen=True)
+class OriginSearch:
+    """Question which version began a stream, to be looked up in the store, too.
+
+    It comes from a gateway that does not reach the store.
+
+    :param ask: id of this request
+    :param services: services that may have begun it
+    """
+
+    ask: str
+    key: int
+    services: tuple[str, ...]
+
+
 @register_message(98)
 @dataclass(slots=True, frozen=True)
 class OriginResponse:
-    """Response to :class:`OriginRequest`.
+    """Response to :class:`OriginRequest` or :class:`OriginSearch`.
 
     :param version: ``None`` if the origin is not known
     """
