One answer without end, in small pieces, no longer stops a gateway

Cause: the splitter of events copied and searched its whole buffer for each piece (quadratic up to 1 MB), and a connection handled all parts that had arrived in one read without giving the event loop a turn, so that no timeout could fire. Ruled out: h11, 10 us a chunk measured alone.

Fix: the buffer is searched only where it has not been; buffered parts of a body are returned together, at most 200 in a turn of the loop. Same cause on related paths: plain answers, interim responses, rests that are discarded (all through the same connection), and the agents' parser of streams, which now also limits an event.

--- a/features/backends.feature
+++ b/features/backends.feature
@@ -13,3 +13,10 @@
       | within another event  | interrupted |
       | between two events    | interrupted |
       | with a reset          | interrupted |
+
+  Scenario: An event that is too long is not kept
+    Guards against: the bytes of an event without end were kept until the attempt's deadline.
+
+    When an engine sends a response without length or chunks that ends after 2 MB that are no event
+    Then the attempt is interrupted
+    And the reason is "engine sent an event of more than 1000000 bytes"
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -99,6 +99,21 @@
       | body |
       | size |
 
+  Scenario Outline: While a response without end arrives in small pieces, others are served: <response>
+    Guards against: all parts that had arrived at once were handled before anything else had its turn.
+
+    Given the next responses of the <kind> servers are: <response>
+    When requests to <path> run into this while others to <other path> go on
+    Then each of the others was served within 1 s
+    And the event loop never stood still for over 0.5 s
+
+    Examples:
+      | kind  | response        | path    | other path |
+      | model | endless pieces  | /chat/1 | /look/1    |
+      | model | endless pieces  | /once/1 | /look/1    |
+      | plain | endless pieces  | /look/1 | /chat/1    |
+      | plain | endless interim | /look/1 | /chat/1    |
+
   Scenario: An unexpected second response on a persistent connection is discarded
     Given the next responses of the plain servers are: extra, extra
     When a caller sends 6 requests GET /look/1 with its key
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -123,5 +123,10 @@
       | id: 7/data: id: 9//               | 7    | 0        |
       | id:                               | none | 3        |
 
+  Scenario: An event that never ends, in small pieces, is buffered in time proportional to its bytes
+    Guards against: each piece had the whole buffer copied and searched anew.
+
+    Then 1000000 bytes that are no event, in pieces of 8 bytes, are buffered in less than 3 s
+
   Scenario: A stream split at any byte yields the same events
     Then a stream of 4 events split at any byte yields events 1 to 4
--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -26,6 +26,7 @@
     "within its last event": FIRST + SECOND + DONE[:-4],
     "within another event": FIRST + SECOND[:-9],
     "between two events": FIRST,
+    "after 2 MB that are no event": FIRST + b"x" * 2_000_000,
     "with a reset": FIRST + SECOND + DONE,
 }
 
@@ -85,3 +86,8 @@
 @then("the attempt is {result}")
 def then_result(context, result):
     assert isinstance(context.result, RESULTS[result]), context.result
+
+
+@then('the reason is "{reason}"')
+def then_reason(context, reason):
+    assert context.result.reason == reason, context.result
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -1,6 +1,7 @@
 """Steps for the gateway's decisions on retries, placement, crashes and event streams."""
 
 import collections
+import time
 from dataclasses import replace
 
 from behave import given, then, when
@@ -265,6 +266,19 @@
     assert len(context.splitter.buffer) == buffered, context.splitter.buffer
 
 
+@then(
+    "{size:d} bytes that are no event, in pieces of {piece:d} bytes, are buffered in less than "
+    "{limit:d} s"
+)
+def then_buffered_in_time(context, size, piece, limit):
+    splitter = EventSplitter()
+    started_at = time.process_time()
+    for _ in range(size // piece):
+        assert splitter.feed(b"x" * piece) == b""
+        assert time.process_time() < started_at + limit, f"{len(splitter.buffer)} bytes"
+    assert len(splitter.buffer) == size
+
+
 @then("a stream of {count:d} events split at any byte yields events 1 to {last:d}")
 def then_split_anywhere(context, count, last):
     data = b"".join(b"id: %d\ndata: piece\n\n" % n for n in range(1, count + 1))
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -102,6 +102,42 @@
             backend.script = shared
 
 
+@when("requests to {path} run into this while others to {other_path} go on")
+def when_others_go_on(context, path, other_path):
+    async def call_others(faulty):
+        loop = asyncio.get_running_loop()
+        while not faulty.done():
+            started_at = loop.time()
+            context.responses.append(await context.harness.call(other_path, tokens="30,20"))
+            context.durations.append(loop.time() - started_at)
+            await asyncio.sleep(0.05)
+
+    async def watch_loop(faulty):
+        loop = asyncio.get_running_loop()
+        while not faulty.done():
+            started_at = loop.time()
+            await asyncio.sleep(0.01)
+            context.stalls.append(loop.time() - started_at)
+
+    async def run_all():
+        faulty = asyncio.ensure_future(context.harness.call(path, tokens="30,20"))
+        await asyncio.gather(faulty, call_others(faulty), watch_loop(faulty))
+
+    context.responses, context.durations, context.stalls = [], [], []
+    run(context, run_all())
+
+
+@then("each of the others was served within {limit:g} s")
+def then_others_served(context, limit):
+    assert all(response.status == 200 and response.complete for response in context.responses)
+    assert max(context.durations) <= limit, context.durations
+
+
+@then("the event loop never stood still for over {limit:g} s")
+def then_no_stall(context, limit):
+    assert max(context.stalls) <= limit, max(context.stalls)
+
+
 @given("the model engines send one event every {seconds:f} s")
 def given_event_interval(context, seconds):
     for backend in context.harness.backends.values():
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -21,7 +21,7 @@
     claim_ref,
 )
 from bilberryshed.coordination._departures import Departures
-from bilberryshed.coordination._event_stream import EventSplitter
+from bilberryshed.coordination._event_stream import EventBuffer, EventSplitter
 from bilberryshed.coordination._fair_queue import FairQueue, QueueEntry
 from bilberryshed.coordination._funding import (
     AcquireFromStore,
@@ -168,6 +168,7 @@
     "Conflict",
     "Demand",
     "EngineView",
+    "EventBuffer",
     "EventSplitter",
     "FairQueue",
     "Funded",
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -14,13 +14,14 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
-from bilberryshed.coordination import parse_limit
+from bilberryshed.coordination import EventBuffer, parse_limit
 from bilberryshed.protocol import Dispatch
 from bilberryshed.state import Address
 from bilberryshed.transport import describe_error, http_client
 
 LIMIT_HEADER = "server-limit"  # requests per second that the backend server takes
 ORDER_TIMEOUT = 100.0  # seconds; includes the time to load a model
+MAX_EVENT_BYTES = 1_000_000  # bytes of one event of a stream
 CONTROL_TIMEOUT = 1.0  # seconds for control requests, such as load queries and cancellations
 
 
@@ -222,7 +223,7 @@
     def __init__(self, attempt: str, sink: ResponseSink) -> None:
         self.attempt = attempt
         self.sink = sink
-        self.buffer = b""
+        self.buffer = EventBuffer()
         self.finish = ""
         self.usage: dict[str, int] = {}
         self.stream_error = ""
@@ -230,21 +231,23 @@
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the stream."""
-        *events, self.buffer = (self.buffer + data).split(b"\n\n")
-        for event in events:
-            text = event.removeprefix(b"data: ")
+        for event in () if self.stream_error else self.buffer.feed(data):
+            text = event.strip().removeprefix(b"data: ")
             if text == b"[DONE]" or self.stream_error:
                 continue
             try:
                 self._on_event(json.loads(text))
-            except (ValueError, KeyError, IndexError, TypeError) as error:
+            except (ValueError, KeyError, IndexError, TypeError, RecursionError) as error:
                 self.stream_error = f"engine sent a malformed event: {error!r}"
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            self.stream_error = f"engine sent an event of more than {MAX_EVENT_BYTES} bytes"
+            self.buffer.clear()
 
     def result(self) -> RunResult:
         """Return the result of the attempt after the end of the stream."""
         if self.stream_error:
             return RunInterrupted(self.stream_error)
-        if self.buffer.strip():
+        if self.buffer.pending.strip():
             return RunInterrupted("engine ended the stream within an event")
         if not self.finish:
             return RunInterrupted("engine ended the stream without a finish reason")
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -3,6 +3,9 @@
 A connection carries one request at a time. Bytes received on an idle connection belong to no
 request, so such a connection is closed instead of being reused. Framing is done by h11, I/O by
 tornado's streams.
+
+A faulty backend server may send any number of parts of a response at once: parts of a body are
+returned together, and other work gets its turn in between.
 """
 
 import asyncio
@@ -21,6 +24,7 @@
 DEFAULT_IDLE_TIMEOUT = 4.0  # seconds, if the backend server announces no timeout
 IDLE_TIMEOUT_MARGIN = 1.0  # seconds; reuse stops this long before the announced timeout
 MAX_IDLE_PER_SERVER = 32  # idle connections to one backend server
+MAX_PARTS_PER_TURN = 200  # parts of responses that one connection handles in a turn of the loop
 TCP_USER_TIMEOUT_MS = 4_000  # milliseconds until unacknowledged data closes a connection
 
 HeaderList = list[tuple[str, str]]
@@ -51,6 +55,8 @@
 
     :param key: key of the connection in its pool
     :param pending_read: the next bytes received; done on an idle connection only if it is unusable
+    :param body_end: what ended the body of which the last data has just been returned
+    :param parts: parts of responses handled in this turn of the event loop
     """
 
     __slots__ = (
@@ -58,6 +64,8 @@
         "stream",
         "framing",
         "pending_read",
+        "body_end",
+        "parts",
         "request",
         "idle_since",
         "idle_timeout",
@@ -69,6 +77,8 @@
         self.stream = stream
         self.framing = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.pending_read = self._read()
+        self.body_end: h11.Event | ResponseError | None = None
+        self.parts = 0
         self.request: h11.Request | None = None
         self.eof_received = False
         self.idle_since = 0.0
@@ -106,19 +116,39 @@
                 raise ResponseError("the channel ended before an answer")
 
     async def read_body(self) -> bytes:
-        """Read the next chunk of the body, empty at its end.
+        """Read the next bytes of the body, all that are buffered; empty at its end.
 
         :raises ResponseError: if the body is incomplete
         """
-        while True:
+        end, self.body_end = self.body_end, None
+        while end is None:
             event = await self._next_event()
-            if isinstance(event, h11.Data):
-                if event.data:
-                    return bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return b""
-            else:
-                raise ResponseError("the channel ended within an answer")
+            if not isinstance(event, h11.Data):
+                end = event
+            elif event.data:
+                data, self.body_end = self._buffered_data(bytes(event.data))
+                return data
+        if isinstance(end, ResponseError):
+            raise end
+        if not isinstance(end, h11.EndOfMessage):
+            raise ResponseError("the channel ended within an answer")
+        return b""
+
+    def _buffered_data(self, first: bytes) -> tuple[bytes, h11.Event | ResponseError | None]:
+        """Return the data of a body that needs no read, and what follows it, if it is known.
+
+        :param first: the data before
+        """
+        pieces = [first]
+        while self.parts < MAX_PARTS_PER_TURN:
+            try:
+                event = self._buffered_event()
+            except ResponseError as error:
+                return b"".join(pieces), error
+            if not isinstance(event, h11.Data):
+                return b"".join(pieces), event
+            pieces.append(bytes(event.data))
+        return b"".join(pieces), None
 
     async def skip_response(self) -> None:
         """Discard a response to another request; the response to the sent request follows.
@@ -158,18 +188,31 @@
         """Close the connection immediately."""
         self.stream.close()
 
-    async def _next_event(self) -> object:
+    async def _next_event(self) -> h11.Event:
         while True:
-            try:
-                event = self.framing.next_event()
-            except h11.RemoteProtocolError as error:
-                cause = (
-                    "the channel was closed within the answer" if self.eof_received else str(error)
-                )
-                raise ResponseError(cause) from error
-            if event is not h11.NEED_DATA:
+            if self.parts >= MAX_PARTS_PER_TURN:
+                await asyncio.sleep(0)
+                self.parts = 0
+            event = self._buffered_event()
+            if event is not None:
                 return event
             self.framing.receive_data(await self._receive())
+            self.parts = 0
+
+    def _buffered_event(self) -> h11.Event | None:
+        """Return the next part of a response, ``None`` if it needs more bytes.
+
+        :raises ResponseError: if the bytes are no response
+        """
+        self.parts += 1
+        try:
+            event = self.framing.next_event()
+        except h11.RemoteProtocolError as error:
+            cause = "the channel was closed within the answer" if self.eof_received else str(error)
+            raise ResponseError(cause) from error
+        if event is h11.PAUSED:
+            raise ResponseError("the channel carries no more answers")
+        return event if isinstance(event, h11.Event) else None
 
     async def _receive(self) -> bytes:
         """Return the next bytes received, empty after an orderly close by the other side."""
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -10,7 +10,8 @@
 ``hang`` delays the response by a minute; ``early`` responds before it has read the body;
 ``foreign`` sends the response of another request first;
 ``full cut`` is ``full`` with a body that breaks off; ``trickle`` sends a byte of the second event
-now and then; ``endless PART`` sends a status, head, size (of a chunk) or body without end.
+now and then; ``endless PART`` sends a status, head, size (of a chunk), body, pieces (small chunks of
+a body) or interim responses (1xx) without end.
 
 Independently of the script, a prompt with the crashing part crashes the server once it has begun
 the answer: all connections are reset, and the server is back after its restart time as a new
@@ -30,6 +31,8 @@
 READ_SIZE = 65_536  # bytes, at most, in one read
 TRICKLE_INTERVAL = 0.1  # seconds between the bytes of a stalled stream
 ENDLESS_BLOCK = b"7" * 65_536  # repeated until the client closes the connection
+ENDLESS_PIECES = b"8\r\nabcdefgh\r\n" * 5_000
+ENDLESS_INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_000
 ENDLESS_LIMIT = 64_000_000  # bytes after which the stand-in gives up
 PARTIAL_EVENT_BYTES = 12  # bytes sent of an event at which a stream is cut
 BEGIN_TIME = 0.03  # seconds from the head of an answer to the crash that its prompt causes
@@ -214,11 +217,15 @@
             "head": b"HTTP/1.1 200 X\r\nX-Padding: ",
             "size": _response_head(200, id_, "Transfer-Encoding: chunked"),
             "body": _response_head(200, id_, "Connection: close"),
+            "pieces": _response_head(200, id_, "Transfer-Encoding: chunked"),
+            "interim": b"",
         }
+        blocks = {"pieces": ENDLESS_PIECES, "interim": ENDLESS_INTERIM}
+        block = blocks.get(part, ENDLESS_BLOCK)
         writer.write(starts[part])
         while self.endless_bytes < ENDLESS_LIMIT:
-            writer.write(ENDLESS_BLOCK)
-            self.endless_bytes += len(ENDLESS_BLOCK)
+            writer.write(block)
+            self.endless_bytes += len(block)
             await writer.drain()
         return False
 
