--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -10,8 +10,8 @@
 ``hang`` delays the response by a minute; ``early`` responds before it has read the body;
 ``foreign`` sends the response of another request first;
 ``full cut`` is ``full`` with a body that breaks off; ``trickle`` sends a byte of the second event
-now and then; ``endless PART`` sends a status, head, size (of a chunk), body, pieces (small chunks of
-a body) or interim responses (1xx) without end.
+now and then; ``endless PART`` sends a status, head, size (of a chunk), body, pieces (small chunks
+of a body) or interim responses (1xx) without end.
 
 Independently of the script, a prompt with the crashing part crashes the server once it has begun
 the answer: all connections are reset, and the server is back after its restart time as a new
