A part that a whole route shares is no longer blocked for minutes after engines crash at once

Cause: crashes of three engines under different contents get the parts blocked that all their runs share. That a part had been answered only put it behind other candidates, and nothing but an answer lifts a block, which a blocked part does not get. Ruled out: the crashing part (PART=0 is refused, too).

Fix: parts that were all answered in the minute before are blocked in doubt, for 0.3 s; then one request is let through, and its end decides. Parts that nobody answered are blocked as before. Found on the way by the new scenario, same cause: the request that was let through was kept from a second try by its own block when it met a crashed engine, and all others waited for it; and a crash from before it counted against it. Both mended in gateway and runtime.

--- a/features/crashing_part.feature
+++ b/features/crashing_part.feature
@@ -59,6 +59,21 @@
       | their callers                       |
       | engines that go on with other work  |
 
+  Scenario Outline: Engines that crash at once for a reason of their own get no shared part blocked, <beside>
+    Guards against: a part that all prompts of a route share was blocked for minutes after three engines crashed at once.
+
+    Given a platform with 6 model engines and 1 plain servers
+    And 2 gateways in one zone
+    And the part bad crashes each model engine that begins to answer it, after 0 events
+    When clumps of prompts with the parts aa/ok reach all gateways for 12 s, <beside>, and 3 engines crash at once after 4 s
+    Then at least 0.8 of the clumped prompts later than 8 s were answered at the first attempt
+    And at most 3 prompts with the part reached an engine later than 3 s after the fifth crash
+
+    Examples:
+      | beside                     |
+      | beside nothing else        |
+      | beside prompts with aa/bad |
+
   Scenario: A failure that an engine answers with clears no part
     Given a platform with 4 model engines and 1 plain servers
     And the part bad crashes each model engine that begins to answer it, after 0 events
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -65,6 +65,22 @@
       | crash bad; crash bad; crash bad; 301 s; probe bad; answer bad        | none    |
       | crash bad; crash bad; crash bad; 301 s; probe bad; 31 s              | none    |
 
+    Examples: parts that were answered before may have crashed by coincidence; the next request decides
+      | events                                                               | blocked |
+      | answer aa; crash aa; crash aa; crash aa                              | aa      |
+      | answer aa; crash aa; crash aa; crash aa; 0.5 s                       | none    |
+      | answer aa; crash aa; crash aa; crash aa; 0.5 s; probe aa             | aa      |
+      | answer aa; crash aa; crash aa; crash aa; 0.5 s; probe aa; answer aa  | none    |
+      | answer aa; crash aa; crash aa; crash aa; 0.5 s; probe aa; 4 s        | none    |
+      | answer aa; crash aa; crash aa; crash aa; 0.5 s; probe aa; crash aa; 299 s | aa |
+      | answer aa; crash aa; crash aa; crash aa; 0.5 s; probe aa; crash aa; 301 s | none |
+      | answer aa; crash aa; crash aa; crash aa; 0.5 s; probe aa; late crash aa; 4 s | none |
+      | answer aa; crash aa; crash aa; crash aa; 0.1 s; told probe aa; crash aa; 299 s | aa |
+      | answer aa; crash aa; crash aa; crash aa; told aa; 0.5 s              | none    |
+      | answer aa; crash aa; crash aa; crash aa; 1 s; crash aa; 0.5 s        | none    |
+      | answer aa; crash aa/bad; crash aa/bad; crash aa/bad; 299 s           | aa+bad  |
+      | answer aa; 61 s; crash aa; crash aa; crash aa; 299 s                 | aa      |
+
     Examples: a router that starts learns the same, and adds its own
       | events                                                               | blocked |
       | crash aa/bad; crash aa/bad; crash aa/bad; restart                    | aa+bad  |
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -11,6 +11,8 @@
 HARMLESS_INTERVAL = 0.08  # seconds between harmless prompts
 EVENT_INTERVAL = 0.1  # seconds between the events of an answer
 FIFTH = 4  # index of the fifth crash
+CLUMP_SIZE = 9  # prompts that each gateway gets at once
+CLUMP_DELAY = 0.15  # seconds after the start of a clump at which engines crash
 CALLER_PATIENCE = 0.05  # seconds after which a caller cuts its connection
 
 prompt_numbers = itertools.count()
@@ -264,3 +266,56 @@
     kept = [*gateway.quarantine.quarantine.answered_at]
     kept += [id_ for view in gateway.backends.views.values() for id_ in view.sent_prefixes]
     assert kept and max(map(len, kept)) <= length, max(map(len, kept))
+
+
+@when(
+    "clumps of prompts with the parts {parts} reach all gateways for {seconds:d} s, beside "
+    "{other}, and {count:d} engines crash at once after {delay:d} s"
+)
+def when_clumps(context, parts, seconds, other, count, delay):
+    gateways = sorted(context.harness.gateways)
+    context.clumped, context.bad = [], []
+
+    async def crash():
+        await asyncio.sleep(delay + CLUMP_DELAY)
+        alive = [b for b in context.harness.backends.values() if b.is_streaming and b.is_listening]
+        for backend in alive[:count]:
+            with contextlib.suppress(ConnectionResetError):
+                backend.crash()
+
+    async def send_clumps():
+        started_at = asyncio.get_running_loop().time()
+        tasks = []
+        for _ in range(seconds):
+            for gateway in gateways * CLUMP_SIZE:
+                # Only the first part is the same, so that the prompts are spread over the engines.
+                distinct = f"{parts}{len(tasks)}"
+                call = send_clumped(context, started_at, gateway, distinct)
+                tasks.append(asyncio.ensure_future(call))
+            await asyncio.sleep(1.0)
+        await asyncio.gather(*tasks)
+
+    async def send_all():
+        calls = [send_clumps(), crash()]
+        if other != "nothing else":
+            bad = other.rpartition(" ")[2]
+            calls.append(send_steadily(context, gateways, bad, 1.0, seconds, context.bad))
+        await asyncio.gather(*calls)
+
+    run(context, send_all())
+
+
+async def send_clumped(context, started_at, gateway, parts):
+    """Send a prompt of a clump; note the seconds since the start, and the response."""
+    at = asyncio.get_running_loop().time() - started_at
+    context.clumped.append((at, await send_prompt(context, gateway, parts)))
+
+
+@then(
+    "at least {share:g} of the clumped prompts later than {seconds:d} s were answered at the first "
+    "attempt"
+)
+def then_clumped_answered(context, share, seconds):
+    late = [response for at, response in context.clumped if at > seconds]
+    answered = [r for r in late if r is not None and r.status == 200 and r.complete]
+    assert len(late) >= 10 and len(answered) >= share * len(late), (len(answered), len(late))
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -38,8 +38,11 @@
     assert context.quarantine.standing(context.now, "c") == QuarantineState(state)
 
 
-def crashed_runs(number, prompts):
-    """Return the runs of prompts that one crash ends."""
+def crashed_runs(number, prompts, age=0.0):
+    """Return the runs of prompts that one crash ends.
+
+    :param age: seconds since the crash
+    """
     return [
         CrashedRun(
             f"run-{number}-{position}",
@@ -47,12 +50,20 @@
             "same" if prompt.startswith("same ") else f"content-{number}-{position}",
             tuple(prompt.removeprefix("same ").split("/")),
             False,
-            0.0,
+            age,
         )
         for position, prompt in enumerate(prompts.split(", "))
     ]
 
 
+def told_notice(prompts):
+    """Return a notice of another router: it probes parts in doubt, or blocks them outright."""
+    parts = tuple(prompts.removeprefix("probe ").split("/"))
+    if prompts.startswith("probe "):
+        return BlockNotice("", parts, 3.0, 0, 0.5)
+    return BlockNotice("", parts, 300.0, 1, 0.5)
+
+
 @when("these events occur for prompts: {events}")
 def when_prompt_events(context, events):
     quarantine, now = Quarantine(), 1000.0
@@ -61,6 +72,11 @@
         now += 0.1
         if name == "crash":
             quarantine.record_crashes(now, crashed_runs(number, prompts))
+        elif name == "late":
+            runs = crashed_runs(number, prompts.removeprefix("crash "), age=0.4)
+            quarantine.record_crashes(now, runs)
+        elif name == "told":
+            quarantine.merge(now, told_notice(prompts))
         elif name == "answer":
             quarantine.record_answer(now, now, (), prompts.split("/"))
         elif name == "early":
--- a/src/bilberryshed/coordination/_quarantine.py
+++ b/src/bilberryshed/coordination/_quarantine.py
@@ -12,13 +12,19 @@
 
 When a block expires, the routers in turn let one request through. If it is answered, the block
 ends; if it crashes a backend server, the block is imposed again for twice the time.
+
+Backend servers that crash at the same time for a reason of their own look alike: all their runs
+have the parts in common that all requests share. Parts that were answered shortly before the
+crashes are therefore blocked in doubt only: one request is let through at once, and its end
+decides.
 """
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from bilberryshed.coordination._quarantine_blocks import (
-    PROBE_TIME,
+    DOUBT_PROBE_TIME,
+    IN_DOUBT,
     Block,
     QuarantinePolicy,
     QuarantineState,
@@ -79,8 +85,13 @@
 
     def start_probe(self, now: float, block: Block) -> None:
         """Record that a request is let through, so that all others wait for its end."""
-        block.until = now + PROBE_TIME
-        block.probing = True
+        block.start_probe(now)
+
+    def end_unused_probe(self, now: float, content: str, parts: Collection[str]) -> None:
+        """Let another request through in place of one that reached no backend server."""
+        for block in self.blocks.values():
+            if block.is_in_doubt and block.suspect.matches(content, parts):
+                block.until = min(block.until, now)
 
     # Evidence -------------------------------------------------------------------------------
 
@@ -119,7 +130,7 @@
         for block in self.blocks.values():
             if block.suspect.matches(record.content, record.parts):
                 crash = record.run.run if block.suspect.content else record.run.server
-                self._extend(now, block, {crash})
+                self._extend(now, block, {crash}, record.at)
 
     def _drop_excess(self) -> None:
         while len(self.records) > MAX_RUNS:
@@ -206,8 +217,15 @@
             if suspect.parts and suspect not in causes and is_judged:
                 lifted.append(self.blocks.pop(suspect))
         for suspect, crashes in causes.items():
-            similar = [b.level for b in lifted if b.suspect.parts & suspect.parts]
-            self._impose(now, suspect, crashes, max(similar, default=1))
+            levels = [b.level for b in lifted if b.suspect.parts & suspect.parts]
+            levels.append(IN_DOUBT if self._is_used(now, suspect) else 1)
+            self._impose(now, suspect, crashes, max(levels))
+
+    def _is_used(self, now: float, suspect: Suspect) -> bool:
+        """Whether backend servers have answered all parts of a suspect a short time ago."""
+        oldest = now - self.policy.window
+        answered_at = [self.answered_at.get(part, float("-inf")) for part in suspect.parts]
+        return bool(answered_at) and min(answered_at) > oldest
 
     def _evaluate_contents(self, now: float) -> None:
         weights: dict[str, int] = {}
@@ -261,18 +279,33 @@
             until = now + self.policy.duration(level)
             self.blocks[suspect] = Block(suspect, until, level, now, set(crashes))
         else:
-            self._extend(now, block, crashes)
+            self._extend(now, block, crashes, self._last_crash_at(suspect, crashes))
+
+    def _last_crash_at(self, suspect: Suspect, crashes: set[str]) -> float:
+        return max(
+            record.at
+            for record in self.records.values()
+            if (record.run.run if suspect.content else record.run.server) in crashes
+        )
+
+    def _extend(self, now: float, block: Block, crashes: set[str], crashed_at: float) -> None:
+        """Base a block on further crashes; after its expiry they impose it again, for longer.
 
-    def _extend(self, now: float, block: Block, crashes: set[str]) -> None:
-        """Base a block on further crashes; after its expiry they impose it again, for longer."""
+        :param crashed_at: time of the last of these crashes; one that is older than the request
+            that was let through says nothing about it
+        """
         if not crashes - block.crashes:
             return
-        if block.probing or now >= block.until:
+        block.crashes |= crashes
+        block.crashed_at = max(block.crashed_at, crashed_at)
+        if block.probing and crashed_at < block.probed_at:
+            return
+        if block.probing or (now >= block.until and not block.is_in_doubt):
             block.level += 1
+            for part in block.suspect.parts:
+                self.answered_at.pop(part, None)
         block.probing = False
         block.until = max(block.until, now + self.policy.duration(block.level))
-        block.crashed_at = now
-        block.crashes |= crashes
 
     # Exchange with other routers ------------------------------------------------------------
 
@@ -286,12 +319,16 @@
         suspect = Suspect(notice.content, frozenset(notice.parts))
         until = now + notice.remaining
         block = self.blocks.get(suspect)
+        if notice.level == 1 and self._is_used(now, suspect):
+            return False  # its sender has not seen that these parts were answered
         if block is not None and until <= block.until and notice.level <= block.level:
             return False
         if block is None:
             crashed_at = now - notice.crash_age
             block = Block(suspect, until, notice.level, crashed_at, is_adopted=True)
             self.blocks[suspect] = block
+        if notice.level == IN_DOUBT and notice.remaining > self.policy.doubtful_block:
+            block.start_probe(until - DOUBT_PROBE_TIME)
         block.probing = block.probing or now >= block.until
         block.until = max(block.until, until)
         block.level = max(block.level, notice.level)
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -94,9 +94,9 @@
             customer = index.customer(request.key)
             if customer is None:
                 return Refusal(401, "key", "the key is not known")
-        return await self._reserve_and_run(exchange, request, route, customer, started_at)
+        return await self._admit(exchange, request, route, customer, started_at)
 
-    async def _reserve_and_run(
+    async def _admit(
         self,
         exchange: CallerExchange,
         request: CallerRequest,
@@ -104,7 +104,7 @@
         customer: RoutedCustomer | None,
         started_at: float,
     ) -> Refusal | None:
-        """Reserve the maximum tokens of the request, forward it, and settle the actual use."""
+        """Find the service and, for a stream that is taken up, its origin; then run the request."""
         index = self.context.index
         assert index is not None
         origin = None
@@ -129,10 +129,20 @@
             origin=origin,
             broken_at=started_at,
         )
-        wait = self.context.quarantine.admit(job.fingerprint, job.shared_parts).wait
-        if wait > 0:
+        admittance = self.context.quarantine.admit(job.fingerprint, job.shared_parts)
+        if admittance.wait > 0:
             reason = "requests with this content or part of a prompt crash backend servers"
-            return Refusal(503, "convicted", reason, wait)
+            return Refusal(503, "convicted", reason, admittance.wait)
+        job.is_probe = admittance.is_probe
+        try:
+            return await self._reserve_and_forward(job)
+        finally:
+            if job.is_probe and not job.runs:
+                self.context.quarantine.end_unused_probe(job.fingerprint, job.shared_parts)
+
+    async def _reserve_and_forward(self, job: Job) -> Refusal | None:
+        """Reserve the maximum tokens of a request, forward it, and settle the actual use."""
+        request, customer, service = job.request, job.customer, job.service
         prompt = request.prompt
         if prompt is None or customer is None or customer.prepaid is None:
             return await self._forward(job)
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -78,7 +78,7 @@
             return False
         if job.runs >= job.route.attempts and job.runs:
             return False
-        if self.context.quarantine.seconds_blocked(job.fingerprint, job.shared_parts):
+        if self._is_blocked(job, result):
             return False
         if job.is_resumable and job.event_splitter.events and not await self._may_resume(job):
             self._log(job, "origin_unknown", result=result)
@@ -92,6 +92,12 @@
             self._log(job, "retry_not_allowed", result=result)
         return allowed
 
+    def _is_blocked(self, job: Job, result: AttemptOutcome) -> bool:
+        """Whether requests like this one crash backend servers, so that it must not run again."""
+        if job.is_probe and result is AttemptOutcome.NOT_RUN:
+            return False
+        return self.context.quarantine.seconds_blocked(job.fingerprint, job.shared_parts) > 0
+
     async def _may_resume(self, job: Job) -> bool:
         """Whether it is certain which version began a stream that has just broken off.
 
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -62,6 +62,7 @@
     :param load: load of this gateway at the backend server when it was chosen
     :param first_event_at: monotonic time at which the first event was relayed to the caller
     :param writing_since: monotonic time of the first event of the current attempt
+    :param is_probe: whether it is the one request that runs after the expiry of a block
     :param is_cleared: whether the current attempt has shown that its prompt crashes no server
     """
 
@@ -90,6 +91,7 @@
     status: int = 0
     first_event_at: float | None = None
     writing_since: float | None = None
+    is_probe: bool = False
     is_cleared: bool = False
 
     @property
--- a/src/bilberryshed/runtime/_runner.py
+++ b/src/bilberryshed/runtime/_runner.py
@@ -99,6 +99,13 @@
         admittance = self.quarantine.admit(call.content, call.parts)
         if admittance.wait > 0:
             return _quarantined(Outcome.NOT_RUN, admittance.wait)
+        refusal = await self._reserve_and_run(execution, admittance.is_probe)
+        if admittance.is_probe and refusal and refusal.outcome is Outcome.NOT_RUN:
+            self.quarantine.end_unused_probe(call.content, call.parts)
+        return refusal
+
+    async def _reserve_and_run(self, execution: Execution, is_probe: bool) -> Refusal | None:
+        call = execution.call
         open_bill = self.billing.open_bills.pop(call.bill_id, None)
         if open_bill is None:
             reserved = await self.funding.reserve(
@@ -108,7 +115,7 @@
                 return reserved.failure()
             open_bill = OpenBill(call, reserved.unwrap())
         if call.service.idempotent:
-            return await self._run_idempotent(execution, open_bill, admittance.is_probe)
+            return await self._run_idempotent(execution, open_bill, is_probe)
         return await self._run_non_idempotent(execution, open_bill)
 
     # Idempotent requests --------------------------------------------------------------------
@@ -124,7 +131,8 @@
         retry_deadline = self.context.timers.now() + self.context.settings.queue_wait
         while attempts_left > 0:
             wait = self.quarantine.seconds_blocked(call.content, call.parts)
-            if wait > 0 and not (is_probe and result is None):
+            is_unused_probe = is_probe and (result is None or isinstance(result, NotRun))
+            if wait > 0 and not is_unused_probe:
                 self.billing.release_or_park(open_bill)
                 return _quarantined(Outcome.UNKNOWN if started else Outcome.NOT_RUN, wait)
             agent = await self.agent_queue.acquire(call, excluded)
--- a/src/bilberryshed/transport/_quarantine_exchange.py
+++ b/src/bilberryshed/transport/_quarantine_exchange.py
@@ -103,6 +103,10 @@
         logger().info("quarantine_probe", suspect=block.suspect.key, imposed=block.level)
         return Admittance(0.0, is_probe=True)
 
+    def end_unused_probe(self, content: str, parts: Collection[str]) -> None:
+        """Let another request through in place of one that reached no backend server."""
+        self.quarantine.end_unused_probe(self._now(), content, parts)
+
     def _seconds_left(self, block: Block | None) -> float:
         """Return the seconds until this router may let a request through, 0 without a block."""
         if block is None:
--- a/src/bilberryshed/transport/_quarantine_rows.py
+++ b/src/bilberryshed/transport/_quarantine_rows.py
@@ -106,7 +106,7 @@
 
     def _is_due(self, now: float, block: Block) -> bool:
         """Whether this router has to store a block now."""
-        if block.probing or now >= block.until:
+        if block.is_in_doubt or block.probing or now >= block.until:
             return False
         if block.until <= self.stored.get(block.suspect, now) + EXPIRY_TOLERANCE:
             return False
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -109,7 +109,12 @@
             if task is not None:
                 task.cancel()
 
-    def _crash(self) -> None:
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections, so that it has not crashed."""
+        return self.server is not None and self.server.is_serving()
+
+    def crash(self) -> None:
         """Reset all connections, and start again after the restart time.
 
         :raises ConnectionResetError: always, which ends the task of the calling connection
@@ -284,7 +289,7 @@
                 await self._trickle(id_, number + 1, reader, writer)
         if will_crash:
             await asyncio.sleep(BEGIN_TIME)
-            self._crash()
+            self.crash()
         if kind == "cut":
             partial = f"id: {last + 1}\ndata: piece".encode()[:PARTIAL_EVENT_BYTES]
             writer.write(_chunk(partial) if is_framed else partial)
