A rejection that may be a copy of an earlier one no longer proves that a booking did not run

Cause: such a rejection was believed on any connection. Ruled out: rejections that name their request.

Fix: it is proof only on a connection that carries its first request. Otherwise it is skipped and the response awaited; its connection is not used again; a server that has sent one gets requests that must not be repeated on new connections. Agents use a connection for each attempt.

--- a/features/backends.feature
+++ b/features/backends.feature
@@ -14,6 +14,12 @@
       | between two events    | interrupted |
       | with a reset          | interrupted |
 
+  Scenario: An earlier rejection that is sent again is not taken for the response to a later attempt
+    Guards against: a response that names no request was believed on a connection that was used before.
+
+    When an engine answers two attempts, and sends a rejection again before the next response on a connection
+    Then the attempt is completed
+
   Scenario: An event that is too long is not kept
     Guards against: the bytes of an event without end were kept until the attempt's deadline.
 
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -73,6 +73,28 @@
       | unframed     | POST   | /book/1 | 200    | 1        |
       | unframed reset | POST | /book/1 | 502    | 1        |
 
+  Scenario: A rejection that names no request is no proof on a connection that was used before
+    Guards against: a copy of an earlier rejection told that a booking had not run, which ran.
+
+    Given a platform with 1 model engines and 1 plain servers
+    And the next responses of the plain servers are: ok, stray
+    When a caller slowly sends 2 times POST /book/1
+    Then they were answered 200, 200
+    And 2 servers executed the request
+
+  Scenario: A server that rejects without naming the request is believed on new connections
+    Given a platform with 1 model engines and 1 plain servers
+    And the next responses of the plain servers are: unnamed full, ok, unnamed full, unnamed full
+    When a caller slowly sends 4 times POST /book/1
+    Then they were answered 503, 200, 503, 503
+
+  Scenario: A copy of a rejection that comes after it is not read
+    Given a platform with 1 model engines and 1 plain servers
+    And the next responses of the plain servers are: unnamed full twice, ok, unnamed full twice, ok
+    When a caller slowly sends 4 times POST /book/1
+    Then they were answered 503, 200, 503, 200
+    And 2 servers executed the request
+
   Scenario Outline: A response without end in its <part> is broken off, and the next server responds
     Given the next responses of the plain servers are: endless <part>
     When a caller sends GET /look/1 with its key
@@ -209,6 +231,9 @@
       | a host name as address       |
       | an unknown state             |
       | a list as value              |
+      | an IPv6 address              |
+      | a line break in its zone     |
+      | an id with a line break      |
 
   Scenario: An invalid config leaves the last valid one active
     Given the operator writes an invalid config
--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -61,6 +61,38 @@
     context.result = context.loop.run_until_complete(attempt())
 
 
+REJECTION = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+
+
+@when(
+    "an engine answers two attempts, and sends a rejection again before the next response on a "
+    "connection"
+)
+def when_rejection_repeated(context):
+    body = FIRST + SECOND + DONE
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n"
+    response = head % len(body) + body
+
+    async def respond(reader, writer):
+        for before in (b"", REJECTION):
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            writer.write(before + response)
+        writer.close()
+
+    async def attempt():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        backend = EngineBackend(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+        await backend.run(dispatch(), IgnoringSink())
+        result = await backend.run(dispatch(), IgnoringSink())
+        server.close()
+        return result
+
+    context.result = context.loop.run_until_complete(attempt())
+
+
 def dispatch():
     """Return a dispatch of attempt a1."""
     return Dispatch(
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -138,6 +138,12 @@
     assert max(context.stalls) <= limit, max(context.stalls)
 
 
+@then("they were answered {statuses}")
+def then_statuses(context, statuses):
+    found = [response.status for response in context.responses]
+    assert found == [int(status) for status in statuses.split(", ")], found
+
+
 @given("the model engines send one event every {seconds:f} s")
 def given_event_interval(context, seconds):
     for backend in context.harness.backends.values():
@@ -153,8 +159,12 @@
         "a host name as address": {**valid_entry, "address": "desk.example:80"},
         "an unknown state": {**valid_entry, "state": "resting"},
         "a list as value": [1, 2],
+        "an IPv6 address": {**valid_entry, "address": "[::1]:80"},
+        "a line break in its zone": {**valid_entry, "zone": "quay\nx"},
+        "an id with a line break": valid_entry,
     }
-    context.harness.store.put("servers", "i-foreign", entries[entry])
+    id_ = "i-\r\nX-Foreign: 1" if "id with" in entry else "i-foreign"
+    context.harness.store.put("servers", id_, entries[entry])
     run(context, asyncio.sleep(0.6))
 
 
@@ -201,6 +211,17 @@
     context.responses = [response for _, response in context.responses_by_request]
 
 
+@when("a caller slowly sends {count:d} times {method:w} {path:S}")
+def when_calls_with_pauses(context, count, method, path):
+    async def calls():
+        for _ in range(count):
+            context.responses.append(await context.harness.call(path, method=method))
+            await asyncio.sleep(PAUSE)
+
+    context.responses = []
+    run(context, calls())
+
+
 @when("a caller sends a prompt of {prompt:d} tokens for {max_output:d} output tokens to {path:S}")
 def when_prompt(context, prompt, max_output, path):
     context.responses = [run(context, context.harness.call(path, tokens=f"{prompt},{max_output}"))]
@@ -229,6 +250,7 @@
     context.responses = [run(context, context.harness.call(path, body=b"x" * size))]
 
 
+PAUSE = 0.3  # seconds in which a server that was full gets requests again
 MALFORMED_REQUESTS = {
     "two body lengths": "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "a chunk size that is not a number": "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -44,6 +44,7 @@
     :param ejected_until: monotonic time before which it is used only if no other is available
     :param wrong_sequence: sequence number of the entry when another backend server responded at its
         address; the mark lasts until the entry is renewed, which only a live server does
+    :param omits_ids: whether it has rejected a request without naming it
     :param is_leaving: whether it gets no more requests, as its entry was removed or is marked as
         draining, or as its address belongs to another backend server
     """
@@ -62,6 +63,7 @@
     failed_at: float = -math.inf
     failure_rate: float = 0.0
     ejected_until: float = 0.0
+    omits_ids: bool = False
     is_leaving: bool = False
     wrong_sequence: int | None = None
 
--- a/src/bilberryshed/gateway/_dialect.py
+++ b/src/bilberryshed/gateway/_dialect.py
@@ -109,6 +109,11 @@
     limit: float | None
     headers: HeaderList
 
+    @property
+    def is_rejection(self) -> bool:
+        """Whether it states that the request to which it responds was not executed."""
+        return self.not_run or self.wrong_server
+
 
 class Dialect(ABC):
     """Translates between HTTP messages and typed values."""
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -1,8 +1,9 @@
 """Forwards a request to backend servers, with retries, and relays the response to the caller.
 
 A non-idempotent request is resent only after proof that it was not executed: the connection could
-not be opened, or the backend server reported it. An interrupted stream resumes at another backend
-server after the last complete event that was relayed to the caller, if the route allows it.
+not be opened, or the backend server reported it, and it is certain of which request. An interrupted
+stream resumes at another backend server after the last complete event that was relayed to the
+caller, if the route allows it.
 """
 
 import asyncio
@@ -194,7 +195,9 @@
     async def _acquire_connection(self, job: Job, view: BackendView) -> BackendConnection | None:
         now = self.context.timers.now()
         idle_fraction = 1.0 if job.route.retryable else NON_RETRYABLE_IDLE_FRACTION
-        connection = self.connections.acquire(view.server.id, now, idle_fraction)
+        connection = None
+        if job.route.retryable or not view.omits_ids:
+            connection = self.connections.acquire(view.server.id, now, idle_fraction)
         if connection is not None:
             return connection
         try:
@@ -216,11 +219,13 @@
             job.runs += 1
             job.sent_at = self.context.timers.now()
             self._send(job, view, connection)
-            response = await self._read_response_head(job, connection)
+            response = await self._read_response_head(job, view, connection)
             self._note_limit(job, view, response)
-            if response.not_run or response.wrong_server:
+            if response.is_rejection:
                 job.runs -= 1
-                released = await self._discard_body(connection, response)
+                is_read = await self._discard_body(connection)
+                can_reuse = is_read and response.request == job.request.id
+                released = can_reuse and self._release_connection(connection, response)
                 return self._on_not_run(job, view, response)
             result, complete = await self._relay_body(job, view, connection, response)
             released = complete and self._release_connection(connection, response)
@@ -249,27 +254,44 @@
         headers = self.context.dialect.dispatch_headers(job.request, dispatch)
         connection.send(job.request.method, job.request.target, headers, job.request.body)
 
-    async def _read_response_head(self, job: Job, connection: BackendConnection) -> BackendResponse:
+    async def _read_response_head(
+        self, job: Job, view: BackendView, connection: BackendConnection
+    ) -> BackendResponse:
         """Read the response head of this request; skip responses to other requests."""
         async with asyncio.timeout_at(self._read_deadline(job, FIRST_BYTE_FACTOR)):
             while True:
                 response = self.context.dialect.parse_response(await connection.read_head())
-                if not response.request or response.request == job.request.id:
+                if response.is_rejection and not response.request:
+                    view.omits_ids = True
+                if self._is_response_to(job, connection, response):
                     break
                 logger().warning(
                     "mismatched_response",
                     request=job.request.id,
                     found=response.request,
+                    status=response.status,
                     server=job.server,
                 )
                 await connection.skip_response()
-        names_request = response.request == job.request.id
-        if not names_request and not (response.not_run or response.wrong_server):
+        if not response.request and not response.is_rejection:
             raise ResponseError(f"answer {response.status} does not name its request")
         if 200 <= response.status < 300 and not response.signed:
             raise ResponseError(f"answer {response.status} is not signed")
         return response
 
+    def _is_response_to(
+        self, job: Job, connection: BackendConnection, response: BackendResponse
+    ) -> bool:
+        """Whether a response may belong to this request.
+
+        A rejection that names no request may be a copy of an earlier one, unless the connection
+        carries its first request. It is then no proof that a request that must not be repeated did
+        not run.
+        """
+        if response.request:
+            return response.request == job.request.id
+        return not response.is_rejection or connection.is_first_use or job.route.retryable
+
     def _note_limit(self, job: Job, view: BackendView, response: BackendResponse) -> None:
         """Note the limit that a response names, or that it names none."""
         job.limit = response.limit
@@ -288,12 +310,12 @@
         silence_deadline = self.context.timers.now() + factor * job.route.latency_target
         return min(job.deadline, silence_deadline)
 
-    async def _discard_body(self, connection: BackendConnection, response: BackendResponse) -> bool:
+    async def _discard_body(self, connection: BackendConnection) -> bool:
         """Read the rest of a response that proves that the request was not run.
 
         A broken body does not weaken the proof, which is in the head.
 
-        :returns: whether the connection was released for reuse
+        :returns: whether it was read completely
         """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
@@ -301,7 +323,7 @@
                     pass
         except (TimeoutError, ResponseError):
             return False
-        return self._release_connection(connection, response)
+        return True
 
     def _on_not_run(self, job: Job, view: BackendView, response: BackendResponse) -> AttemptOutcome:
         now = self.context.timers.now()
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -2,7 +2,8 @@
 
 A :class:`Backend` class is registered for each kind of backend server. It reports the response
 through a :class:`ResponseSink` and returns exactly one of :class:`RunCompleted`,
-:class:`RunNotStarted` and :class:`RunInterrupted`.
+:class:`RunNotStarted` and :class:`RunInterrupted`. Each attempt has a connection of its own: not
+all responses name their request, and a faulty backend server may send an earlier one again.
 """
 
 import asyncio
@@ -17,7 +18,7 @@
 from bilberryshed.coordination import EventBuffer, parse_limit
 from bilberryshed.protocol import Dispatch
 from bilberryshed.state import Address
-from bilberryshed.transport import describe_error, http_client
+from bilberryshed.transport import describe_error, http_client, use_new_connection
 
 LIMIT_HEADER = "server-limit"  # requests per second that the backend server takes
 ORDER_TIMEOUT = 100.0  # seconds; includes the time to load a model
@@ -193,6 +194,7 @@
             request_timeout=dispatch.deadline,
             streaming_callback=stream.feed,
             header_callback=self._header_reader(),
+            prepare_curl_callback=use_new_connection,
         )
         try:
             response = await self.client.fetch(request, raise_error=False)
@@ -286,6 +288,7 @@
             request_timeout=dispatch.deadline,
             allow_nonstandard_methods=True,
             header_callback=self._header_reader(),
+            prepare_curl_callback=use_new_connection,
         )
         try:
             response = await self.client.fetch(request, raise_error=False)
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -55,6 +55,7 @@
 
     :param key: key of the connection in its pool
     :param pending_read: the next bytes received; done on an idle connection only if it is unusable
+    :param is_first_use: whether it carries its first request, so that no earlier response can come
     :param body_end: what ended the body of which the last data has just been returned
     :param parts: parts of responses handled in this turn of the event loop
     """
@@ -64,6 +65,7 @@
         "stream",
         "framing",
         "pending_read",
+        "is_first_use",
         "body_end",
         "parts",
         "request",
@@ -77,6 +79,7 @@
         self.stream = stream
         self.framing = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.pending_read = self._read()
+        self.is_first_use = True
         self.body_end: h11.Event | ResponseError | None = None
         self.parts = 0
         self.request: h11.Request | None = None
@@ -178,6 +181,7 @@
             self.framing.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self.is_first_use = False
         return True
 
     def is_usable(self) -> bool:
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -8,7 +8,8 @@
 length or chunks, which ends with its connection, ``unframed cut N`` after N events and a part of
 the next; ``unframed reset`` resets the connection within the body; ``error`` is a signed 500;
 ``hang`` delays the response by a minute; ``early`` responds before it has read the body;
-``foreign`` sends the response of another request first;
+``foreign`` sends the response of another request first; ``unnamed full`` is a rejection that names
+no request (``twice`` for a copy), and ``stray`` sends such a one before the response;
 ``full cut`` is ``full`` with a body that breaks off; ``trickle`` sends a byte of the second event
 now and then; ``endless PART`` sends a status, head, size (of a chunk), body, pieces (small chunks
 of a body) or interim responses (1xx) without end.
@@ -31,6 +32,7 @@
 READ_SIZE = 65_536  # bytes, at most, in one read
 TRICKLE_INTERVAL = 0.1  # seconds between the bytes of a stalled stream
 ENDLESS_BLOCK = b"7" * 65_536  # repeated until the client closes the connection
+UNNAMED_REJECTION = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 ENDLESS_PIECES = b"8\r\nabcdefgh\r\n" * 5_000
 ENDLESS_INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_000
 ENDLESS_LIMIT = 64_000_000  # bytes after which the stand-in gives up
@@ -191,6 +193,11 @@
             fields = "X-Not-Executed: 1\r\nContent-Length: 0"
             writer.write(_response_head(503, id_, fields, limit=self.limit))
             return True
+        if fault.startswith("unnamed full"):
+            writer.write(UNNAMED_REJECTION * (2 if fault.endswith("twice") else 1))
+            return True
+        if fault == "stray":
+            writer.write(UNNAMED_REJECTION)
         if fault == "full cut":
             writer.write(_response_head(503, id_, "X-Not-Executed: 1\r\nContent-Length: 9") + b"fu")
             return False
