A Server-Limit with any number of decimals is kept

Cause: the parser took nine decimals at most, and anything else counted as no limit. It also took digits of other scripts. Ruled out: the sharing of the limit (3.25 held). Before: three new rows of server_limit.feature failed. After: they pass.

--- a/features/server_limit.feature
+++ b/features/server_limit.feature
@@ -63,6 +63,10 @@
       | -1    | None  |
       | NaN   | None  |
       | soon  | None  |
+      | 3.3333333333333335 | 3.3333333333333335 |
+      | 0.1000000000000000055511151231257827 | 0.1 |
+      | 3.    | None  |
+      | ٣     | None  |
 
   Scenario: A gateway with little traffic keeps a limit that it has not been told by the engine
     Given a platform with 1 model engines and 1 plain servers
--- a/src/bilberryshed/coordination/_named_limits.py
+++ b/src/bilberryshed/coordination/_named_limits.py
@@ -7,7 +7,7 @@
 ANNOUNCED_CHANGE = 0.1  # relative change of a limit of which the other routers are told
 MIN_LIMIT = 0.1  # requests per second; some must be sent to learn that a limit has ended
 
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,400})?")  # a double may take hundreds of decimals
 
 
 def parse_limit(text: str) -> float | None:
