Streams of a split route are taken up after their gateway was killed

Cause: the service of a request on a split route was drawn at random, and only the gateway that relayed the stream knew it. Ruled out: versions of the software; each service has one.

Fix: the service follows from the id of the request, held against the shares in force; tables that were replaced in the last 40 s are kept, and if they differ for a request, nothing is concluded.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -10,7 +10,16 @@
 from gateway_steps import run
 from gateway_support import API_KEY, HOST, GatewayHarness, build_config, build_route
 
-from bilberryshed.coordination import Origin, ServedVersions, StreamOrigins, VersionSpan
+from bilberryshed.coordination import (
+    Origin,
+    RouteHistory,
+    RouteIndex,
+    ServedVersions,
+    StreamOrigins,
+    VersionSpan,
+    split_point,
+)
+from bilberryshed.state import Route, RouteKind, RouteTable, ServiceShare
 
 VERSION = re.compile(rb"of (v\d+)")
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
@@ -70,6 +79,11 @@
     run(context, add())
 
 
+def stream_path(context):
+    """Return the path of the streams of a scenario."""
+    return getattr(context, "stream_path", "/single/1")
+
+
 def set_faults(context, faults):
     """Have the next requests meet these faults, at whichever engines they reach."""
     shared = deque(faults)
@@ -118,6 +132,82 @@
     assert sum(answer.complete for answer in context.answers) == count
 
 
+def split_config(version, shares):
+    """Return a config whose route /split/ is split between the services model and other."""
+    weights = [
+        {"service": name, "weight": weight}
+        for name, weight in zip(("model", "other"), shares, strict=True)
+    ]
+    split = build_route(
+        "split",
+        "/split/",
+        "model",
+        "streaming",
+        resumable=True,
+        maxAttempts=1,
+        trafficSplit=weights,
+    )
+    config = build_config(version)
+    model = next(service for service in config["services"] if service["name"] == "model")
+    services = [*config["services"], {**model, "name": "other"}]
+    return {**config, "routeTable": [*config["routeTable"], split], "services": services}
+
+
+@given(
+    "a route that is split between them and {count:d} engines of another service, which write v9"
+)
+def given_split_route(context, count):
+    async def add():
+        harness = context.harness
+        harness.store.put("op", "config", split_config(3, (60, 40)))
+        for number in range(count):
+            backend = await harness.add_backend(f"i-other-{number}", "other", streams=True, born=1)
+            backend.software = "v9"
+        await asyncio.sleep(ENTRY_TIME)
+
+    context.stream_path = "/split/1"
+    run(context, add())
+
+
+@when("the first gateway begins {count:d} streams of the split route that break off after 2 events")
+def when_split_streams_begin(context, count):
+    when_streams_begin(context, count)
+
+
+@when("the operator swaps the services' shares")
+def when_shares_swapped(context):
+    context.harness.store.put("op", "config", split_config(4, (40, 60)))
+    run(context, asyncio.sleep(ENTRY_TIME))
+
+
+SPLIT = (ServiceShare("a", 90), ServiceShare("b", 10))
+EARLIER_SPLIT = (ServiceShare("a", 0), ServiceShare("b", 100))
+
+
+def split_index(shares):
+    """Return the index of a table with one split route."""
+    route = Route("split", HOST, "/split/", RouteKind.STREAM, shares, 2, 15.0, 0.5, 1, False, True)
+    return RouteIndex(RouteTable(1, (route,), {}, {}, False)), route
+
+
+@given("a route that is split between a and b, in a gateway that {knows}")
+def given_history(context, knows):
+    numbers = [int(number) for number in re.findall(r"(\d+) s ago", knows)]
+    earlier, _ = split_index(EARLIER_SPLIT)
+    context.route_history = RouteHistory()
+    context.route_history.on_table(NOW - numbers[0], None)
+    if len(numbers) > 1:
+        context.route_history.on_table(NOW - numbers[1], earlier)
+    context.system_age = numbers[0] - 1.0 if "with all others" in knows else None
+
+
+@then("request r-1 that took its first event up to 40 s ago went to {services}")
+def then_services(context, services):
+    index, route = split_index(SPLIT)
+    found = context.route_history.services(NOW, index, route, "r-1", context.system_age)
+    assert found == tuple(services.split(", ")), (found, split_point("r-1"))
+
+
 ODD_VERSIONS = {
     "100 000 characters": "v" * 100_000,
     "a lone surrogate": "\ud800",
@@ -142,7 +232,7 @@
     for number in range(count):
         id_ = context.harness.request_id()
         set_faults(context, ["cut 2"])
-        answer = run(context, send_prompt(context.harness, "/single/1", number, id=id_))
+        answer = run(context, send_prompt(context.harness, stream_path(context), number, id=id_))
         assert answer.status == 200 and not answer.complete, answer
         context.streams.append(BrokenStream(id_, "2", [answer]))
     set_faults(context, [])
@@ -260,7 +350,7 @@
         headers = {"Last-Event-Id": stream.last_event_id}
         if names_request:
             headers["Resumes"] = stream.id
-        call = send_prompt(context.harness, "/single/1", number, gateway, headers=headers)
+        call = send_prompt(context.harness, stream_path(context), number, gateway, headers=headers)
         stream.answers.append(run(context, call))
 
 
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -129,6 +129,36 @@
     When another gateway has seen v1 from 3 s on, and no v2
     Then the versions that can have begun a stream up to 100 s are v1, v2
 
+  Scenario Outline: Streams of a route that is split between services are taken up again, <change>
+    Guards against: which service had begun a stream was known to its gateway only, and lost with it.
+
+    Given a platform with model engines of the versions v1, v1
+    And a route that is split between them and 2 engines of another service, which write v9
+    And a second gateway that is linked to the first
+    When the first gateway begins 20 streams of the split route that break off after 2 events
+    And <change>
+    And the first gateway is killed
+    And their callers take them up again at the second gateway
+    Then no stream has events of two versions
+    And at least <least> of the take-ups go on
+
+    Examples: a stream of which two tables say different things is not taken up
+      | change                                  | least |
+      | 0.1 s passes                            | 20    |
+      | the operator swaps the services' shares | 8     |
+
+  Scenario Outline: The services that may have begun a stream, of a gateway that <knows>, are <services>
+    Given a route that is split between a and b, in a gateway that <knows>
+    Then request r-1 that took its first event up to 40 s ago went to <services>
+
+    Examples: r-1 falls to a by shares of 90 and 10, and to b by shares of 0 and 100
+      | knows                                                          | services |
+      | started 50 s ago                                               | a        |
+      | started 10 s ago                                               | a, b     |
+      | started 10 s ago with all others                               | a        |
+      | started 50 s ago and had shares of 0 and 100 until 20 s ago    | a, b     |
+      | started 90 s ago and had shares of 0 and 100 until 41 s ago    | a        |
+
   Scenario Outline: Streams go on although another writer has left an entry with <version> as version
     Guards against: one odd entry counted as a version in service, and kept the versions from being stored.
 
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -101,6 +101,7 @@
 from bilberryshed.coordination._response_check import ResponseDamagedError, ResponseVerifier
 from bilberryshed.coordination._retry_budget import RetryBudget
 from bilberryshed.coordination._rollout import ActiveSheet, Rollout
+from bilberryshed.coordination._route_history import RouteHistory, split_point
 from bilberryshed.coordination._route_index import RouteIndex
 from bilberryshed.coordination._routing import AgentView, PolicyInputs, Routing, policies, policy
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
@@ -220,7 +221,9 @@
     "ResponseVerifier",
     "RetryBudget",
     "Rollout",
+    "RouteHistory",
     "RouteIndex",
+    "split_point",
     "Routing",
     "Segment",
     "ShardWriter",
--- a/src/bilberryshed/coordination/_route_index.py
+++ b/src/bilberryshed/coordination/_route_index.py
@@ -37,7 +37,7 @@
     def service(self, route: Route, draw: float) -> str:
         """Choose the service of a request by the weights of the route's traffic split.
 
-        :param draw: random number in [0, 1)
+        :param draw: number in [0, 1), see :func:`split_point`
         """
         total = sum(share.weight for share in route.shares)
         remaining = draw * total
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -1,12 +1,11 @@
 """Validates a caller's request, reserves its tokens, forwards it and settles the reservation."""
 
-import random
 from dataclasses import dataclass
 
 import xxhash
 from returns.result import Failure
 
-from bilberryshed.coordination import Shortage
+from bilberryshed.coordination import Shortage, split_point
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._dialect import CallerRequest
@@ -108,11 +107,17 @@
         index = self.context.index
         assert index is not None
         origin = None
-        name = index.service(route, random.random())
+        name = index.service(route, split_point(request.id))
         if request.last_event_id and route.resumable:
-            shares = tuple(share.service for share in route.shares)
-            origin = await self.streams.find(shares, request.resumed_request)
-            if origin is None or origin.service not in shares:
+            services = self.context.route_history.services(
+                started_at,
+                index,
+                route,
+                request.resumed_request,
+                self.context.recovery.system_age(),
+            )
+            origin = await self.streams.find(services, request.resumed_request)
+            if origin is None or origin.service not in {share.service for share in route.shares}:
                 reason = "it is not known which version began the stream"
                 return Refusal(503, "origin", reason, RETRY_AFTER_UNAVAILABLE)
             name = origin.service
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -15,6 +15,7 @@
     PrepaidBook,
     QuarantinePolicy,
     RetryBudget,
+    RouteHistory,
     RouteIndex,
     SpendingBounds,
     shard_of,
@@ -101,6 +102,7 @@
         self.departures = Departures(self.started_at)
         self.recovery = EpochRecovery(ports.tables, settings.name, self.departures)
         self.index: RouteIndex | None = None
+        self.route_history = RouteHistory()
         self.table_data = b""
         self.peer_links: dict[str, Link] = {}
         self.hubs = Hubs(settings.name, settings.zone)
--- a/src/bilberryshed/gateway/_epoch_recovery.py
+++ b/src/bilberryshed/gateway/_epoch_recovery.py
@@ -18,6 +18,7 @@
 
 EPOCH_REF = RowRef("epochs", "current")
 RECOVERY_TABLE = "recovered"
+FIRST_START_TIME = 4.0  # seconds in which all gateways start for the first time, without traffic
 MAX_GATEWAYS = 5_000  # rows read at most
 MAX_CONFLICTS = 8  # consecutive write conflicts before an attempt is given up
 
@@ -77,6 +78,16 @@
         """Whether this gateway has reported that its grants are confirmed in the current epoch."""
         return self.own is not None and self.own.epoch == self.tables.epoch
 
+    def system_age(self) -> float | None:
+        """Return the seconds since any gateway used the store first, ``None`` if it is not known.
+
+        The gateways that started with that one are no older.
+        """
+        current = self.current
+        if current is None or not current.is_first or current.epoch != self.tables.epoch:
+            return None
+        return max(0.0, self.tables.clock - current.started_at - FIRST_START_TIME)
+
     async def begin(self) -> bool:
         """Read the current epoch, or record it as the first gateway.
 
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -211,6 +211,7 @@
         if index is not None and table.version <= index.table.version:
             return
         known = self.context.prepaid_totals()
+        self.context.route_history.on_table(self.context.timers.now(), index)
         self.context.index = RouteIndex(table)
         self.context.table_data = data
         logger().info(
--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -104,6 +104,8 @@
 
     async def _store(self, listed: dict[str, set[str]]) -> None:
         try:
+            if self.context.recovery.current is None:
+                await self.context.recovery.begin()
             await self.records.store_versions(listed)
         finally:
             self.storing = False
