Backend servers that say that they leave, or ask for quiet, get no requests

Cause: nothing read either header.

Both hold for the process that said so, over its entry in the store, until it has started anew. Where no server takes requests, callers are refused at once and told the least rest. The check for a limit and the new ones are one question to the pool (next_admission).

--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -105,6 +105,7 @@
 from bilberryshed.coordination._route_index import RouteIndex
 from bilberryshed.coordination._routing import AgentView, PolicyInputs, Routing, policies, policy
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
+from bilberryshed.coordination._self_reports import SelfReports, parse_seconds
 from bilberryshed.coordination._server_limiter import ServerLimiter
 from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
@@ -222,6 +223,8 @@
     "RetryBudget",
     "Rollout",
     "RouteHistory",
+    "SelfReports",
+    "parse_seconds",
     "RouteIndex",
     "split_point",
     "Routing",
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -9,6 +9,7 @@
 
 from bilberryshed.coordination._backend_view import BackendDemand, BackendView, InFlightRequest
 from bilberryshed.coordination._placement import place_plain, place_prompt, prefill_tokens
+from bilberryshed.coordination._self_reports import SelfReports, is_same_process
 from bilberryshed.protocol import LoadNotice, LoadSummary, PrefixSent, ServerLoad
 from bilberryshed.state import BackendServer
 
@@ -16,6 +17,8 @@
 OUTPUT_WEIGHT = 10  # tokens prefilled in the time in which one output token is generated
 REFUSED_BACKOFF = 0.3  # seconds without new work after one refused connection; doubles each time
 FULL_BACKOFF = 0.15  # seconds without new work after a response that the backend server is full
+RESUME_TIME = 1.0  # seconds after a time without requests in which they are paced
+RESUME_INTERVAL = 0.05  # seconds between two requests then
 MAX_BACKOFF = 4.0  # seconds, upper limit of the doubled backoff
 FAILURE_WEIGHT = 0.25  # weight of the newest outcome in the moving average of failures
 EJECT_FAILURE_RATE = 0.5  # failure rate above which a backend server is ejected
@@ -40,9 +43,10 @@
 
     :param zone: availability zone of this router, preferred for plain requests
     :param reported_at: monotonic time of each peer's last report, in seconds
+    :param self_reports: what backend servers have said of themselves
     """
 
-    __slots__ = ("zone", "views", "peer_loads", "reported_at", "new_prefixes")
+    __slots__ = ("zone", "views", "peer_loads", "reported_at", "new_prefixes", "self_reports")
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
@@ -50,6 +54,7 @@
         self.peer_loads: dict[str, tuple[ServerLoad, ...]] = {}
         self.reported_at: dict[str, float] = {}
         self.new_prefixes: list[PrefixSent] = []
+        self.self_reports = SelfReports()
 
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return this router's load at each backend server, to be reported to its peers."""
@@ -112,7 +117,7 @@
         known = set(self.views)
         for id_, view in list(self.views.items()):
             server = servers.get(id_)
-            if server is None or self._is_restarted(server, view.server):
+            if server is None or not is_same_process(server, view.server):
                 view.is_leaving = True
                 removed.append(view)
                 del self.views[id_]
@@ -121,18 +126,37 @@
             if server.sequence != view.server.sequence and view.refused_connections:
                 view.refused_connections = 0
                 view.backoff_until = 0.0
+            self._apply_self_report(view, server)
             view.update(server)
         if removed or self.views.keys() != known:
             self._sum_peer_loads()
         return removed
 
-    def _is_restarted(self, new: BackendServer, old: BackendServer) -> bool:
-        return (new.started_at_ms, new.address, new.service, new.version) != (
-            old.started_at_ms,
-            old.address,
-            old.service,
-            old.version,
-        )
+    def _apply_self_report(self, view: BackendView, server: BackendServer) -> None:
+        report = self.self_reports.get(server)
+        view.says_leaving, view.quiet_until = report.is_leaving, report.quiet_until
+
+    def on_says_leaving(self, now: float, view: BackendView) -> bool:
+        """Send no more requests to a backend server that says that it leaves.
+
+        :returns: whether it had not said so before
+        """
+        is_new = self.self_reports.on_leaving(now, view.server)
+        view.says_leaving = view.is_leaving = True
+        return is_new
+
+    def on_asks_quiet(self, now: float, view: BackendView, seconds: float) -> bool:
+        """Send no requests for some seconds to a backend server that asks for it.
+
+        :returns: whether it had not asked for it until now
+        """
+        is_new = self.self_reports.on_quiet(now, view.server, seconds)
+        view.quiet_until = self.self_reports.get(view.server).quiet_until
+        return is_new
+
+    def prune(self, now: float) -> None:
+        """Forget what backend servers said that have ended."""
+        self.self_reports.prune(now, (view.server for view in self.views.values()))
 
     def usable(self, service: str) -> list[BackendView]:
         """Return the backend servers of a service that are not draining."""
@@ -148,7 +172,7 @@
         :param tried: ids of the backend servers that this request was already sent to
         """
         usable = [v for v in self.usable(service) if v.server.id not in tried]
-        available = [v for v in usable if v.backoff_until <= now and v.limited_until <= now]
+        available = [view for view in usable if view.available_at <= now]
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
@@ -156,17 +180,21 @@
             return place_prompt(now, healthy, demand)
         return place_plain(healthy, self.zone)
 
-    def is_limited(self, until: float, service: str, tried: frozenset[str]) -> bool:
-        """Whether the limits of all backend servers admit no request until a monotonic time.
+    def next_admission(self, now: float, service: str, tried: frozenset[str]) -> float | None:
+        """Return the earliest time at which a backend server takes requests by what it has said.
 
         :param tried: ids of the backend servers that the request was already sent to
+        :returns: monotonic time in seconds, ``None`` if any takes them now, or if there is none
         """
         views = [view for view in self.usable(service) if view.server.id not in tried]
-        return bool(views) and all(view.limited_until > until for view in views)
+        admits_at = min((view.admits_at for view in views), default=now)
+        return admits_at if admits_at > now else None
 
     def begin(self, now: float, view: BackendView, demand: BackendDemand) -> InFlightRequest:
         """Add a request to the in-flight load of a backend server."""
         request = InFlightRequest(view, demand, prefill_tokens(now, view, demand))
+        if now < view.quiet_until + RESUME_TIME:
+            view.limited_until = max(view.limited_until, now + RESUME_INTERVAL)
         view.running += 1
         view.work += demand.work
         view.unread += request.unread
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -38,6 +38,7 @@
     :param sent_prefixes: monotonic time of the last send, by shared prefix, oldest first
     :param refused_connections: number of consecutive refused connections
     :param backoff_until: monotonic time before which it is sent no new work
+    :param quiet_until: monotonic time before which it wants no requests, as it says
     :param limited_until: monotonic time before which the limit that it names admits no request
     :param failed_at: monotonic time of its last failure
     :param failure_rate: moving average of the share of failed requests, from 0 to 1
@@ -45,8 +46,9 @@
     :param wrong_sequence: sequence number of the entry when another backend server responded at its
         address; the mark lasts until the entry is renewed, which only a live server does
     :param omits_ids: whether it has rejected a request without naming it
+    :param says_leaving: whether it says in its responses that it leaves
     :param is_leaving: whether it gets no more requests, as its entry was removed or is marked as
-        draining, or as its address belongs to another backend server
+        draining, as it says that it leaves, or as its address belongs to another backend server
     """
 
     server: BackendServer
@@ -59,14 +61,26 @@
     sent_prefixes: dict[str, float] = field(default_factory=dict)
     refused_connections: int = 0
     backoff_until: float = 0.0
+    quiet_until: float = -math.inf
     limited_until: float = 0.0
     failed_at: float = -math.inf
     failure_rate: float = 0.0
     ejected_until: float = 0.0
     omits_ids: bool = False
+    says_leaving: bool = False
     is_leaving: bool = False
     wrong_sequence: int | None = None
 
+    @property
+    def admits_at(self) -> float:
+        """Monotonic time from which on it takes requests, by what it has said."""
+        return max(self.quiet_until, self.limited_until)
+
+    @property
+    def available_at(self) -> float:
+        """Monotonic time from which on it may be sent a request."""
+        return max(self.admits_at, self.backoff_until)
+
     @property
     def total_running(self) -> int:
         """Requests of all routers that run there."""
@@ -90,7 +104,8 @@
     def update(self, server: BackendServer) -> None:
         """Replace the registered entry."""
         self.server = server
-        self.is_leaving = server.draining or server.sequence == self.wrong_sequence
+        has_moved = server.sequence == self.wrong_sequence
+        self.is_leaving = server.draining or self.says_leaving or has_moved
 
     def has_cached(self, now: float, affinity: str) -> bool:
         """Whether a shared prefix was sent there within ``PREFIX_CACHE_TIME``."""
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -19,6 +19,8 @@
 from bilberryshed.transport import logger
 
 RETRY_AFTER_UNAVAILABLE = 0.5  # seconds until a refused caller should retry
+MIN_RETRY_AFTER = 0.1  # seconds
+MAX_RETRY_AFTER = 3_600.0  # seconds; a backend server may ask for any time
 RETRY_AFTER_STOPPING = 0.1  # seconds until a caller should retry at another gateway
 RETRY_AFTER_UNFUNDED = 1.0  # seconds until a caller should retry, as tokens may be reachable then
 
@@ -228,12 +230,7 @@
             self.metrics.responses.labels(job.status, "answer").inc()
             return None
         if outcome is AttemptOutcome.NOT_RUN and not job.runs:
-            return Refusal(
-                503,
-                "not_run",
-                f"not run: {job.last_failure or 'no backend server'}",
-                RETRY_AFTER_UNAVAILABLE,
-            )
+            return self._not_run_refusal(job)
         if job.failed_response is not None and not job.exchange.started:
             response, body = job.failed_response
             job.exchange.respond(response.status, response.headers, body)
@@ -242,6 +239,17 @@
             return Refusal(504, "timeout", "no answer in time")
         return Refusal(502, "broken", job.last_failure)
 
+    def _not_run_refusal(self, job: Job) -> Refusal:
+        """Return the refusal of a request that reached no backend server that took it."""
+        reason = f"not run: {job.last_failure or 'no backend server'}"
+        if job.admitted_at is None:
+            return Refusal(503, "not_run", reason, RETRY_AFTER_UNAVAILABLE)
+        rest = job.admitted_at - self.context.timers.now()
+        wait = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, rest))
+        if job.admitted_at >= job.deadline:
+            reason += f", for {wait:.1f} s, longer than the caller waits"
+        return Refusal(503, "not_run", reason, wait)
+
 
 def _fingerprint(request: CallerRequest) -> str:
     """Return a hash that requests with the same key, target and body share."""
--- a/src/bilberryshed/gateway/_dialect.py
+++ b/src/bilberryshed/gateway/_dialect.py
@@ -95,6 +95,8 @@
     :param wrong_server: whether another backend server now has the address
     :param must_close: whether the connection closes after the response
     :param idle_timeout: seconds for which the server keeps an idle connection, if stated
+    :param is_leaving: whether the backend server says that it leaves
+    :param quiet_time: seconds for which it wants no requests from this gateway, 0 if it says none
     :param limit: requests per second that the backend server takes, ``None`` if it names no limit
     :param headers: headers for the caller
     """
@@ -108,6 +110,8 @@
     idle_timeout: float | None
     limit: float | None
     headers: HeaderList
+    is_leaving: bool = False
+    quiet_time: float = 0.0
 
     @property
     def is_rejection(self) -> bool:
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -119,11 +119,13 @@
             view = self.pool.choose(now, job.service.name, job.demand, excluded)
             if view is not None:
                 wait = await self.limits.acquire(view.server)
-                if wait <= 0:
+                if wait > 0:
+                    view.limited_until = now + wait
+                elif not view.is_leaving and view.admits_at <= self.context.timers.now():
                     return view
-                view.limited_until = now + wait
                 continue
-            if self.pool.is_limited(until, job.service.name, excluded):
+            job.admitted_at = self.pool.next_admission(now, job.service.name, excluded)
+            if job.admitted_at is not None and job.admitted_at > until:
                 job.last_failure = "the backend servers take no more requests now"
                 return None
             if now + CHOICE_RETRY_INTERVAL > until or not self.pool.usable(job.service.name):
@@ -221,14 +223,17 @@
             self._send(job, view, connection)
             response = await self._read_response_head(job, view, connection)
             self._note_limit(job, view, response)
+            self._note_self_report(view, response)
             if response.is_rejection:
                 job.runs -= 1
                 is_read = await self._discard_body(connection)
-                can_reuse = is_read and response.request == job.request.id
+                names_request = response.request == job.request.id
+                can_reuse = is_read and names_request and not view.is_leaving
                 released = can_reuse and self._release_connection(connection, response)
                 return self._on_not_run(job, view, response)
             result, complete = await self._relay_body(job, view, connection, response)
-            released = complete and self._release_connection(connection, response)
+            can_reuse = complete and not view.is_leaving
+            released = can_reuse and self._release_connection(connection, response)
             return result
         except TimeoutError:
             job.last_failure = "no answer in time"
@@ -298,6 +303,17 @@
         if not response.wrong_server:
             self.limits.on_response(view.server, response.limit, job.sent_at)
 
+    def _note_self_report(self, view: BackendView, response: BackendResponse) -> None:
+        """Note that a backend server says that it leaves, or that it wants no requests."""
+        now, id_ = self.context.timers.now(), view.server.id
+        if response.is_leaving and self.pool.on_says_leaving(now, view):
+            self.connections.close_idle(id_)
+            self.context.metrics.count("server_leaving")
+            logger().info("server_leaving", server=id_, service=view.server.service)
+        if response.quiet_time and self.pool.on_asks_quiet(now, view, response.quiet_time):
+            self.context.metrics.count("server_quiet")
+            logger().info("server_quiet", server=id_, seconds=response.quiet_time)
+
     def _read_deadline(self, job: Job, factor: float) -> float:
         """Return the monotonic time by which the next data must arrive.
 
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -160,6 +160,7 @@
 
     def _prune(self, now: float) -> None:
         self.context.connections.prune(now)
+        self.context.backends.prune(now)
 
     def _on_table(self) -> None:
         self.funds.on_table()
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -56,6 +56,8 @@
     :param failed_response: last 5xx response, returned to the caller if no retry succeeds
     :param origin: version that began the stream, ``None`` before its first event
     :param broken_at: monotonic time by which the stream to be resumed had broken off
+    :param admitted_at: monotonic time at which a backend server takes requests again by what it
+        has said, ``None`` if that was not why the request was not sent
     :param limit: limit in requests per second that the last response named
     :param status: HTTP status of the response to the caller
     :param run: current entry in the backend pool
@@ -87,6 +89,7 @@
     run: InFlightRequest | None = None
     origin: Origin | None = None
     broken_at: float = math.inf
+    admitted_at: float | None = None
     limit: float | None = None
     status: int = 0
     first_event_at: float | None = None
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -5,7 +5,7 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from bilberryshed.coordination import parse_limit
+from bilberryshed.coordination import parse_limit, parse_seconds
 from bilberryshed.gateway import (
     BackendResponse,
     CallerRequest,
@@ -14,7 +14,7 @@
     Prompt,
     RequestError,
 )
-from bilberryshed.transport import HeaderList, ResponseHead
+from bilberryshed.transport import HeaderList, ResponseHead, logger
 
 REQUEST_ID = "x-attempt-id"  # unique for each attempt of a caller
 TIMEOUT = "x-deadline-ms"  # a duration despite its name: how long the caller waits
@@ -29,11 +29,15 @@
 PRIORITY = "x-request-priority"
 NOT_RUN = "x-not-executed"
 SIGNATURE = "x-response-signature"
+LEAVING = "server-leaving"  # "1" in all responses of a backend server that leaves
+RETRY_AFTER = "retry-after"
 LIMIT = "server-limit"  # requests per second from all gateways together
 
 DEFAULT_TIMEOUT_MS = 30_000  # for requests without the header
 MAX_PART_ID = 64  # characters of the id of a part of a prompt
+MAX_LOGGED = 80  # characters of a value that cannot be read
 MAX_PRIORITY = 9  # largest number that is sent; 0 is the highest priority
+STATUS_UNAVAILABLE = 503  # the backend server turns the request away
 STATUS_MISDIRECTED = 421  # another backend server has the address
 
 # Not forwarded: headers that apply to one connection, and headers that the system itself sets.
@@ -156,6 +160,8 @@
             must_close=must_close,
             idle_timeout=float(idle.group(1)) if idle else None,
             limit=parse_limit(head.get(LIMIT)),
+            is_leaving=head.get(LEAVING).strip() == "1",
+            quiet_time=_parse_quiet_time(head),
             headers=[(k, v) for k, v in head.headers if k not in HOP_BY_HOP],
         )
 
@@ -163,6 +169,17 @@
         return [] if retry_after is None else [("Retry-After", f"{retry_after:.2f}")]
 
 
+def _parse_quiet_time(head: ResponseHead) -> float:
+    """Return the seconds for which a backend server wants no requests, 0 if it says none."""
+    text = head.get(RETRY_AFTER)
+    if not text or head.status != STATUS_UNAVAILABLE:
+        return 0.0
+    seconds = parse_seconds(text)
+    if seconds is None:
+        logger().warning("retry_after_unreadable", value=text[:MAX_LOGGED])
+    return seconds or 0.0
+
+
 def _parse_prompt(values: dict[str, str]) -> Prompt | None:
     if TOKENS not in values:
         return None
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -8,8 +8,9 @@
 length or chunks, which ends with its connection, ``unframed cut N`` after N events and a part of
 the next; ``unframed reset`` resets the connection within the body; ``error`` is a signed 500;
 ``hang`` delays the response by a minute; ``early`` responds before it has read the body;
-``foreign`` sends the response of another request first; ``unnamed full`` is a rejection that names
-no request (``twice`` for a copy), and ``stray`` sends such a one before the response;
+``shed SECONDS`` is a rejection with Retry-After; ``foreign`` sends the response of another request
+first; ``unnamed full`` is a rejection that names no request (``twice`` for a copy), and ``stray``
+sends such a one before the response;
 ``full cut`` is ``full`` with a body that breaks off; ``trickle`` sends a byte of the second event
 now and then; ``endless PART`` sends a status, head, size (of a chunk), body, pieces (small chunks
 of a body) or interim responses (1xx) without end.
@@ -74,6 +75,7 @@
     :param restart_time: seconds for which the server is away after a crash
     :param on_restart: called when the server is back
     :param crashes: monotonic times of the crashes, in seconds
+    :param says: header lines with what it says of itself in all its responses, without line ends
     :param limit: requests a second that it names as its limit, ``None`` for none
     :param software: version of its software, which its events name if it is not empty
     """
@@ -91,12 +93,19 @@
     restart_time: float = 1.0
     on_restart: Callable[[], None] = lambda: None
     crashes: list[float] = field(default_factory=list)
+    says: str = ""
     limit: float | None = None
     software: str = ""
     server: asyncio.Server | None = None
     tasks: set["asyncio.Task[None] | None"] = field(default_factory=set)
     address: str = ""
 
+    def _write(self, writer: asyncio.StreamWriter, response: bytes) -> None:
+        """Write a response, with what the server says of itself in its head."""
+        said = f"{self.says}\r\n".encode() if self.says else b""
+        status, line_end, rest = response.partition(b"\r\n")
+        writer.write(status + line_end + said + rest)
+
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Start listening; port 0 selects a free port."""
         self.server = await asyncio.start_server(self._serve, host, port)
@@ -191,7 +200,12 @@
         id_ = received.headers.get("x-attempt-id", "")
         if fault == "full":
             fields = "X-Not-Executed: 1\r\nContent-Length: 0"
-            writer.write(_response_head(503, id_, fields, limit=self.limit))
+            self._write(writer, _response_head(503, id_, fields, limit=self.limit))
+            return True
+        if fault.startswith("shed "):
+            seconds = fault.removeprefix("shed ")
+            fields = f"X-Not-Executed: 1\r\nRetry-After: {seconds}\r\nContent-Length: 0"
+            self._write(writer, _response_head(503, id_, fields, limit=self.limit))
             return True
         if fault.startswith("unnamed full"):
             writer.write(UNNAMED_REJECTION * (2 if fault.endswith("twice") else 1))
@@ -244,7 +258,7 @@
     def _send_plain(self, id_: str, fault: str, writer: asyncio.StreamWriter) -> bool:
         body = f"answer to {id_}".encode()
         if fault == "error":
-            writer.write(_complete_response(id_, body, 500, self.limit))
+            self._write(writer, _complete_response(id_, body, 500, self.limit))
         elif fault == "early":
             writer.write(_complete_response(id_, b"too long", 413))
             return False
@@ -262,7 +276,7 @@
             writer.write(_response_head(200, id_, f"Content-Length: {len(body)}") + body[:5])
             return False
         else:
-            writer.write(_complete_response(id_, body, limit=self.limit))
+            self._write(writer, _complete_response(id_, body, limit=self.limit))
             if fault == "extra":
                 writer.write(_complete_response("ffffffffffffffff", b"a second answer"))
         return True
@@ -284,7 +298,7 @@
             last = first + self.crash_after - 1
         framing = "Transfer-Encoding: chunked" if is_framed else "Connection: close"
         head = "Content-Type: text/event-stream\r\n" + framing
-        writer.write(_response_head(200, id_, head, kind != "unsigned", self.limit))
+        self._write(writer, _response_head(200, id_, head, kind != "unsigned", self.limit))
         for number in range(first, min(last, EVENTS) + 1):
             source = f" of {self.software}" if self.software else ""
             event = f"id: {number}\ndata: piece {number}{source}\n\n".encode()
