A take-up does not wait for a store whose last read failed

A broken stream waited up to 0.35 s for a fresh list before it went on elsewhere, also while the store was known to be silent. stream_versions.feature passes.

--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -259,11 +259,11 @@
         await self.follower.run()
 
     async def refresh(self) -> bool:
-        """Read the entries anew.
+        """Read the entries anew, unless the last read has failed.
 
         :returns: whether the store responded, so that all changes up to now are applied
         """
-        return await self.follower.refresh()
+        return self.follower.store_up and await self.follower.refresh()
 
     def _on_outage(self) -> None:
         """Ask a peer for the entries if neither the store nor a peer has delivered any."""
