Agents pass nothing on to an engine that leaves or asks for some time without requests

An agent keeps what the one engine says in the limiter that it already has, and reports it as draining to the routers; a new boot of the engine ends it.

--- a/features/self_reports.feature
+++ b/features/self_reports.feature
@@ -63,3 +63,30 @@
       | 1e3                           | None     |
       | soon                          | None     |
       | Sat, 05 Dec 2026 05:00:00 GMT | None     |
+
+  Scenario Outline: An agent passes no requests on to an engine that <says>
+    Given a Cairnbrae fleet with its sheet active
+    And engine e1 of the fleet <says>
+    When callers send 240 requests at 30 per second and nothing happens
+    Then engine e1 of the fleet got at most <most> of them later than <delay> s after the first
+    And every caller received its own complete response
+    And each request has one bill, nothing is overspent, and the audit balances
+
+    Examples: one after another asks for 2 s without requests in the second
+      | says                                     | most | delay |
+      | says in all responses that it leaves     | 0    | 2     |
+      | turns requests away and asks for 2 s without any | 8 | 0.5 |
+
+  Scenario Outline: An engine responds <status> with <header>
+    When an engine responds <status> with <header>
+    Then the agent reads from it: <report>
+
+    Examples:
+      | status | header               | report            |
+      | 200    | Server-Leaving: 1    | leaving           |
+      | 503    | Server-Leaving: 1    | leaving           |
+      | 200    | Server-Leaving: 0    | nothing           |
+      | 503    | Retry-After: 1.5     | quiet for 1.5 s   |
+      | 200    | Retry-After: 1.5     | nothing           |
+      | 503    | Retry-After: -2      | nothing           |
+      | 503    | Server-Limit: 2.5    | a limit of 2.5    |
--- a/features/steps/self_reports_steps.py
+++ b/features/steps/self_reports_steps.py
@@ -1,13 +1,18 @@
 """Steps for what backend servers say of themselves."""
 
 import asyncio
+import json
+import urllib.request
 from collections import deque
 
+from backend_steps import IgnoringSink, dispatch
 from behave import given, then, when
 from gateway_steps import run
+from server_limit_steps import post_json
 
 from bilberryshed.coordination import SelfReports, parse_seconds
-from bilberryshed.state import BackendServer
+from bilberryshed.runtime import EngineBackend
+from bilberryshed.state import Address, BackendServer
 
 ENTRY_TIME = 1.0  # seconds in which a gateway reads a changed entry
 EXPIRY_TIME = 3.5  # seconds in which a missing entry counts as gone
@@ -190,3 +195,57 @@
 @then("these are {seconds} seconds")
 def then_seconds(context, seconds):
     assert str(parse_seconds(context.active_outline["text"])) == seconds
+
+
+# Agents -------------------------------------------------------------------------------------
+
+
+@given("engine {name:w} of the fleet says in all responses that it leaves")
+def given_fleet_leaving(context, name):
+    post_json(context.fleet.plan.backends[name], "/self-report", {"leaving": True})
+
+
+@given("engine {name:w} of the fleet turns requests away and asks for 2 s without any")
+def given_fleet_quiet(context, name):
+    post_json(context.fleet.plan.backends[name], "/self-report", {"quiet": 2.0})
+
+
+@then(
+    "engine {name:w} of the fleet got at most {most:d} of them later than {delay:g} s after the "
+    "first"
+)
+def then_fleet_got(context, name, most, delay):
+    port = context.fleet.plan.backends[name]
+    with urllib.request.urlopen(f"http://127.0.0.1:{port}/started") as response:
+        arrivals = json.load(response)["times"]
+    assert arrivals, "it got none"
+    later = [at for at in arrivals if at > min(arrivals) + delay]
+    assert len(later) <= most, (len(later), len(arrivals))
+
+
+@when("an engine responds {status:d} with {header}")
+def when_engine_says(context, status, header):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 {status} X\r\n{header}\r\nContent-Length: 0\r\n\r\n".encode())
+        await writer.drain()
+        writer.close()
+
+    async def attempt():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        backend = EngineBackend(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+        backend.on_report = lambda report, sent_at: context.engine_reports.append(report)
+        await backend.run(dispatch(), IgnoringSink())
+        server.close()
+
+    context.engine_reports = []
+    context.loop.run_until_complete(attempt())
+
+
+@then("the agent reads from it: {text}")
+def then_agent_reads(context, text):
+    report = context.engine_reports[0]
+    found = ["leaving"] if report.is_leaving else []
+    found += [f"quiet for {report.quiet_time} s"] if report.quiet_time else []
+    found += [f"a limit of {report.limit}"] if report.limit is not None else []
+    assert found == ([] if text == "nothing" else [text]), report
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -46,6 +46,7 @@
     RunInterrupted,
     RunNotStarted,
     RunResult,
+    SelfReport,
     backend_types,
 )
 from bilberryshed.runtime._process import hello
@@ -100,7 +101,10 @@
 
 
 class Agent:
-    """Agent process: one backend server and the links to all routers."""
+    """Agent process: one backend server and the links to all routers.
+
+    ``leaving_boot`` is the boot of the backend server that has said that it leaves.
+    """
 
     def __init__(self, settings: AgentSettings) -> None:
         self.settings = settings
@@ -109,7 +113,8 @@
         self.metrics = Metrics(settings.statsd, "bilberryshed.agent")
         self.backend: Backend = backend_types[settings.kind](settings.backend)
         self.limiter = ServerLimiter()
-        self.backend.on_limit = self._on_limit
+        self.backend.on_report = self._on_self_report
+        self.leaving_boot: int | None = None
         self.agent_attempts = AgentAttempts(settings.slots * ADMITTED_PER_SLOT)
         self.boot_of_attempt: dict[str, str] = {}
         self.journaled_at: dict[str, float] = {}
@@ -177,7 +182,7 @@
         refused = self.agent_attempts.admit(
             link.peer.boot,
             dispatch,
-            serves=serves_target and self.healthy,
+            serves=serves_target and self.healthy and not self._is_backend_leaving(),
             wait=self.limiter.wait(self.timers.now()),
         )
         if refused is not None:
@@ -188,9 +193,21 @@
         self.boot_of_attempt[dispatch.attempt] = link.peer.boot
         self.spawn(self._run(link, dispatch))
 
-    def _on_limit(self, limit: float | None, sent_at: float) -> None:
-        if self.limiter.on_response(self.timers.now(), limit, sent_at):
-            logger().info("server_limit", limit=limit)
+    def _on_self_report(self, report: SelfReport, sent_at: float) -> None:
+        """Act on what the backend server says of itself; it holds until it starts anew."""
+        now = self.timers.now()
+        if self.limiter.on_response(now, report.limit, sent_at):
+            logger().info("server_limit", limit=report.limit)
+        if report.quiet_time:
+            self.limiter.on_quiet(now, report.quiet_time)
+            logger().info("server_quiet", seconds=report.quiet_time)
+        if report.is_leaving and not self._is_backend_leaving():
+            self.leaving_boot = self.load.boot
+            logger().info("server_leaving", boot=self.load.boot)
+            self._broadcast_report()
+
+    def _is_backend_leaving(self) -> bool:
+        return self.leaving_boot is not None and self.leaving_boot == self.load.boot
 
     def _on_cancel(self, link: Link, cancel: Cancel) -> None:
         if cancel.attempt in self.agent_attempts.running:
@@ -346,7 +363,11 @@
     async def _poll_load(self) -> None:
         load = await self.backend.load()
         self.healthy = load is not None
+        if load is None and not self.load.boot:
+            self.leaving_boot = None  # its boots cannot be told apart
         if load is not None:
+            if load.boot != self.load.boot:
+                self.limiter = ServerLimiter()
             self.load = load
         self._broadcast_report()
 
@@ -362,7 +383,7 @@
             models=self.load.models,
             running=len(self.agent_attempts.running),
             slots=self.load.slots,
-            draining=self.agent_attempts.draining,
+            draining=self.agent_attempts.draining or self._is_backend_leaving(),
             healthy=self.healthy,
         )
 
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -15,12 +15,16 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
-from bilberryshed.coordination import EventBuffer, parse_limit
+from bilberryshed.coordination import EventBuffer, parse_limit, parse_seconds
 from bilberryshed.protocol import Dispatch
 from bilberryshed.state import Address
-from bilberryshed.transport import describe_error, http_client, use_new_connection
+from bilberryshed.transport import describe_error, http_client, logger, use_new_connection
 
 LIMIT_HEADER = "server-limit"  # requests per second that the backend server takes
+LEAVING_HEADER = "server-leaving"  # "1" if the backend server leaves
+QUIET_HEADER = "retry-after"  # seconds for which it wants no requests, with QUIET_STATUS
+QUIET_STATUS = "503"
+MAX_LOGGED = 80  # characters of a value that cannot be read
 ORDER_TIMEOUT = 100.0  # seconds; includes the time to load a model
 MAX_EVENT_BYTES = 1_000_000  # bytes of one event of a stream
 CONTROL_TIMEOUT = 1.0  # seconds for control requests, such as load queries and cancellations
@@ -70,6 +74,20 @@
     boot: int
 
 
+@dataclass(slots=True)
+class SelfReport:
+    """What a backend server says of itself in the head of a response.
+
+    :param limit: requests per second that it takes, ``None`` if it names no limit
+    :param is_leaving: whether it leaves
+    :param quiet_time: seconds for which it wants no requests, 0 if it says none
+    """
+
+    limit: float | None = None
+    is_leaving: bool = False
+    quiet_time: float = 0.0
+
+
 class ResponseSink(ABC):
     """Receiver of the response of one attempt."""
 
@@ -85,16 +103,16 @@
 class Backend(ABC):
     """Client of one backend server.
 
-    :param on_limit: called for each response to an attempt, with the limit in requests per second
-        that it names or ``None``, and the monotonic time at which its request was sent
+    :param on_report: called for each response to an attempt, with what it says of the backend
+        server, and the monotonic time at which its request was sent
     """
 
-    __slots__ = ("base_url", "client", "on_limit")
+    __slots__ = ("base_url", "client", "on_report")
 
     def __init__(self, address: Address) -> None:
         self.base_url = f"http://{address}"
         self.client: AsyncHTTPClient = http_client()
-        self.on_limit: Callable[[float | None, float], None] = lambda limit, sent_at: None
+        self.on_report: Callable[[SelfReport, float], None] = lambda report, sent_at: None
 
     @abstractmethod
     async def run(self, dispatch: Dispatch, sink: ResponseSink) -> RunResult:
@@ -125,7 +143,7 @@
     def _header_reader(self) -> "_HeadReader":
         """Return a callback for the header lines of a response that is about to be requested."""
         sent_at = asyncio.get_running_loop().time()
-        return _HeadReader(lambda limit: self.on_limit(limit, sent_at))
+        return _HeadReader(lambda report: self.on_report(report, sent_at))
 
     async def _control(
         self, method: str, path: str, body: Any, timeout: float = CONTROL_TIMEOUT
@@ -144,24 +162,37 @@
 
 
 class _HeadReader:
-    """Finds the limit in the header lines of a response.
+    """Finds what a backend server says of itself in the header lines of a response.
 
     :param on_end: called with it at the end of the head
     """
 
-    __slots__ = ("on_end", "limit")
+    __slots__ = ("on_end", "report", "status")
 
-    def __init__(self, on_end: Callable[[float | None], None]) -> None:
+    def __init__(self, on_end: Callable[[SelfReport], None]) -> None:
         self.on_end = on_end
-        self.limit: float | None = None
+        self.report = SelfReport()
+        self.status = ""
 
     def __call__(self, line: str) -> None:
         """Process one line, the status line and the empty one included."""
+        if line.startswith("HTTP/"):
+            self.status = line.split()[1] if len(line.split()) > 1 else ""
         name, _, value = line.partition(":")
-        if name.lower() == LIMIT_HEADER:
-            self.limit = parse_limit(value)
+        self._read_field(name.lower(), value.strip())
         if not line.strip():
-            self.on_end(self.limit)
+            self.on_end(self.report)
+
+    def _read_field(self, name: str, value: str) -> None:
+        if name == LIMIT_HEADER:
+            self.report.limit = parse_limit(value)
+        elif name == LEAVING_HEADER:
+            self.report.is_leaving = value == "1"
+        elif name == QUIET_HEADER and self.status == QUIET_STATUS:
+            seconds = parse_seconds(value)
+            if seconds is None:
+                logger().warning("retry_after_unreadable", value=value[:MAX_LOGGED])
+            self.report.quiet_time = seconds or 0.0
 
 
 backend_types: dict[str, Callable[[Address], Backend]] = {}
--- a/src/bilberryshed_standins/_engine.py
+++ b/src/bilberryshed_standins/_engine.py
@@ -57,6 +57,8 @@
         self.arrival_times: list[float] = []
         self.step_task: asyncio.Task[None] | None = None
         self.limit: float | None = None
+        self.says_leaving = False
+        self.quiet_time = 0.0
 
     def application(self) -> Application:
         """Return the HTTP application."""
@@ -72,6 +74,7 @@
                 (r"/speed", SpeedHandler, args),
                 (r"/crash", CrashHandler, args),
                 (r"/limit", LimitHandler, args),
+                (r"/self-report", SelfReportHandler, args),
                 (r"/started", StartedHandler, args),
                 (r"/crashes", CrashesHandler, args),
                 (r"/faults", FaultsHandler, args),
@@ -149,6 +152,8 @@
             return
         if self.standin.limit is not None:
             self.set_header("Server-Limit", str(self.standin.limit))
+        if self.standin.says_leaving:
+            self.set_header("Server-Leaving", "1")
         await super().prepare()
 
 
@@ -168,6 +173,11 @@
             generated=len(str(body.get("continue_text", "")).split()),
         )
         self.standin.arrival_times.append(time.time())
+        if self.standin.quiet_time:
+            self.set_header("Retry-After", str(self.standin.quiet_time))
+            self.set_status(503)
+            await self.finish()
+            return
         if CRASH_MARKER in prompt:
             self.standin.crash()
         if self.standin.is_down:
@@ -293,6 +303,18 @@
         await self.send_json({})
 
 
+class SelfReportHandler(EngineHandler):
+    """``POST /self-report``: whether all responses say that the engine leaves, and the seconds
+    without requests for which it asks in turning completions away, 0 to run them.
+    """
+
+    async def post(self) -> None:
+        body = self.json_body()
+        self.standin.says_leaving = bool(body.get("leaving", False))
+        self.standin.quiet_time = float(body.get("quiet", 0.0))
+        await self.send_json({})
+
+
 class StartedHandler(EngineHandler):
     """``GET /started``: times at which completions arrived, seconds since the epoch."""
 
