--- a/features/steps/self_reports_steps.py
+++ b/features/steps/self_reports_steps.py
@@ -234,18 +234,18 @@
     async def attempt():
         server = await asyncio.start_server(respond, "127.0.0.1", 0)
         backend = EngineBackend(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
-        backend.on_report = lambda report, sent_at: context.engine_reports.append(report)
+        backend.on_statement = lambda said, sent_at: context.engine_statements.append(said)
         await backend.run(dispatch(), IgnoringSink())
         server.close()
 
-    context.engine_reports = []
+    context.engine_statements = []
     context.loop.run_until_complete(attempt())
 
 
 @then("the agent reads from it: {text}")
 def then_agent_reads(context, text):
-    report = context.engine_reports[0]
-    found = ["leaving"] if report.is_leaving else []
-    found += [f"quiet for {report.quiet_time} s"] if report.quiet_time else []
-    found += [f"a limit of {report.limit}"] if report.limit is not None else []
-    assert found == ([] if text == "nothing" else [text]), report
+    said = context.engine_statements[0]
+    found = ["leaving"] if said.is_leaving else []
+    found += [f"quiet for {said.quiet_time} s"] if said.quiet_time else []
+    found += [f"a limit of {said.limit}"] if said.limit is not None else []
+    assert found == ([] if text == "nothing" else [text]), said
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -46,7 +46,7 @@
     RunInterrupted,
     RunNotStarted,
     RunResult,
-    SelfReport,
+    ServerStatement,
     backend_types,
 )
 from bilberryshed.runtime._process import hello
@@ -113,7 +113,7 @@
         self.metrics = Metrics(settings.statsd, "bilberryshed.agent")
         self.backend: Backend = backend_types[settings.kind](settings.backend)
         self.limiter = ServerLimiter()
-        self.backend.on_report = self._on_self_report
+        self.backend.on_statement = self._on_statement
         self.leaving_boot: int | None = None
         self.agent_attempts = AgentAttempts(settings.slots * ADMITTED_PER_SLOT)
         self.boot_of_attempt: dict[str, str] = {}
@@ -193,15 +193,15 @@
         self.boot_of_attempt[dispatch.attempt] = link.peer.boot
         self.spawn(self._run(link, dispatch))
 
-    def _on_self_report(self, report: SelfReport, sent_at: float) -> None:
+    def _on_statement(self, statement: ServerStatement, sent_at: float) -> None:
         """Act on what the backend server says of itself; it holds until it starts anew."""
         now = self.timers.now()
-        if self.limiter.on_response(now, report.limit, sent_at):
-            logger().info("server_limit", limit=report.limit)
-        if report.quiet_time:
-            self.limiter.on_quiet(now, report.quiet_time)
-            logger().info("server_quiet", seconds=report.quiet_time)
-        if report.is_leaving and not self._is_backend_leaving():
+        if self.limiter.on_response(now, statement.limit, sent_at):
+            logger().info("server_limit", limit=statement.limit)
+        if statement.quiet_time:
+            self.limiter.on_quiet(now, statement.quiet_time)
+            logger().info("server_quiet", seconds=statement.quiet_time)
+        if statement.is_leaving and not self._is_backend_leaving():
             self.leaving_boot = self.load.boot
             logger().info("server_leaving", boot=self.load.boot)
             self._broadcast_report()
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -75,7 +75,7 @@
 
 
 @dataclass(slots=True)
-class SelfReport:
+class ServerStatement:
     """What a backend server says of itself in the head of a response.
 
     :param limit: requests per second that it takes, ``None`` if it names no limit
@@ -103,16 +103,18 @@
 class Backend(ABC):
     """Client of one backend server.
 
-    :param on_report: called for each response to an attempt, with what it says of the backend
+    :param on_statement: called for each response to an attempt, with what it says of the backend
         server, and the monotonic time at which its request was sent
     """
 
-    __slots__ = ("base_url", "client", "on_report")
+    __slots__ = ("base_url", "client", "on_statement")
 
     def __init__(self, address: Address) -> None:
         self.base_url = f"http://{address}"
         self.client: AsyncHTTPClient = http_client()
-        self.on_report: Callable[[SelfReport, float], None] = lambda report, sent_at: None
+        self.on_statement: Callable[[ServerStatement, float], None] = (
+            lambda statement, sent_at: None
+        )
 
     @abstractmethod
     async def run(self, dispatch: Dispatch, sink: ResponseSink) -> RunResult:
@@ -143,7 +145,7 @@
     def _header_reader(self) -> "_HeadReader":
         """Return a callback for the header lines of a response that is about to be requested."""
         sent_at = asyncio.get_running_loop().time()
-        return _HeadReader(lambda report: self.on_report(report, sent_at))
+        return _HeadReader(lambda statement: self.on_statement(statement, sent_at))
 
     async def _control(
         self, method: str, path: str, body: Any, timeout: float = CONTROL_TIMEOUT
@@ -167,11 +169,11 @@
     :param on_end: called with it at the end of the head
     """
 
-    __slots__ = ("on_end", "report", "status")
+    __slots__ = ("on_end", "statement", "status")
 
-    def __init__(self, on_end: Callable[[SelfReport], None]) -> None:
+    def __init__(self, on_end: Callable[[ServerStatement], None]) -> None:
         self.on_end = on_end
-        self.report = SelfReport()
+        self.statement = ServerStatement()
         self.status = ""
 
     def __call__(self, line: str) -> None:
@@ -181,18 +183,18 @@
         name, _, value = line.partition(":")
         self._read_field(name.lower(), value.strip())
         if not line.strip():
-            self.on_end(self.report)
+            self.on_end(self.statement)
 
     def _read_field(self, name: str, value: str) -> None:
         if name == LIMIT_HEADER:
-            self.report.limit = parse_limit(value)
+            self.statement.limit = parse_limit(value)
         elif name == LEAVING_HEADER:
-            self.report.is_leaving = value == "1"
+            self.statement.is_leaving = value == "1"
         elif name == QUIET_HEADER and self.status == QUIET_STATUS:
             seconds = parse_seconds(value)
             if seconds is None:
                 logger().warning("retry_after_unreadable", value=value[:MAX_LOGGED])
-            self.report.quiet_time = seconds or 0.0
+            self.statement.quiet_time = seconds or 0.0
 
 
 backend_types: dict[str, Callable[[Address], Backend]] = {}
