A Retry-After is read in one place; two conditions say plainly what they mean

The adapter and the agents' client had the same parsing and log line of that header. How long tables must be known, and when a gateway was last seen, are written without a comparison that could not decide anything.

--- a/src/bilberryshed/coordination/_departures.py
+++ b/src/bilberryshed/coordination/_departures.py
@@ -59,5 +59,5 @@
         """Whether the pools as read before the restore show all tokens granted to a router."""
         if vm in self.closed:
             return self.closed[vm][1] <= self.known_until
-        last_seen_at = max(self.seen_at.get(vm, self.watched_since), self.watched_since)
+        last_seen_at = self.seen_at.get(vm, self.watched_since)
         return last_seen_at + SILENT_TIME <= self.known_until
--- a/src/bilberryshed/coordination/_route_history.py
+++ b/src/bilberryshed/coordination/_route_history.py
@@ -66,5 +66,5 @@
         """Whether all tables are known under which the stream may have begun."""
         if self.known_since is None:
             return False
-        known_for = now - self.known_since
-        return known_for >= min(ORIGIN_TIME, ORIGIN_TIME if system_age is None else system_age)
+        oldest = ORIGIN_TIME if system_age is None else min(ORIGIN_TIME, system_age)
+        return now - self.known_since >= oldest
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -5,7 +5,7 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from bilberryshed.coordination import parse_limit, parse_seconds
+from bilberryshed.coordination import parse_limit
 from bilberryshed.gateway import (
     BackendResponse,
     CallerRequest,
@@ -14,7 +14,7 @@
     Prompt,
     RequestError,
 )
-from bilberryshed.transport import HeaderList, ResponseHead, logger
+from bilberryshed.transport import HeaderList, ResponseHead, read_quiet_time
 
 REQUEST_ID = "x-attempt-id"  # unique for each attempt of a caller
 TIMEOUT = "x-deadline-ms"  # a duration despite its name: how long the caller waits
@@ -35,7 +35,6 @@
 
 DEFAULT_TIMEOUT_MS = 30_000  # for requests without the header
 MAX_PART_ID = 64  # characters of the id of a part of a prompt
-MAX_LOGGED = 80  # characters of a value that cannot be read
 MAX_PRIORITY = 9  # largest number that is sent; 0 is the highest priority
 STATUS_UNAVAILABLE = 503  # the backend server turns the request away
 STATUS_MISDIRECTED = 421  # another backend server has the address
@@ -174,10 +173,7 @@
     text = head.get(RETRY_AFTER)
     if not text or head.status != STATUS_UNAVAILABLE:
         return 0.0
-    seconds = parse_seconds(text)
-    if seconds is None:
-        logger().warning("retry_after_unreadable", value=text[:MAX_LOGGED])
-    return seconds or 0.0
+    return read_quiet_time(text)
 
 
 def _parse_prompt(values: dict[str, str]) -> Prompt | None:
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -15,16 +15,15 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
-from bilberryshed.coordination import EventBuffer, parse_limit, parse_seconds
+from bilberryshed.coordination import EventBuffer, parse_limit
 from bilberryshed.protocol import Dispatch
 from bilberryshed.state import Address
-from bilberryshed.transport import describe_error, http_client, logger, use_new_connection
+from bilberryshed.transport import describe_error, http_client, read_quiet_time, use_new_connection
 
 LIMIT_HEADER = "server-limit"  # requests per second that the backend server takes
 LEAVING_HEADER = "server-leaving"  # "1" if the backend server leaves
 QUIET_HEADER = "retry-after"  # seconds for which it wants no requests, with QUIET_STATUS
 QUIET_STATUS = "503"
-MAX_LOGGED = 80  # characters of a value that cannot be read
 ORDER_TIMEOUT = 100.0  # seconds; includes the time to load a model
 MAX_EVENT_BYTES = 1_000_000  # bytes of one event of a stream
 CONTROL_TIMEOUT = 1.0  # seconds for control requests, such as load queries and cancellations
@@ -191,10 +190,7 @@
         elif name == LEAVING_HEADER:
             self.statement.is_leaving = value == "1"
         elif name == QUIET_HEADER and self.status == QUIET_STATUS:
-            seconds = parse_seconds(value)
-            if seconds is None:
-                logger().warning("retry_after_unreadable", value=value[:MAX_LOGGED])
-            self.statement.quiet_time = seconds or 0.0
+            self.statement.quiet_time = read_quiet_time(value)
 
 
 backend_types: dict[str, Callable[[Address], Backend]] = {}
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -8,7 +8,13 @@
     ResponseError,
     ResponseHead,
 )
-from bilberryshed.transport._http import HttpError, describe_error, http_client, use_new_connection
+from bilberryshed.transport._http import (
+    HttpError,
+    describe_error,
+    http_client,
+    read_quiet_time,
+    use_new_connection,
+)
 from bilberryshed.transport._link_monitor import LinkMonitor
 from bilberryshed.transport._links import (
     Link,
@@ -64,6 +70,7 @@
     "configure_piped_logs",
     "describe_error",
     "http_client",
+    "read_quiet_time",
     "use_new_connection",
     "http_platform",
     "logger",
--- a/src/bilberryshed/transport/_http.py
+++ b/src/bilberryshed/transport/_http.py
@@ -1,4 +1,4 @@
-"""HTTP client of a process, based on tornado's curl client."""
+"""HTTP client of a process, based on tornado's curl client, and what it reads from headers."""
 
 from dataclasses import dataclass
 
@@ -6,7 +6,11 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
+from bilberryshed.coordination import parse_seconds
+from bilberryshed.transport._logs import logger
+
 MAX_CLIENTS = 512  # concurrent requests of one process; further ones are queued
+MAX_LOGGED = 80  # characters of a value that cannot be read
 # Errors before a connection was open: nothing was sent.
 CONNECT_ERRORS = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
@@ -32,6 +36,14 @@
     return AsyncHTTPClient()
 
 
+def read_quiet_time(value: str) -> float:
+    """Return the seconds of a Retry-After header; 0, with a log line, if it names no number."""
+    seconds = parse_seconds(value)
+    if seconds is None:
+        logger().warning("retry_after_unreadable", value=value[:MAX_LOGGED])
+    return seconds or 0.0
+
+
 def use_new_connection(curl: pycurl.Curl) -> None:
     """Have a request use a connection of its own, on which no earlier response can arrive."""
     curl.setopt(pycurl.FRESH_CONNECT, 1)
