Logs tell where each customer's prepaid tokens went: bilberryshed-report tokens

'sent' now has 'reserved', 'tokens' has 'reserved' and 'events', and 'account_closed' names customer, grant, recorded bound and charge. The report adds them up from logs alone.

--- a/features/reports.feature
+++ b/features/reports.feature
@@ -33,3 +33,7 @@
   Scenario: Metrics reach statsd
     When a process with a statsd address counts one answered request
     Then statsd receives bilberryshed.test.answered:1|c
+
+  Scenario: Logs alone tell where the tokens of a customer went
+    Given the log of a gateway that is killed and started again
+    Then the trace of tokens is 1000 in all: 150 delivered, 30 undelivered, 60 interrupted, 160 written off, 600 left
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from bilberryshed.coordination import TallyLine, audit, burn_rates
+from bilberryshed.coordination import TallyLine, TokenTrace, audit, burn_rates, trace_tokens
 from bilberryshed.protocol import Charge, UsageRecord
 from bilberryshed.state import Address, BudgetRow, GrantRow
 from bilberryshed.transport import Metrics
@@ -76,3 +76,31 @@
 @then("statsd receives {text}")
 def then_statsd(context, text):
     assert context.socket.recv(1000).decode() == text
+
+
+@given("the log of a gateway that is killed and started again")
+def given_token_log(context):
+    context.logs = ["""
+ 0.1 a event=started vm=a boot=a.1
+ 0.1 a event=prepaid vm=a customer=council total=1000 before=
+ 0.2 a event=sent vm=a request=r1 customer=council reserved=120
+ 0.3 a event=tokens vm=a request=r1 customer=council reserved=120 spent=100 events=3
+ 0.4 a event=sent vm=a request=r2 customer=council reserved=50
+ 0.5 a event=tokens vm=a request=r2 customer=council reserved=50 spent=30 events=0
+ 0.6 a event=sent vm=a request=r3 customer=council reserved=60
+ 0.7 a event=sent vm=a request=r4 customer= reserved=0
+ 2.0 a event=started vm=a boot=a.2
+ 2.1 a event=account_closed vm=a boot=a.1 customer=council granted=900 charged=350 recorded=300
+ 2.2 a event=sent vm=a request=r5 customer=council reserved=70
+ 2.3 a event=tokens vm=a request=r5 customer=council reserved=70 spent=50 events=2
+"""]
+
+
+@then(
+    "the trace of tokens is {total:d} in all: {delivered:d} delivered, {undelivered:d} "
+    "undelivered, {interrupted:d} interrupted, {written_off:d} written off, {left:d} left"
+)
+def then_token_trace(context, total, delivered, undelivered, interrupted, written_off, left):
+    (trace,) = trace_tokens(context.logs)
+    expected = TokenTrace("council", total, delivered, undelivered, interrupted, written_off)
+    assert trace == expected and trace.left == left, trace
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -125,6 +125,7 @@
     Submission,
     Undecided,
 )
+from bilberryshed.coordination._token_trace import TokenTrace, trace_tokens
 
 __all__ = [
     "Departures",
@@ -237,6 +238,7 @@
     "Suspect",
     "TallyLine",
     "TerminalState",
+    "TokenTrace",
     "TraceLine",
     "Undecided",
     "Unfunded",
@@ -261,6 +263,7 @@
     "rank",
     "shard_of",
     "trace_request",
+    "trace_tokens",
     "transfer_id",
     "transfer_number",
     "vm_of_boot",
--- a/src/bilberryshed/coordination/_request_trace.py
+++ b/src/bilberryshed/coordination/_request_trace.py
@@ -1,9 +1,9 @@
 """Merges the log lines of several processes into the trace of one request."""
 
-import re
 from dataclasses import dataclass
 
-_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+from bilberryshed.coordination._log_fields import log_fields
+
 _OMITTED_FIELDS = ("timestamp", "level", "event", "program", "vm", "request", "failed")
 FINAL_EVENTS = ("request", "refused", "caller_gone", "request_failed")
 
@@ -40,7 +40,7 @@
     gaps: list[str] = []
     for name, text in logs.items():
         for log_line in text.splitlines():
-            fields = dict(_FIELD.findall(log_line))
+            fields = log_fields(log_line)
             if fields.get("event") == "lines_left_out":
                 gaps.append(f"{name}: log lines were dropped until {fields.get('timestamp')}")
             if fields.get("request") == request:
--- /dev/null
+++ b/src/bilberryshed/coordination/_token_trace.py
@@ -0,0 +1,104 @@
+"""Tells from the log lines of all gateways where each customer's prepaid tokens went."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bilberryshed.coordination._log_fields import log_fields
+
+
+@dataclass(slots=True)
+class TokenTrace:
+    """Where one customer's prepaid tokens went, in tokens.
+
+    :param total: the last total that was logged
+    :param delivered: charged for requests whose callers were sent events
+    :param undelivered: charged for requests whose callers were sent none
+    :param interrupted: reserved by requests that ended with their process
+    :param written_off: charged beyond all these when the accounts of killed processes were closed
+    """
+
+    customer: str
+    total: int = 0
+    delivered: int = 0
+    undelivered: int = 0
+    interrupted: int = 0
+    written_off: int = 0
+
+    @property
+    def left(self) -> int:
+        """Tokens that are still free or granted."""
+        charged = self.delivered + self.undelivered + self.interrupted + self.written_off
+        return self.total - charged
+
+
+def trace_tokens(logs: Iterable[str]) -> tuple[TokenTrace, ...]:
+    """Return where the tokens of each customer went, in order of their names.
+
+    Transfers between a killed process and one that goes on count as written off at the first, and
+    as a negative amount the other way round.
+
+    :param logs: text of each log; one log may have the lines of several gateways
+    """
+    reader = _LogReader()
+    for text in logs:
+        for line in text.splitlines():
+            reader.read(log_fields(line))
+    return tuple(reader.trace(customer) for customer in sorted(reader.totals))
+
+
+class _LogReader:
+    """Adds up log lines.
+
+    :param boots: boot id of each VM's current process
+    :param totals: last total by customer
+    :param spent: tokens charged by boot id, customer, and whether events were sent
+    :param open: customer and reserved tokens of requests in flight, by boot id and request
+    :param closed: tokens charged at the close of a killed process, by its boot id and customer
+    """
+
+    def __init__(self) -> None:
+        self.boots: dict[str, str] = {}
+        self.totals: dict[str, int] = {}
+        self.spent: Counter[tuple[str, str, bool]] = Counter()
+        self.open: dict[tuple[str, str], tuple[str, int]] = {}
+        self.closed: Counter[tuple[str, str]] = Counter()
+
+    def read(self, fields: dict[str, str]) -> None:
+        """Read one line."""
+        boot = self.boots.get(fields.get("vm", ""), "")
+        customer, request = fields.get("customer", ""), fields.get("request", "")
+        match fields.get("event"):
+            case "started":
+                self.boots[fields["vm"]] = fields["boot"]
+            case "prepaid":
+                self.totals[customer] = int(fields["total"])
+            case "sent":
+                self.open[boot, request] = customer, int(fields["reserved"])
+            case "request":
+                self.open.pop((boot, request), None)
+            case "tokens":
+                self.open.pop((boot, request), None)
+                self.spent[boot, customer, int(fields["events"]) > 0] += int(fields["spent"])
+            case "account_closed":
+                self.closed[fields["boot"], customer] += int(fields["charged"])
+
+    def trace(self, customer: str) -> TokenTrace:
+        """Return where the tokens of a customer went."""
+        trace = TokenTrace(customer, self.totals[customer])
+        killed = {boot for boot, name in self.closed if name == customer}
+        known = 0
+        for (boot, name, has_events), tokens in self.spent.items():
+            if name != customer:
+                continue
+            if has_events:
+                trace.delivered += tokens
+            else:
+                trace.undelivered += tokens
+            known += tokens if boot in killed else 0
+        for (boot, _), (name, tokens) in self.open.items():
+            if name == customer and boot in killed:
+                trace.interrupted += tokens
+        charged = sum(tokens for (_, name), tokens in self.closed.items() if name == customer)
+        trace.written_off = charged - known - trace.interrupted
+        return trace
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -162,13 +162,21 @@
         if isinstance(reserved, Failure):
             self._log_shortage(request.id, customer.name, tokens, reserved.failure())
             return self._shortage_refusal(reserved.failure(), customer.name, tokens)
+        job.reserved = tokens
         try:
             return await self._forward(job)
         finally:
             output = min(prompt.max_output, job.event_splitter.events * service.tokens_per_event)
             spent = prompt.tokens + output if job.runs else 0
             self.funds.settle(customer.name, tokens, spent)
-            logger().info("tokens", request=request.id, customer=customer.name, spent=spent)
+            logger().info(
+                "tokens",
+                request=request.id,
+                customer=customer.name,
+                reserved=tokens,
+                spent=spent,
+                events=job.event_splitter.events,
+            )
 
     def _log_shortage(self, id_: str, customer: str, tokens: int, shortage: Shortage) -> None:
         account, row = (
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -180,6 +180,7 @@
             route=job.route.name,
             customer=job.customer.name if job.customer else None,
             table=self.context.table_version(),
+            reserved=job.reserved,
             server=job.server,
             version=job.run.view.server.version if job.run else None,
             resumes=job.request.resumed_request or None,
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -48,6 +48,7 @@
 
     :param started_at: monotonic time at which the request had been read completely
     :param deadline: monotonic time by which the response must be complete
+    :param reserved: prepaid tokens that are reserved for it
     :param sent_at: monotonic time at which it was last sent
     :param sent: number of times the request was sent
     :param runs: number of sends that may have been executed
@@ -76,6 +77,7 @@
     fingerprint: str
     started_at: float
     deadline: float
+    reserved: int = 0
     sent_at: float = 0.0
     sent: int = 0
     runs: int = 0
--- a/src/bilberryshed/gateway/_predecessor_cleanup.py
+++ b/src/bilberryshed/gateway/_predecessor_cleanup.py
@@ -29,6 +29,7 @@
 
     :param used: upper bounds of the tokens that ended incarnations used, by boot id and customer;
         ``None`` for an incarnation whose last record is lost
+    :param recorded: the recorded bounds without their growth, by boot id and customer
     :param closed: customers whose accounts have been closed in this epoch of the store, by boot id
     """
 
@@ -36,6 +37,7 @@
         self.context = context
         self.pool_sync = pool_sync
         self.used: dict[str, dict[str, int] | None] = {}
+        self.recorded: dict[str, dict[str, int]] = {}
         self.closed: dict[str, set[str]] = {}
         self.epoch = 0
 
@@ -66,12 +68,28 @@
                 return 0
             return WHOLE_GRANT if bounds is None else bounds.get(name, 0)
 
+        rows = self.pool_sync.known_rows
+        granted = {name: row.holders[boot] for name, row in rows.items() if boot in row.holders}
         names = await self.pool_sync.close_incarnation(boot, used)
         if names:
             logger().info("predecessor_closed", boot=boot, customers=len(names))
+            for name in sorted(names & granted.keys()):
+                self._log_closed(boot, name, granted[name], used(name))
             closed |= names
             await self.pool_sync.sync({})
 
+    def _log_closed(self, boot: str, name: str, granted: int, used: int) -> None:
+        """Log what a closed account is charged; ``recorded`` is its bound without any growth."""
+        recorded = self.recorded.get(boot, {}).get(name, 0)
+        logger().info(
+            "account_closed",
+            boot=boot,
+            customer=name,
+            granted=granted,
+            charged=min(used, granted),
+            recorded=recorded,
+        )
+
     async def _read_bounds(self, boot: str) -> bool:
         """Read the upper bounds of the tokens that an incarnation had used when it ended.
 
@@ -88,6 +106,7 @@
         is_latest = bool(row.version) and record.epoch == tables.epoch
         used = {name: record.used_at_most(name, ended_by) for name in record.bounds}
         self.used[boot] = used if is_latest else None
+        self.recorded[boot] = {name: bound.tokens for name, bound in record.bounds.items()}
         logger().info(
             "predecessor_bounds",
             boot=boot,
--- a/src/bilberryshed/programs/report.py
+++ b/src/bilberryshed/programs/report.py
@@ -4,7 +4,7 @@
 import csv
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import TypeVar
@@ -13,7 +13,7 @@
 from returns.result import Failure, Result
 
 from bilberryshed import __version__
-from bilberryshed.coordination import burn_rates, trace_request
+from bilberryshed.coordination import burn_rates, trace_request, trace_tokens
 from bilberryshed.protocol import UsageRecord
 from bilberryshed.runtime import RecordsReader
 from bilberryshed.state import Address, StoreError
@@ -111,12 +111,7 @@
     :param request_id: id of one attempt of a caller
     :param logs: log files of one or more processes
     """
-    try:
-        texts = {path.name: path.read_text(encoding="utf-8", errors="replace") for path in logs}
-    except OSError as error:
-        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
-        sys.exit(EXIT_FINDINGS)
-    trace = trace_request(request_id, texts)
+    trace = trace_request(request_id, _read_logs(logs))
     for line in trace.lines:
         print(f"{line.timestamp}  {line.vm:20} {line.event:18} {line.details}")
     for gap in trace.gaps:
@@ -125,6 +120,28 @@
         sys.exit(EXIT_FINDINGS)
 
 
+def tokens(*logs: Path) -> None:
+    """Show where each customer's prepaid tokens went; exit code 2 if no total was logged.
+
+    :param logs: log files of all gateways
+    """
+    columns = ("total", "delivered", "undelivered", "interrupted", "written_off", "left")
+    print(f"{'customer':24}" + "".join(f" {column:>12}" for column in columns))
+    traces = trace_tokens(_read_logs(logs).values())
+    for trace in traces:
+        print(f"{trace.customer:24}" + "".join(f" {getattr(trace, c):12}" for c in columns))
+    if not traces:
+        sys.exit(EXIT_FINDINGS)
+
+
+def _read_logs(logs: Iterable[Path]) -> dict[str, str]:
+    try:
+        return {str(path): path.read_text(encoding="utf-8", errors="replace") for path in logs}
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        sys.exit(EXIT_FINDINGS)
+
+
 def _cells(record: UsageRecord) -> tuple[str, ...]:
     finished = datetime.fromtimestamp(record.finished_at, UTC).isoformat(timespec="milliseconds")
     return (
@@ -157,5 +174,7 @@
 def main() -> None:
     """Entry point of the program."""
     defopt.run(
-        [audit, statement, request, burn, fleet, explain], version=__version__, argv=sys.argv[1:]
+        [audit, statement, request, burn, fleet, explain, tokens],
+        version=__version__,
+        argv=sys.argv[1:],
     )
