A prompt that brought its caller nothing is not charged

Cause: a request was charged its whole prompt once it had been sent, also if its caller left before the first event, its engine broke, answered with an error or not at all. Fix: the charge is what was delivered: nothing before the answer has begun, then the prompt and the events. Test: five ways to bring a caller nothing failed before (402, 402), and one that an event is charged whatever follows.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -219,6 +219,29 @@
     When a caller sends a prompt of 30 tokens for 20 output tokens to /chat/1
     Then the status is 200
 
+  # RECOVER: prompts were refused as used up, after others had been charged that brought their callers nothing.
+  Scenario Outline: A prompt that brings its caller nothing is not charged: <fault>
+    Given the customer has paid for 100 tokens
+    And the next responses of the model engines are: <fault>, <fault>
+    When a caller sends 2 prompts of 30 tokens for 20 output tokens to /once/1 and waits up to 0.6 s
+    Then none of them has brought its caller any event
+    When 2 prompts of 30 tokens for 20 output tokens are sent to /once/1 one after the other
+    Then the statuses are 200, 200
+
+    Examples:
+      | fault      |
+      | reset      |
+      | error      |
+      | garbage    |
+      | hang       |
+      | endless head |
+
+  Scenario: A prompt is charged once an event has reached its caller, whatever happens then
+    Given the customer has paid for 100 tokens
+    And the next responses of the model engines are: cut 2, cut 2
+    When 3 prompts of 30 tokens for 20 output tokens are sent to /once/1 one after the other
+    Then the statuses are 200, 200, 402
+
   Scenario Outline: Invalid server entries of other writers are ignored: <entry>
     Given another writer has stored a server entry with: <entry>
     When a caller sends GET /look/1 with its key
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -237,6 +237,42 @@
     context.responses = [run(context, call)]
 
 
+@when(
+    "{count:d} prompts of {prompt:d} tokens for {max_output:d} output tokens are sent to {path:S} "
+    "one after the other"
+)
+def when_prompts(context, count, prompt, max_output, path):
+    async def calls():
+        tokens = f"{prompt},{max_output}"
+        return [await context.harness.call(path, tokens=tokens) for _ in range(count)]
+
+    context.responses = run(context, calls())
+
+
+@when(
+    "a caller sends {count:d} prompts of {prompt:d} tokens for {max_output:d} output tokens to "
+    "{path:S} and waits up to {seconds:f} s"
+)
+def when_prompts_abandoned(context, count, prompt, max_output, path, seconds):
+    async def call():
+        try:
+            tokens = f"{prompt},{max_output}"
+            return await asyncio.wait_for(context.harness.call(path, tokens=tokens), seconds)
+        except TimeoutError:
+            return None
+
+    async def calls():
+        return [await call() for _ in range(count)]
+
+    context.responses = run(context, calls())
+
+
+@then("none of them has brought its caller any event")
+def then_no_events(context):
+    received = [response for response in context.responses if response is not None]
+    assert all(response.status != 200 for response in received), received
+
+
 @when("a caller sends the same prompt {count:d} times to {path:S}")
 def when_prompt_repeated(context, count, path):
     async def calls():
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -149,7 +149,7 @@
 
     async def _reserve_and_forward(self, job: Job) -> Refusal | None:
         """Reserve the maximum tokens of a request, forward it, and settle the actual use."""
-        request, customer, service = job.request, job.customer, job.service
+        request, customer = job.request, job.customer
         prompt = request.prompt
         if prompt is None or customer is None or customer.prepaid is None:
             return await self._forward(job)
@@ -166,8 +166,7 @@
         try:
             return await self._forward(job)
         finally:
-            output = min(prompt.max_output, job.event_splitter.events * service.tokens_per_event)
-            spent = prompt.tokens + output if job.runs else 0
+            spent = job.used_tokens
             self.funds.settle(customer.name, tokens, spent)
             logger().info(
                 "tokens",
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -386,6 +386,7 @@
         if job.exchange.started:
             raise ResponseError(f"answer {response.status} in place of the rest of a stream")
         job.status = response.status
+        job.is_delivered = 200 <= response.status < 300
         job.exchange.respond(response.status, response.headers, body)
 
     async def _read_body(self, job: Job, connection: BackendConnection) -> bytes:
@@ -431,12 +432,14 @@
             self._note_progress(job)
             if not exchange.started:
                 self._note_origin(job)
+                job.is_delivered = True
                 exchange.begin(response.status, response.headers)
                 job.first_event_at = self.context.timers.now()
             await exchange.write(events)
         if event_splitter.buffer:
             raise ResponseError("the stream ended within an event")
         if not exchange.started:
+            job.is_delivered = True
             exchange.begin(response.status, response.headers)
         exchange.end()
 
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -61,6 +61,7 @@
         has said, ``None`` if that was not why the request was not sent
     :param limit: limit in requests per second that the last response named
     :param status: HTTP status of the response to the caller
+    :param is_delivered: whether the caller has been sent any part of a successful response
     :param run: current entry in the backend pool
     :param load: load of this gateway at the backend server when it was chosen
     :param first_event_at: monotonic time at which the first event was relayed to the caller
@@ -94,6 +95,7 @@
     admitted_at: float | None = None
     limit: float | None = None
     status: int = 0
+    is_delivered: bool = False
     first_event_at: float | None = None
     writing_since: float | None = None
     is_probe: bool = False
@@ -137,6 +139,15 @@
         """
         return self.writing_since is None or now - self.writing_since < BEGIN_TIME
 
+    @property
+    def used_tokens(self) -> int:
+        """Prepaid tokens used: those of the prompt and of the events, if anything was delivered."""
+        prompt = self.request.prompt
+        if prompt is None or not self.is_delivered:
+            return 0
+        output = self.event_splitter.events * self.service.tokens_per_event
+        return prompt.tokens + min(prompt.max_output, output)
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Ids of the prompt's parts but the last, which belongs to this request alone."""
