A response that stops within its head is not taken for a whole one without a body

Gateways: 72 requests of the users' script and our own rows were answered 502, as h11 reports the end. In runtime it happens: what callers saw was a 200 with an empty body, framed as whole, and the claim of a call that must not be repeated kept it as its response. An object of the store could be read as empty, too. Cause: libcurl takes the end of the connection within a head, after the status line, for the end of the head. Evidence: five of six places to stop, and a read of an object, failed before. Ruled out: places within the status line and after the head, which libcurl reports. Fix: all calls of the client go through one function, which fails if the empty line after the status line has not come.

--- a/features/backends.feature
+++ b/features/backends.feature
@@ -26,3 +26,31 @@
     When an engine sends a response without length or chunks that ends after 2 MB that are no event
     Then the attempt is interrupted
     And the reason is "engine sent an event of more than 1000000 bytes"
+
+  # MIXED: a response that stopped within its head was a complete one without a body.
+  Scenario Outline: A plain service's response that stops after "<text>" of its head
+    When a plain service sends a response that stops after "<text>" of its head
+    Then the attempt is interrupted
+
+    Examples:
+      | text                                              |
+      | HTTP/1.1 200 OK\r\n                               |
+      | HTTP/1.1 200 OK\r\nContent-Ty                     |
+      | HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n   |
+      | HTTP/1.1 200 OK\r\nContent-Length: 1              |
+      | HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r       |
+      | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n  |
+
+  Scenario Outline: A plain service's response that stops after a complete head without a length: <text>
+    When a plain service sends a response that stops after "<text>" of its head
+    Then the attempt is completed
+
+    Examples:
+      | text                      |
+      | HTTP/1.1 200 OK\r\n\r\n   |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Check: 7\r\n\r\n |
+
+  # A segment of the ledger that was read as empty would be taken for a damaged one.
+  Scenario: An object of which only a part of the response's head arrives is not an empty object
+    When an object is read, and the response stops after "HTTP/1.1 200 OK\r\nContent-Length: 1" of its head
+    Then the read has failed
--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -4,10 +4,18 @@
 import json
 
 from behave import then, when
+from returns.result import Failure
 
 from bilberryshed.protocol import Dispatch
-from bilberryshed.runtime import EngineBackend, ResponseSink, RunCompleted, RunInterrupted
+from bilberryshed.runtime import (
+    EngineBackend,
+    ResponseSink,
+    RunCompleted,
+    RunInterrupted,
+    ServiceBackend,
+)
 from bilberryshed.state import Address
+from bilberryshed.transport import HttpObjectStore
 from bilberryshed_standins import reset
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
@@ -93,6 +101,46 @@
     context.result = context.loop.run_until_complete(attempt())
 
 
+async def call_server_that_stops(text, call):
+    """Return what a call returns whose server sends some text and closes the connection.
+
+    :param call: called with the server's address
+    """
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(text.encode().decode("unicode_escape").encode())
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    try:
+        return await call(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+    finally:
+        server.close()
+
+
+@when('a plain service sends a response that stops after "{text}" of its head')
+def when_head_stops(context, text):
+    def attempt(address):
+        return ServiceBackend(address).run(dispatch(), IgnoringSink())
+
+    context.result = context.loop.run_until_complete(call_server_that_stops(text, attempt))
+
+
+@when('an object is read, and the response stops after "{text}" of its head')
+def when_object_read(context, text):
+    def read(address):
+        return HttpObjectStore(address, 2.0).get("ledger/0/1")
+
+    context.result = context.loop.run_until_complete(call_server_that_stops(text, read))
+
+
+@then("the read has failed")
+def then_read_failed(context):
+    assert isinstance(context.result, Failure), context.result
+
+
 def dispatch():
     """Return a dispatch of attempt a1."""
     return Dispatch(
--- a/src/bilberryshed/platform/_store.py
+++ b/src/bilberryshed/platform/_store.py
@@ -19,7 +19,7 @@
     RowRef,
     StoreError,
 )
-from bilberryshed.transport import describe_error, http_client, logger
+from bilberryshed.transport import describe_error, fetch_response, http_client, logger
 
 STATUS_CONFLICT = 412  # a row has another version than the precondition
 STATUS_HISTORY_LOST = 410  # changes since the requested version are no longer available
@@ -189,9 +189,7 @@
         )
         is_write = body is not None
         try:
-            response = await self.client.fetch(request, raise_error=False)
-            if response.code == 599:
-                response.rethrow()
+            response = await fetch_response(self.client, request)
         except Exception as error:
             http_error = describe_error(error)
             return Failure(StoreError(is_write and http_error.possibly_sent, http_error.detail))
--- a/src/bilberryshed/runtime/__init__.py
+++ b/src/bilberryshed/runtime/__init__.py
@@ -6,6 +6,7 @@
     ResponseSink,
     RunCompleted,
     RunInterrupted,
+    ServiceBackend,
 )
 from bilberryshed.runtime._context import QUARANTINE_POLICY, RouterContext
 from bilberryshed.runtime._funding_service import FundingService
@@ -24,6 +25,7 @@
     "RouterContext",
     "RunCompleted",
     "RunInterrupted",
+    "ServiceBackend",
     "SheetStore",
     "run_program",
     "serve_agent",
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -18,7 +18,13 @@
 from bilberryshed.coordination import EventBuffer, parse_limit
 from bilberryshed.protocol import Dispatch
 from bilberryshed.state import Address
-from bilberryshed.transport import describe_error, http_client, read_quiet_time, use_new_connection
+from bilberryshed.transport import (
+    describe_error,
+    fetch_response,
+    http_client,
+    read_quiet_time,
+    use_new_connection,
+)
 
 LIMIT_HEADER = "server-limit"  # requests per second that the backend server takes
 LEAVING_HEADER = "server-leaving"  # "1" if the backend server leaves
@@ -156,7 +162,8 @@
             request_timeout=timeout,
         )
         try:
-            response = await self.client.fetch(request)
+            response = await fetch_response(self.client, request)
+            response.rethrow()
             return json.loads(response.body)
         except Exception:
             return None
@@ -226,9 +233,7 @@
             prepare_curl_callback=use_new_connection,
         )
         try:
-            response = await self.client.fetch(request, raise_error=False)
-            if response.code == 599:
-                response.rethrow()
+            response = await fetch_response(self.client, request)
         except Exception as error:
             await self.cancel(dispatch.attempt)
             return _failed_result(error)
@@ -320,9 +325,7 @@
             prepare_curl_callback=use_new_connection,
         )
         try:
-            response = await self.client.fetch(request, raise_error=False)
-            if response.code == 599:
-                response.rethrow()
+            response = await fetch_response(self.client, request)
         except Exception as error:
             return _failed_result(error)
         return _complete_response(response, sink)
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -11,6 +11,7 @@
 from bilberryshed.transport._http import (
     HttpError,
     describe_error,
+    fetch_response,
     http_client,
     read_quiet_time,
     use_new_connection,
@@ -69,6 +70,7 @@
     "configure_logs",
     "configure_piped_logs",
     "describe_error",
+    "fetch_response",
     "http_client",
     "read_quiet_time",
     "use_new_connection",
--- a/src/bilberryshed/transport/_platform.py
+++ b/src/bilberryshed/transport/_platform.py
@@ -19,7 +19,7 @@
     Vm,
     VmList,
 )
-from bilberryshed.transport._http import describe_error, http_client
+from bilberryshed.transport._http import describe_error, fetch_response, http_client
 
 CONFLICT = 409
 NOT_FOUND = 404
@@ -52,8 +52,8 @@
             connect_timeout=self.timeout,
         )
         try:
-            response = await self.client.fetch(request, raise_error=False)
-            if response.code == 599 or response.code >= 500:
+            response = await fetch_response(self.client, request)
+            if response.code >= 500:
                 response.rethrow()
         except Exception as error:
             http_error = describe_error(error)
