The rest of a stream that broke off must be events, or the stream is not complete

What callers saw: a stream that ended as complete after 2 of 5 events, as the next engine had answered 200 with a length of 0 or an event stream without events; or the text of a whole error answer, head and all, within the stream, when an engine had written it as a piece of its events. Cause: whatever ended with a blank line was an event, and an end without any event was the end of the stream. Ruled out: runtime, whose streams must name their request and end with a reason; a plain error answer to the rest. After an event with an id, anything but a comment or an event with a greater id is not relayed, and the attempt is broken off, like one that goes on without any event. None of this counts as a crash of the engine.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -242,6 +242,35 @@
     When 3 prompts of 30 tokens for 20 output tokens are sent to /once/1 one after the other
     Then the statuses are 200, 200, 402
 
+  # ORDER, MIXED: a stream that had broken off ended as if it were complete, or with the text of an error in it.
+  Scenario Outline: A stream that broke off is not complete when the next engine's response is <rest>
+    Given the next responses of the model engines are: cut 2, <rest>
+    When a caller sends a prompt of 30 tokens for 20 output tokens to /chat/1
+    Then the caller received events 1 to 2 once each, and an incomplete response
+
+    Examples:
+      | rest      |
+      | empty     |
+      | no events |
+      | error     |
+      | full      |
+      | reset     |
+
+  Scenario Outline: The text of an error that an engine wrote into its stream does not reach the caller, on <path>
+    Given the next responses of the model engines are: error text 2, cut 0
+    When a caller sends a prompt of 30 tokens for 20 output tokens to <path>
+    Then the caller received events 1 to 2 once each, and an incomplete response
+
+    Examples:
+      | path    |
+      | /chat/1 |
+      | /once/1 |
+
+  Scenario: A stream into which an engine wrote the text of an error goes on at another engine
+    Given the next responses of the model engines are: error text 2
+    When a caller sends a prompt of 30 tokens for 20 output tokens to /chat/1
+    Then the caller received events 1 to 5 once each, and a complete response
+
   # LOST: requests that an engine worked on were sent to another one late in the grace, and cut at its end.
   Scenario Outline: A planned stop lets a slow server finish, with the stop <moment> the request <request>
     Given requests may take 9 s
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -16,7 +16,7 @@
 from bilberryshed.gateway._read_limits import FIRST_BYTE_FACTOR, ReadLimits
 from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.gateway._stream_directory import StreamDirectory
-from bilberryshed.gateway._stream_relay import StreamRelay
+from bilberryshed.gateway._stream_relay import InvalidStreamError, StreamRelay
 from bilberryshed.state import Address, RouteKind
 from bilberryshed.transport import (
     BackendConnection,
@@ -255,7 +255,7 @@
             return AttemptOutcome.BROKEN
         except ResponseError as error:
             job.last_failure = str(error)
-            self._record_failure(job, view, crashed=True)
+            self._record_failure(job, view, crashed=not isinstance(error, InvalidStreamError))
             return AttemptOutcome.BROKEN
         finally:
             if not released:
--- a/src/bilberryshed/gateway/_stream_relay.py
+++ b/src/bilberryshed/gateway/_stream_relay.py
@@ -10,6 +10,10 @@
 MAX_EVENT_BYTES = 1_000_000  # bytes of one event of a stream
 
 
+class InvalidStreamError(ResponseError):
+    """A backend server that has not crashed sent something else than the events that are due."""
+
+
 class StreamRelay:
     """Relays complete events as they arrive."""
 
@@ -29,12 +33,16 @@
 
         Only complete events show progress: bytes now and then do not keep a stalled stream open.
 
+        What the caller has received is not complete after any of these errors.
+
         :raises ResponseError: if the stream ends early
+        :raises InvalidStreamError: if it holds anything but events, or none of the rest
         :raises TimeoutError: if no event arrives for too long
         """
         exchange, event_splitter = job.exchange, job.event_splitter
-        event_splitter.discard_partial()
+        event_splitter.start_attempt()
         job.status = response.status
+        events_before = event_splitter.events
         deadline = self.limits.silence_deadline(job, STALL_FACTOR)
         while chunk := await self.limits.read_by(deadline, job, connection.read_body):
             self._note_data(job)
@@ -47,6 +55,8 @@
             self._check(job)
         if event_splitter.buffer:
             raise ResponseError("the stream ended within an event")
+        if exchange.started and event_splitter.events == events_before:
+            raise InvalidStreamError("the rest of the stream has no events")
         self._begin(job, response)
         exchange.end()
 
@@ -60,6 +70,8 @@
 
     def _check(self, job: Job) -> None:
         event_splitter = job.event_splitter
+        if event_splitter.fault:
+            raise InvalidStreamError(event_splitter.fault)
         if len(event_splitter.buffer) > MAX_EVENT_BYTES:
             raise ResponseError(f"an event has more than {MAX_EVENT_BYTES} bytes")
 
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -9,7 +9,8 @@
 the next; ``unframed reset`` resets the connection within the body; ``error`` is a signed 500;
 ``hang`` delays the response by a minute, ``slow SECONDS`` by some time; ``empty`` is a 200 of
 length 0, ``no events`` a stream that ends well without any; ``error text N`` sends the text of a
-whole error response as a piece of the stream after N events; ``early`` responds before it has read the body;
+whole error response as a piece of the stream after N events;
+``early`` responds before it has read the body;
 ``shed SECONDS`` is a rejection with Retry-After; ``foreign`` sends the response of another request
 first; ``unnamed full`` is a rejection that names no request (``twice`` for a copy), and ``stray``
 sends such a one before the response;
