--- a/src/bilberryshed/coordination/_token_trace.py
+++ b/src/bilberryshed/coordination/_token_trace.py
@@ -15,7 +15,7 @@
     :param delivered: charged for requests whose callers were sent events
     :param undelivered: charged for requests whose callers were sent none
     :param interrupted: reserved by requests that ended with their process
-    :param written_off: charged beyond all these when the accounts of killed processes were closed
+    :param written_off: charged beyond all these when the accounts of ended processes were closed
     """
 
     customer: str
@@ -35,8 +35,7 @@
 def trace_tokens(logs: Iterable[str]) -> tuple[TokenTrace, ...]:
     """Return where the tokens of each customer went, in order of their names.
 
-    Transfers between a killed process and one that goes on count as written off at the first, and
-    as a negative amount the other way round.
+    Transfers from an ended process to one that goes on count as written off.
 
     :param logs: text of each log; one log may have the lines of several gateways
     """
@@ -54,7 +53,7 @@
     :param totals: last total by customer
     :param spent: tokens charged by boot id, customer, and whether events were sent
     :param open: customer and reserved tokens of requests in flight, by boot id and request
-    :param closed: tokens charged at the close of a killed process, by its boot id and customer
+    :param closed: tokens charged at the close of an ended process, by its boot id and customer
     """
 
     def __init__(self) -> None:
@@ -86,7 +85,7 @@
     def trace(self, customer: str) -> TokenTrace:
         """Return where the tokens of a customer went."""
         trace = TokenTrace(customer, self.totals[customer])
-        killed = {boot for boot, name in self.closed if name == customer}
+        ended = {boot for boot, name in self.closed if name == customer}
         known = 0
         for (boot, name, has_events), tokens in self.spent.items():
             if name != customer:
@@ -95,9 +94,9 @@
                 trace.delivered += tokens
             else:
                 trace.undelivered += tokens
-            known += tokens if boot in killed else 0
+            known += tokens if boot in ended else 0
         for (boot, _), (name, tokens) in self.open.items():
-            if name == customer and boot in killed:
+            if name == customer and boot in ended:
                 trace.interrupted += tokens
         charged = sum(tokens for (_, name), tokens in self.closed.items() if name == customer)
         trace.written_off = charged - known - trace.interrupted
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -38,6 +38,22 @@
     granted: int
 
 
+def log_account_closed(boot: str, customer: str, granted: int, used: int, recorded: int) -> None:
+    """Log what a closed account is charged.
+
+    :param used: tokens used, or an upper bound
+    :param recorded: the recorded bound without any growth
+    """
+    logger().info(
+        "account_closed",
+        boot=boot,
+        customer=customer,
+        granted=granted,
+        charged=min(used, granted),
+        recorded=recorded,
+    )
+
+
 class PoolSync:
     """Synchronizes this gateway's grants with its demand, one change at a time.
 
@@ -400,9 +416,13 @@
         :returns: whether the store accepted the change
         """
 
+        boot = self.context.boot
+        granted: dict[str, int] = {}
+
         def close(name: str, pool: PoolRow) -> PoolRow:
             closed = self.book.close(name, pool)
             if closed is not pool:
+                granted[name] = pool.holders[boot]
                 self.book.account(name).granted = 0
             return closed
 
@@ -410,6 +430,9 @@
             closed = await self._update_rows(sorted(self.known_rows), close)
             if closed is not None:
                 self.closed = True
+            for name, tokens in granted.items() if closed else ():
+                used = self.book.account(name).used
+                log_account_closed(boot, name, granted=tokens, used=used, recorded=used)
             return bool(closed)
 
     async def _update_rows(self, names: list[str], change: RowUpdate) -> bool | None:
--- a/src/bilberryshed/gateway/_predecessor_cleanup.py
+++ b/src/bilberryshed/gateway/_predecessor_cleanup.py
@@ -11,7 +11,7 @@
 from bilberryshed.coordination import BoundsRecord
 from bilberryshed.gateway._bounds_recorder import BOUNDS_TABLE
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.gateway._pool_sync import PoolSync
+from bilberryshed.gateway._pool_sync import PoolSync, log_account_closed
 from bilberryshed.state import RowRef
 from bilberryshed.transport import logger
 
@@ -74,22 +74,13 @@
         if names:
             logger().info("predecessor_closed", boot=boot, customers=len(names))
             for name in sorted(names & granted.keys()):
-                self._log_closed(boot, name, granted[name], used(name))
+                recorded = self.recorded[boot].get(name, 0)
+                log_account_closed(
+                    boot, name, granted=granted[name], used=used(name), recorded=recorded
+                )
             closed |= names
             await self.pool_sync.sync({})
 
-    def _log_closed(self, boot: str, name: str, granted: int, used: int) -> None:
-        """Log what a closed account is charged; ``recorded`` is its bound without any growth."""
-        recorded = self.recorded.get(boot, {}).get(name, 0)
-        logger().info(
-            "account_closed",
-            boot=boot,
-            customer=name,
-            granted=granted,
-            charged=min(used, granted),
-            recorded=recorded,
-        )
-
     async def _read_bounds(self, boot: str) -> bool:
         """Read the upper bounds of the tokens that an incarnation had used when it ended.
 
