--- a/features/prepaid.feature
+++ b/features/prepaid.feature
@@ -78,6 +78,17 @@
     When transfer 1000 is sent again
     Then the account holds 5000 tokens
 
+  # RECOVER: after a power loss customers are refused although over 3 in 100 of what they paid has not been used.
+  @known_red
+  Scenario Outline: A power loss of all gateways, <outage> s into an outage of the store, writes little off
+    When four gateways whose customers have paid for 44 s of demand lose power <outage> s into a store outage
+    Then at most 3 in 100 of what was paid is counted as used beyond actual use
+
+    Examples:
+      | outage |
+      | 0      |
+      | 3      |
+
   Scenario: Many gateways that start together promptly release their predecessors' unused tokens
     When 28 gateways with 24 customers lose power and restart, at 150 requests per second
     Then all predecessors are closed within 1.5 s
--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -781,3 +781,75 @@
     simulation = RestartSimulation(seed, gateways, customers, zones)
     run_simulation(simulation, lambda: simulation.run_restart(rate))
     return simulation
+
+
+class LossSimulation(Simulation):
+    """Four gateways whose customers have each paid for 44 s of their demand.
+
+    :param overcounted: tokens counted as used beyond actual use, once all have restarted
+    """
+
+    SIZES = (1_100, 1_100, 9_200)  # tokens of a request
+    RATE = 45.0  # requests per second
+
+    def __init__(self, seed):
+        super().__init__(seed, 0.0)
+        self.link_loss_rate = 0.0
+        self.demand = self.RATE * sum(self.SIZES) / len(self.SIZES)  # tokens per second
+        self.weights = (5, 3, 3, 3, 2, 2, 1, 1, 1, 1)
+        self.prepaid = {
+            f"customer-{i}": int(44 * self.demand * weight / sum(self.weights))
+            for i, weight in enumerate(self.weights)
+        }
+        self.spent = dict.fromkeys(self.prepaid, 0)
+
+    async def run_power_loss(self, outage):
+        """Serve for 20 s, then kill all gateways, and restart them 1.4 s later.
+
+        :param outage: seconds before the kill in which the store responds to nobody
+        """
+        traffic = await self._serve_for(20.0, 20.0 + outage)
+        for gateway in self.gateways.values():
+            gateway.store.availability = "busy" if outage else "up"
+        await asyncio.sleep(outage)
+        await traffic
+        self._kill_all()
+        used = sum(sum(names.values()) for names in self.used_when_killed.values())
+        await asyncio.sleep(1.4)
+        for name in self.names:
+            self.start_gateway(name)
+        await asyncio.sleep(3.0)
+        self.overcounted = sum(self._pool(name).closed for name in self.prepaid) - used
+        self._kill_all()
+
+    async def _serve_for(self, seconds, traffic_seconds):
+        """Return the task of the traffic after some seconds."""
+        for name in self.names:
+            self.start_gateway(name)
+        await asyncio.sleep(0.5)
+        deadline = asyncio.get_running_loop().time() + traffic_seconds
+        traffic = asyncio.ensure_future(self._generate_mixed_traffic(deadline))
+        await asyncio.sleep(seconds)
+        return traffic
+
+    def _kill_all(self):
+        for gateway in self.gateways.values():
+            gateway.kill()
+
+    async def _generate_mixed_traffic(self, deadline):
+        while asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(self.rng.expovariate(self.RATE))
+            gateway = self.gateways[self.rng.choice(self.names)]
+            (customer,) = self.rng.choices(tuple(self.prepaid), self.weights)
+            tokens = self.rng.choice(self.SIZES)
+            gateway.context.spawn(gateway.request(customer, tokens, 0.2, 1.0))
+
+
+def run_power_loss(seed, outage):
+    """Simulate a power loss of all gateways.
+
+    :param outage: seconds before it in which the store responds to nobody
+    """
+    simulation = LossSimulation(seed)
+    run_simulation(simulation, lambda: simulation.run_power_loss(outage))
+    return simulation
--- a/features/steps/prepaid_steps.py
+++ b/features/steps/prepaid_steps.py
@@ -10,6 +10,7 @@
     ports_for,
     run_outage,
     run_partial_table,
+    run_power_loss,
     run_random_history,
     run_restart,
     settings_for,
@@ -242,6 +243,21 @@
     )
 
 
+@when(
+    "four gateways whose customers have paid for 44 s of demand lose power {outage:g} s into a "
+    "store outage"
+)
+def when_power_loss(context, outage):
+    context.simulation = run_without_logs(lambda: run_power_loss(1, outage))
+
+
+@then("at most {share:d} in 100 of what was paid is counted as used beyond actual use")
+def then_little_written_off(context, share):
+    paid = sum(context.simulation.prepaid.values())
+    overcounted = context.simulation.overcounted
+    assert 100 * overcounted <= share * paid, (overcounted, paid)
+
+
 @when(
     "a gateway is killed and its successor's first route table lacks a customer, at {rate:d} "
     "requests per second"
