--- a/src/bilberryshed_load/_callers.py
+++ b/src/bilberryshed_load/_callers.py
@@ -230,12 +230,13 @@
         self.tally.complete.record_value(max(1, int(elapsed * 1e6)))
         if not load_request.is_completion:
             if json.loads(result.body).get("key") != load_request.key:
-                self.tally.incorrect.append(load_request.key)
+                self.tally.incorrect.append(f"{load_request.key} got {result.body!r}")
             return
         if result.first_token:
             self.tally.first_token.record_value(max(1, int(result.first_token * 1e6)))
         if result.text != load_request.expected_text:
-            self.tally.incorrect.append(load_request.key)
+            expected = load_request.expected_text
+            self.tally.incorrect.append(f"{load_request.key} got {result.text!r}, not {expected!r}")
 
 
 def new_idempotency_key() -> str:
