--- a/features/reports.feature
+++ b/features/reports.feature
@@ -37,3 +37,8 @@
   Scenario: Logs alone tell where the tokens of a customer went
     Given the log of a gateway that is killed and started again
     Then the trace of tokens is 1000 in all: 150 delivered, 30 undelivered, 60 interrupted, 160 written off, 600 left
+
+  Scenario: A log line of tokens that lacks a field is named, and the others count
+    Given the log of a gateway that is killed and started again
+    And a line of it was cut within the field "spent"
+    Then the trace of tokens names line 5 as unreadable
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -80,7 +80,7 @@
 
 @given("the log of a gateway that is killed and started again")
 def given_token_log(context):
-    context.logs = ["""
+    context.log = """
  0.1 a event=started vm=a boot=a.1
  0.1 a event=prepaid vm=a customer=council total=1000 before=
  0.2 a event=sent vm=a request=r1 customer=council reserved=120
@@ -93,7 +93,7 @@
  2.1 a event=account_closed vm=a boot=a.1 customer=council granted=900 charged=350 recorded=300
  2.2 a event=sent vm=a request=r5 customer=council reserved=70
  2.3 a event=tokens vm=a request=r5 customer=council reserved=70 spent=50 events=2
-"""]
+"""
 
 
 @then(
@@ -101,6 +101,19 @@
     "undelivered, {interrupted:d} interrupted, {written_off:d} written off, {left:d} left"
 )
 def then_token_trace(context, total, delivered, undelivered, interrupted, written_off, left):
-    (trace,) = trace_tokens(context.logs)
+    (trace,) = trace_tokens({"a.log": context.log}).traces
     expected = TokenTrace("council", total, delivered, undelivered, interrupted, written_off)
     assert trace == expected and trace.left == left, trace
+
+
+@given('a line of it was cut within the field "{field}"')
+def given_cut_line(context, field):
+    head, _, rest = context.log.partition(f"{field}=")
+    context.log = f"{head}{field}=\n" + rest.partition("\n")[2]
+
+
+@then("the trace of tokens names line {number:d} as unreadable")
+def then_unreadable(context, number):
+    report = trace_tokens({"a.log": context.log})
+    assert report.unreadable == (f"a.log:{number}",), report.unreadable
+    assert len(report.traces) == 1, report.traces
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -125,7 +125,7 @@
     Submission,
     Undecided,
 )
-from bilberryshed.coordination._token_trace import TokenTrace, trace_tokens
+from bilberryshed.coordination._token_trace import TokenReport, TokenTrace, trace_tokens
 
 __all__ = [
     "Departures",
@@ -238,6 +238,7 @@
     "Suspect",
     "TallyLine",
     "TerminalState",
+    "TokenReport",
     "TokenTrace",
     "TraceLine",
     "Undecided",
--- a/src/bilberryshed/coordination/_token_trace.py
+++ b/src/bilberryshed/coordination/_token_trace.py
@@ -1,7 +1,6 @@
 """Tells from the log lines of all gateways where each customer's prepaid tokens went."""
 
 from collections import Counter
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bilberryshed.coordination._log_fields import log_fields
@@ -32,18 +31,35 @@
         return self.total - charged
 
 
-def trace_tokens(logs: Iterable[str]) -> tuple[TokenTrace, ...]:
-    """Return where the tokens of each customer went, in order of their names.
+@dataclass(slots=True, frozen=True)
+class TokenReport:
+    """Where the tokens of all customers went.
+
+    :param traces: in order of the customers' names
+    :param unreadable: places of the lines that lack a field, as NAME:LINE
+    """
+
+    traces: tuple[TokenTrace, ...]
+    unreadable: tuple[str, ...]
+
+
+def trace_tokens(logs: dict[str, str]) -> TokenReport:
+    """Return where the tokens of each customer went.
 
     Transfers from an ended process to one that goes on count as written off.
 
-    :param logs: text of each log; one log may have the lines of several gateways
+    :param logs: text of each log by its name; one log may have the lines of several gateways
     """
     reader = _LogReader()
-    for text in logs:
-        for line in text.splitlines():
-            reader.read(log_fields(line))
-    return tuple(reader.trace(customer) for customer in sorted(reader.totals))
+    unreadable: list[str] = []
+    for name, text in logs.items():
+        for number, line in enumerate(text.splitlines(), start=1):
+            try:
+                reader.read(log_fields(line))
+            except (KeyError, ValueError):
+                unreadable.append(f"{name}:{number}")
+    traces = tuple(reader.trace(customer) for customer in sorted(reader.totals))
+    return TokenReport(traces, tuple(unreadable))
 
 
 class _LogReader:
@@ -64,7 +80,10 @@
         self.closed: Counter[tuple[str, str]] = Counter()
 
     def read(self, fields: dict[str, str]) -> None:
-        """Read one line."""
+        """Read one line.
+
+        :raises KeyError, ValueError: if a field is missing or no number
+        """
         boot = self.boots.get(fields.get("vm", ""), "")
         customer, request = fields.get("customer", ""), fields.get("request", "")
         match fields.get("event"):
--- a/src/bilberryshed/programs/report.py
+++ b/src/bilberryshed/programs/report.py
@@ -121,16 +121,19 @@
 
 
 def tokens(*logs: Path) -> None:
-    """Show where each customer's prepaid tokens went; exit code 2 if no total was logged.
+    """Show where each customer's prepaid tokens went; exit code 2 if no total was logged or a line
+    cannot be read.
 
     :param logs: log files of all gateways
     """
     columns = ("total", "delivered", "undelivered", "interrupted", "written_off", "left")
     print(f"{'customer':24}" + "".join(f" {column:>12}" for column in columns))
-    traces = trace_tokens(_read_logs(logs).values())
-    for trace in traces:
+    report = trace_tokens(_read_logs(logs))
+    for trace in report.traces:
         print(f"{trace.customer:24}" + "".join(f" {getattr(trace, c):12}" for c in columns))
-    if not traces:
+    for place in report.unreadable:
+        print(f"not read: {place}")
+    if not report.traces or report.unreadable:
         sys.exit(EXIT_FINDINGS)
 
 
