--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -255,6 +255,7 @@
       | error     |
       | full      |
       | reset     |
+      | half head |
 
   Scenario Outline: The text of an error that an engine wrote into its stream does not reach the caller, on <path>
     Given the next responses of the model engines are: error text 2, cut 0
@@ -271,6 +272,23 @@
     When a caller sends a prompt of 30 tokens for 20 output tokens to /chat/1
     Then the caller received events 1 to 5 once each, and a complete response
 
+  # MIXED, ORDER: an engine that stopped in the middle of its head could leave a 200 with an empty body.
+  Scenario Outline: A head that stops in the middle, <fault>, before a sound server, for <method> <path>
+    Given the next responses of the <servers> are: <fault>
+    When a caller sends <method> <path> with its key
+    Then the status is <status>
+    And the caller's response is not an empty 200
+
+    Examples:
+      | fault           | servers       | method | path    | status |
+      | half head       | plain servers | GET    | /look/1 | 200    |
+      | half head reset | plain servers | GET    | /look/1 | 200    |
+      | half head       | plain servers | POST   | /book/1 | 502    |
+      | half head reset | plain servers | POST   | /book/1 | 502    |
+      | half head       | model engines | POST   | /chat/1 | 200    |
+      | half head reset | model engines | POST   | /chat/1 | 200    |
+      | half head       | model engines | POST   | /once/1 | 502    |
+
   # LOST: requests that an engine worked on were sent to another one late in the grace, and cut at its end.
   Scenario Outline: A planned stop lets a slow server finish, with the stop <moment> the request <request>
     Given requests may take 9 s
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -42,6 +42,19 @@
       | late   | unconfirmed   | 2     |
       | gone   | not committed | 1     |
 
+  # A response of which only a part of the head arrives says nothing of the rows.
+  Scenario Outline: A <call> of the store whose response stops after "<text>" of its head
+    When the response to a <call> stops after "<text>" of its head
+    Then the call has failed, and <is> ambiguous
+
+    Examples:
+      | call  | text                                | is     |
+      | read  | HTTP/1.1 200 OK\r\n                 | is not |
+      | read  | HTTP/1.1 200 OK\r\nContent-Length: 1 | is not |
+      | write | HTTP/1.1 200 OK\r\n                 | is     |
+      | write | HTTP/1.1 412 Precondition Failed\r\n | is     |
+      | write | HTTP/1.1 503 Service Unavailable\r\n | is     |
+
   Scenario: A write with an outdated version is rejected
     Given a store with the row "a" set to 1
     When the row "a" is written with 2 and an outdated version
--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -5,6 +5,7 @@
 
 from behave import then, when
 from returns.result import Failure
+from support import call_server_that_stops
 
 from bilberryshed.protocol import Dispatch
 from bilberryshed.runtime import (
@@ -101,25 +102,6 @@
     context.result = context.loop.run_until_complete(attempt())
 
 
-async def call_server_that_stops(text, call):
-    """Return what a call returns whose server sends some text and closes the connection.
-
-    :param call: called with the server's address
-    """
-
-    async def respond(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(text.encode().decode("unicode_escape").encode())
-        await writer.drain()
-        writer.close()
-
-    server = await asyncio.start_server(respond, "127.0.0.1", 0)
-    try:
-        return await call(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
-    finally:
-        server.close()
-
-
 @when('a plain service sends a response that stops after "{text}" of its head')
 def when_head_stops(context, text):
     def attempt(address):
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -443,6 +443,12 @@
     assert b"HTTP" not in response.body and b"oops" not in response.body, response
 
 
+@then("the caller's response is not an empty 200")
+def then_not_empty(context):
+    response = context.responses[-1]
+    assert response.status != 200 or response.body and response.complete, response
+
+
 STOP_DELAY = 0.1  # seconds between a request and a stop
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from gateway_support import build_config, free_port
 from returns.result import Failure
+from support import call_server_that_stops
 
 from bilberryshed.coordination import BackendRegistry, RouteIndex
 from bilberryshed.platform._config import decode_table
@@ -151,6 +152,23 @@
     context.written = run(context, context.client.write((put,)))
 
 
+@when('the response to a {call:w} stops after "{text}" of its head')
+def when_head_stops(context, call, text):
+    ref = RowRef(TABLE, "a")
+
+    def send(address):
+        store = PlatformStore(address, 2.0)
+        return store.read((ref,)) if call == "read" else store.write((Put(ref, 1, {"n": 2}),))
+
+    context.written = run(context, call_server_that_stops(text, send))
+
+
+@then("the call has failed, and {expected} ambiguous")
+def then_ambiguity(context, expected):
+    assert isinstance(context.written, Failure), context.written
+    assert context.written.failure().ambiguous == (expected == "is"), context.written
+
+
 @when('the row "{key}" is written with {value:d} and an outdated version')
 def when_written_old(context, key, value):
     put = Put(RowRef(TABLE, key), 0, {"n": value})
--- a/features/support.py
+++ b/features/support.py
@@ -1,5 +1,6 @@
 """In-memory fakes of the platform that inject faults, for tests of the decision logic."""
 
+import asyncio
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -7,7 +8,16 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from bilberryshed.coordination import BatchDone, GrantBatch, ReadRows
-from bilberryshed.state import BUDGETS, GRANTS, BudgetRow, GrantRow, Row, RowRef, StoreError
+from bilberryshed.state import (
+    BUDGETS,
+    GRANTS,
+    Address,
+    BudgetRow,
+    GrantRow,
+    Row,
+    RowRef,
+    StoreError,
+)
 from bilberryshed_standins import MemoryObjects, MemoryTables
 
 STORE_DOWN = StoreError(False, "the store is unavailable")
@@ -121,3 +131,22 @@
         suppress_health_check=list(HealthCheck),
     )
     run_state_machine_as_test(machine_class, settings=options)
+
+
+async def call_server_that_stops(text, call):
+    """Return what a call returns whose server sends some text and closes the connection.
+
+    :param call: called with the server's address
+    """
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(text.encode().decode("unicode_escape").encode())
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    try:
+        return await call(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+    finally:
+        server.close()
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -10,6 +10,7 @@
 ``hang`` delays the response by a minute, ``slow SECONDS`` by some time; ``empty`` is a 200 of
 length 0, ``no events`` a stream that ends well without any; ``error text N`` sends the text of a
 whole error response as a piece of the stream after N events;
+``half head`` closes, and ``half head reset`` resets, the connection in the middle of a 200's head;
 ``early`` responds before it has read the body;
 ``shed SECONDS`` is a rejection with Retry-After; ``foreign`` sends the response of another request
 first; ``unnamed full`` is a rejection that names no request (``twice`` for a copy), and ``stray``
@@ -236,6 +237,13 @@
             await asyncio.sleep(60)
         if fault.startswith("slow "):
             await asyncio.sleep(float(fault.removeprefix("slow ")))
+        if fault.startswith("half head"):
+            head = _response_head(200, id_, "Content-Length: 10")
+            writer.write(head[: len(head) // 2])
+            await writer.drain()
+            if fault.endswith("reset"):
+                reset(writer)
+            return False
         if fault == "empty":
             self._write(writer, _complete_response(id_, b""))
             return True
