--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -784,13 +784,15 @@
 
 
 class LossSimulation(Simulation):
-    """Four gateways whose customers have each paid for 44 s of their demand.
+    """Four gateways whose customers have each paid for some time of their demand.
 
     :param overcounted: tokens counted as used beyond actual use, once all have restarted
     """
 
     SIZES = (1_100, 1_100, 9_200)  # tokens of a request
     RATE = 45.0  # requests per second
+    PAID_TIME = 44.0  # seconds of demand that customers have paid for
+    DOWNTIME = 1.4  # seconds from the power loss to the restart
 
     def __init__(self, seed):
         super().__init__(seed, 0.0)
@@ -798,13 +800,13 @@
         self.demand = self.RATE * sum(self.SIZES) / len(self.SIZES)  # tokens per second
         self.weights = (5, 3, 3, 3, 2, 2, 1, 1, 1, 1)
         self.prepaid = {
-            f"customer-{i}": int(44 * self.demand * weight / sum(self.weights))
+            f"customer-{i}": int(self.PAID_TIME * self.demand * weight / sum(self.weights))
             for i, weight in enumerate(self.weights)
         }
         self.spent = dict.fromkeys(self.prepaid, 0)
 
     async def run_power_loss(self, outage):
-        """Serve for 20 s, then kill all gateways, and restart them 1.4 s later.
+        """Serve for 20 s, then kill all gateways, and restart them after their downtime.
 
         :param outage: seconds before the kill in which the store responds to nobody
         """
@@ -815,7 +817,7 @@
         await traffic
         self._kill_all()
         used = sum(sum(names.values()) for names in self.used_when_killed.values())
-        await asyncio.sleep(1.4)
+        await asyncio.sleep(self.DOWNTIME)
         for name in self.names:
             self.start_gateway(name)
         await asyncio.sleep(3.0)
--- a/src/bilberryshed/coordination/_event_stream.py
+++ b/src/bilberryshed/coordination/_event_stream.py
@@ -57,7 +57,7 @@
     :param buffer: the incomplete event
     :param last_id: id of the last complete event that had one, empty before the first
     :param events: number of complete events returned
-    :param fault: why the bytes after the last event returned are not the next one, empty if unknown
+    :param fault: why the bytes after the last event returned are not the next one, empty if none
     """
 
     __slots__ = ("buffer", "last_id", "events", "fault")
--- a/src/bilberryshed/coordination/_token_trace.py
+++ b/src/bilberryshed/coordination/_token_trace.py
@@ -72,6 +72,8 @@
     :param closed: tokens charged at the close of an ended process, by its boot id and customer
     """
 
+    __slots__ = ("boots", "totals", "spent", "open", "closed")
+
     def __init__(self) -> None:
         self.boots: dict[str, str] = {}
         self.totals: dict[str, int] = {}
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -36,7 +36,7 @@
 PRUNE_INTERVAL = 1.0  # seconds between removals of idle connections
 DEREGISTRATION_DELAY = 2.6  # seconds after SIGTERM until no new connections arrive
 DRAIN_MARGIN = 0.9  # seconds before SIGKILL by which the shutdown must be complete
-STOP_REQUESTS_TIME = 0.2  # seconds for requests to end that are stopped
+STOP_REQUESTS_TIME = 0.2  # seconds at most until requests that are stopped have ended
 DRAIN_POLL_INTERVAL = 0.05  # seconds between checks during a shutdown
 
 
@@ -162,11 +162,11 @@
 
     async def _stop_requests(self) -> None:
         """End the requests in flight, so that their callers are told and their tokens settled."""
-        for exchange in tuple(self.exchanges):
+        for exchange in self.exchanges:
             exchange.stop()
-        deadline = self.context.timers.now() + STOP_REQUESTS_TIME
-        while self.exchanges and self.context.timers.now() < deadline:
-            await asyncio.sleep(0)
+        tasks = [exchange.task for exchange in self.exchanges if exchange.task is not None]
+        if tasks:
+            await asyncio.wait(tasks, timeout=STOP_REQUESTS_TIME)
 
     def _prune(self, now: float) -> None:
         self.context.connections.prune(now)
