--- a/src/bilberryshed/platform/_backends.py
+++ b/src/bilberryshed/platform/_backends.py
@@ -11,9 +11,17 @@
 
 _ID = re.compile(r"[\x21-\x7e]{1,200}")  # it is sent in a header
 _IPV4_ADDRESS = re.compile(r"[0-9.]+:[0-9]+")
+MAX_COLD_MS = 600_000  # a longer time is taken for an invalid value
 DRAINING_BY_STATE = {"serving": False, "draining": True}
 
 
+def _cold_ms(value: object) -> int | None:
+    """Return how long a backend server stays cold in milliseconds, ``None`` if unreadable."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return int(value) if 0 <= value <= MAX_COLD_MS else None
+
+
 def decode_server(id_: str, data: bytes) -> Result[BackendServer, Finding]:
     """Decode an entry, or return what is wrong with it, as any writer may have written it.
 
@@ -43,6 +51,7 @@
                 # "sequence" is the number of writes by the backend server.
                 sequence=fields.integer(entry, "sequence", location, 0),
                 version=fields.check_name(entry.get("version", ""), f"{location}.version"),
+                cold_ms=_cold_ms(entry.get("coldRemainingMs", 0)),
             )
         )
     except (ValueError, RecursionError) as error:
--- a/src/bilberryshed/platform/_config.py
+++ b/src/bilberryshed/platform/_config.py
@@ -79,6 +79,7 @@
         priority=fields.integer(item, "priority", location, 5),
         anonymous=fields.boolean(item, "anonymous", location),
         resumable=fields.boolean(item, "resumable", location),
+        regions=_regions(item),
     )
 
 
@@ -109,9 +110,21 @@
         cache_tokens=fields.integer(details, "kvCapacityTokens", location, 0),
         # "stride" is the number of tokens in one event.
         tokens_per_event=max(1, fields.integer(details, "stride", location, 1)),
+        cold_time=fields.number(item, "coldStartS", location, 0),
+        cold_rate=fields.number(item, "coldPerS", location, 0),
     )
 
 
+def _regions(item: dict[str, Any]) -> frozenset[str] | None:
+    """Decode the home regions of a route or customer; an invalid list allows no region."""
+    regions = item.get("allowedRegions")
+    if regions is None or regions == []:
+        return None
+    if not isinstance(regions, list):
+        return frozenset()
+    return frozenset(region for region in regions if isinstance(region, str))
+
+
 def _customer(item: dict[str, Any], location: str) -> RoutedCustomer:
     keys = fields.json_array(item.get("apiKeys", []), f"{location}.apiKeys")
     has_priority = item.get("priority") is not None
@@ -122,6 +135,7 @@
         keys=tuple(str(key) for key in keys),
         priority=fields.integer(item, "priority", location) if has_priority else None,
         prepaid=int(fields.number(item, "prepaid", location)) if has_total else None,
+        regions=_regions(item),
     )
 
 
--- a/src/bilberryshed/state/_gateway_settings.py
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -4,9 +4,12 @@
 
 from bilberryshed.state._settings import (
     Address,
+    parse_boolean,
     parse_count,
     parse_name,
     parse_optional_address,
+    parse_optional_ratio,
+    parse_pairs,
     parse_ratio,
     parse_seconds,
     setting,
@@ -31,6 +34,13 @@
     :param retry_window: length of the sliding window in which retries are counted
     :param retry_slack: retries allowed in addition to the ratio, for all gateways together
     :param grant_horizon: time for which the prepaid tokens held should cover the demand
+    :param regions: region of each availability zone, as ``zone:region`` pairs
+    :param cold_overrun: multiple of a service's rate for cold backend servers that these tolerate
+    :param cold_slack: requests in one second that they tolerate in addition; cold backend servers
+        are protected only if both are set
+    :param link_wait_ratio: share of its latency target that a request may wait for the VM's network
+        link, 0 for no limit
+    :param pace: whether backend servers that have started or recovered get a growing share of work
     :param store_timeout: timeout of one call to the store
     """
 
@@ -52,6 +62,11 @@
     retry_window: float = setting("retries", parse_seconds, "10")
     retry_slack: float = setting("retries", parse_ratio, "50")
     grant_horizon: float = setting("prepaid", parse_seconds, "25")
+    regions: dict[str, str] = setting("places", parse_pairs, "")
+    cold_overrun: float | None = setting("places", parse_optional_ratio, "")
+    cold_slack: float | None = setting("places", parse_optional_ratio, "")
+    link_wait_ratio: float = setting("overload", parse_ratio, "0.25")
+    pace: bool = setting("pace", parse_boolean, "no")
 
     @property
     def capacity(self) -> float:
--- a/src/bilberryshed/state/_routes.py
+++ b/src/bilberryshed/state/_routes.py
@@ -34,6 +34,7 @@
     :param priority: 0 is the highest priority
     :param anonymous: whether requests are accepted without a customer key
     :param resumable: whether an interrupted stream may be resumed on another backend server
+    :param regions: the only regions whose backend servers may serve it; ``None`` for all
     """
 
     name: str
@@ -47,6 +48,7 @@
     priority: int
     anonymous: bool
     resumable: bool
+    regions: frozenset[str] | None = None
 
     @property
     def retryable(self) -> bool:
@@ -65,6 +67,8 @@
     :param slots: requests that one model engine runs concurrently, 0 for a plain service
     :param cache_tokens: tokens that fit into the memory of one engine, 0 for a plain service
     :param tokens_per_event: maximum number of tokens in one event of a stream
+    :param cold_time: seconds for which a backend server is cold after its start
+    :param cold_rate: requests per second that a cold backend server tolerates, 0 for no limit
     """
 
     name: str
@@ -74,6 +78,8 @@
     slots: int = 0
     cache_tokens: int = 0
     tokens_per_event: int = 1
+    cold_time: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,12 +89,14 @@
     :param keys: keys that authenticate its requests
     :param priority: overrides the priority of a route; ``None`` to use that of the route
     :param prepaid: total of the tokens that it may use; ``None`` for no limit
+    :param regions: the only regions whose backend servers may serve it; ``None`` for all
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
     prepaid: int | None
+    regions: frozenset[str] | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,6 +133,8 @@
     :param sequence: increased with every entry that it writes
     :param version: version of its software; streams of different versions cannot be joined
     :param slots: requests that it runs concurrently
+    :param cold_ms: milliseconds for which it stays cold after it wrote the entry, ``None`` if the
+        entry has an unreadable value
     """
 
     id: str
@@ -136,6 +146,7 @@
     started_at_ms: int = 0
     sequence: int = 0
     version: str = ""
+    cold_ms: int | None = 0
 
     @property
     def incarnation(self) -> str:
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -98,6 +98,30 @@
     return text
 
 
+def parse_optional_ratio(text: str) -> float | None:
+    """Parse a finite number that is not negative, or return ``None`` for an empty text."""
+    return parse_ratio(text) if text.strip() else None
+
+
+def parse_boolean(text: str) -> bool:
+    """Parse ``yes`` or ``no``."""
+    if text not in ("yes", "no"):
+        raise ValueError(f"{text!r} is neither yes nor no")
+    return text == "yes"
+
+
+def parse_pairs(text: str) -> dict[str, str]:
+    """Parse ``key:value`` pairs, separated by commas."""
+    pairs: dict[str, str] = {}
+    for item in filter(None, (part.strip() for part in text.split(","))):
+        key, separator, value = (part.strip() for part in item.partition(":"))
+        if not (key and separator and value):
+            raise ValueError(f"{item!r} is no key:value pair")
+        if pairs.setdefault(key, value) != value:
+            raise ValueError(f"{key!r} has two values, {pairs[key]!r} and {value!r}")
+    return pairs
+
+
 def setting(section: str, parse: Callable[[str], Any], default: str | None = None) -> Any:
     """Declare a key of a settings class.
 
