--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -24,6 +24,12 @@
     def body_limit(self) -> int:
         """Return the largest accepted body size in bytes."""
 
+    def count_received(self, size: int) -> None:
+        """Count bytes received from a caller."""
+
+    def count_sent(self, size: int) -> None:
+        """Count bytes sent to a caller."""
+
     def serve(self, exchange: "CallerExchange") -> Coroutine[Any, Any, None]:
         """Respond to a request that has been read completely."""
 
@@ -79,10 +85,12 @@
         """Store the head of the request."""
         assert isinstance(start_line, RequestStartLine)
         self.method, self.target, self.headers = start_line.method, start_line.path, headers
+        self.handler.count_received(sum(len(k) + len(v) + 4 for k, v in headers.get_all()))
 
     def data_received(self, chunk: bytes) -> None:
         """Store a chunk of the body; discard the body if it exceeds the limit."""
         self.body_size += len(chunk)
+        self.handler.count_received(len(chunk))
         if self.body_size <= self.handler.body_limit():
             self.body.append(chunk)
         else:
@@ -118,6 +126,7 @@
 
         :raises StreamClosedError: if the caller has disconnected
         """
+        self.handler.count_sent(len(data))
         await self.connection.write(data)
 
     def end(self) -> None:
@@ -150,6 +159,7 @@
         reason = responses.get(status, "Unknown")
         line = ResponseStartLine("HTTP/1.1", status, reason)
         content = None if self.method == "HEAD" or not body else body
+        self.handler.count_sent(len(body) + sum(len(k) + len(v) + 4 for k, v in headers))
         self.connection.write_headers(line, fields, content).add_done_callback(_retrieve_exception)
 
 
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -236,6 +236,14 @@
         index = self.context.index
         return index.table.limits.body_bytes if index else CallerLimits().body_bytes
 
+    def count_received(self, size: int) -> None:
+        """Count bytes received from a caller."""
+        self.context.link_meter.on_received(self.context.timers.now(), size)
+
+    def count_sent(self, size: int) -> None:
+        """Count bytes sent to a caller."""
+        self.context.link_meter.on_sent(self.context.timers.now(), size)
+
     async def serve(self, exchange: CallerExchange) -> None:
         """Respond to a request that has been read completely."""
         self.exchanges.add(exchange)
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -11,6 +11,7 @@
     InFlightRequest,
     Origin,
 )
+from bilberryshed.coordination.admission import LinkRequest
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._dialect import BackendResponse, CallerRequest
 from bilberryshed.state import Route, RoutedCustomer, RoutedService, RouteKind
@@ -100,6 +101,7 @@
     writing_since: float | None = None
     is_probe: bool = False
     is_cleared: bool = False
+    link: LinkRequest | None = None
 
     @property
     def is_stream(self) -> bool:
