--- a/src/bilberryshed/coordination/admission/__init__.py
+++ b/src/bilberryshed/coordination/admission/__init__.py
@@ -2,5 +2,6 @@
 
 from bilberryshed.coordination.admission._link_admission import LinkAdmission, LinkRequest
 from bilberryshed.coordination.admission._link_meter import LinkMeter
+from bilberryshed.coordination.admission._link_readiness import LinkReadiness
 
-__all__ = ["LinkAdmission", "LinkMeter", "LinkRequest"]
+__all__ = ["LinkAdmission", "LinkMeter", "LinkReadiness", "LinkRequest"]
--- a/src/bilberryshed/coordination/admission/_link_admission.py
+++ b/src/bilberryshed/coordination/admission/_link_admission.py
@@ -14,7 +14,7 @@
 URGENT_SHARE = 0.95  # of the capacity that requests of the highest priority may use
 RATE_WEIGHT = 0.1  # weight of the newest request in the moving averages of a route
 FIRST_DURATION = 0.5  # seconds that a request takes, before any has ended on its route
-FIRST_BYTES = 4_000.0  # bytes of a response, before any has ended on its route
+FIRST_BYTES = 0.0  # bytes of a response, before any has ended on its route
 MIN_DURATION = 0.05  # seconds
 
 
@@ -67,7 +67,7 @@
         if meter.send_wait(now) > self.wait_ratio * target:
             return False
         share = URGENT_SHARE if priority == 0 else USABLE_SHARE
-        load = max(self.committed + self._rate(route, size), meter.use(now) * meter.capacity)
+        load = meter.use(now) * meter.capacity
         return load <= share * meter.capacity
 
     def begin(self, now: float, route: str, size: int) -> LinkRequest:
@@ -88,4 +88,4 @@
 
     def _rate(self, route: str, size: int) -> float:
         averages = self.averages.get(route) or _RouteAverages()
-        return (size + averages.response_bytes) / max(MIN_DURATION, averages.duration)
+        return 2 * (size + averages.response_bytes) / max(MIN_DURATION, averages.duration)
--- a/src/bilberryshed/coordination/admission/_link_meter.py
+++ b/src/bilberryshed/coordination/admission/_link_meter.py
@@ -15,13 +15,15 @@
     :param rate: moving average in bytes per second
     """
 
-    __slots__ = ("capacity", "queued", "rate", "noted_at")
+    __slots__ = ("capacity", "queued", "rate", "noted_at", "total", "writes")
 
     def __init__(self, capacity: float) -> None:
         self.capacity = capacity
         self.queued = 0.0
         self.rate = 0.0
         self.noted_at = 0.0
+        self.total = 0
+        self.writes = 0
 
     def advance(self, now: float) -> None:
         """Account for the time that has passed."""
@@ -34,6 +36,8 @@
         """Add bytes."""
         self.advance(now)
         self.queued += size
+        self.total += size
+        self.writes += 1
         self.rate += size / USE_WINDOW
 
 
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -7,6 +7,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
+from bilberryshed.coordination.admission import LinkReadiness
 from bilberryshed.gateway._admission import RETRY_AFTER_STOPPING, Admission, Refusal
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
@@ -86,6 +87,7 @@
             self.limits.summary,
         ]
         self.http: HTTPServer | None = None
+        self.link_readiness = LinkReadiness()
         self.exchanges: set[CallerExchange] = set()
         self.metrics = GatewayMetrics(self.context)
         self.admission = Admission(
@@ -111,6 +113,7 @@
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
         self.load_sharing.start()
+        self.context.timers.subscribe(0.25, self._check_link)
         self.context.quarantine.start()
         self.limits.start()
         self.streams.start()
@@ -125,7 +128,7 @@
     def is_ready(self) -> bool:
         """Whether new connections should be routed to this gateway."""
         configured = self.context.index is not None and bool(self.context.backends.views)
-        return configured and not self.context.draining
+        return configured and not self.context.draining and self.link_readiness.ready
 
     def spawn(self, coroutine: Any) -> "asyncio.Future[Any]":
         """Run a coroutine on the event loop."""
@@ -168,7 +171,30 @@
         if tasks:
             await asyncio.wait(tasks, timeout=STOP_REQUESTS_TIME)
 
+    def _check_link(self, now: float) -> None:
+        meter, was_ready = self.context.link_meter, self.link_readiness.ready
+        ready = self.link_readiness.update(now, meter.use(now))
+        if self.http is not None and not self.context.draining:
+            self.http.conn_params.no_keep_alive = not ready
+        if ready != was_ready:
+            logger().info(
+                "link_room" if ready else "link_full",
+                use=round(meter.use(now), 3),
+                sent=round(meter.sent.rate),
+                received=round(meter.received.rate),
+            )
+
     def _prune(self, now: float) -> None:
+        meter = self.context.link_meter
+        logger().info(
+            "link_use",
+            sent=meter.sent.total,
+            swrites=meter.sent.writes,
+            received=meter.received.total,
+            rwrites=meter.received.writes,
+            committed=round(self.context.link_admission.committed),
+            wait=round(meter.send_wait(now), 3),
+        )
         self.context.connections.prune(now)
         self.context.backends.prune(now)
 
--- a/src/bilberryshed/gateway/_stream_relay.py
+++ b/src/bilberryshed/gateway/_stream_relay.py
@@ -48,7 +48,7 @@
             self._note_data(job)
             self.context.link_meter.on_received(self.context.timers.now(), len(chunk))
             if job.link is not None:
-                job.link.response_bytes += len(chunk) + 60
+                job.link.response_bytes += len(chunk) + 54
             events = event_splitter.feed(chunk)
             if events:
                 deadline = self.limits.silence_deadline(job, STALL_FACTOR)
