Link load: meter without a clock per write, readiness with a quota and notices

The trial counted bytes with header sums and computed two exponentials for each write, and its gateways gave up readiness independently of each other. The tests' settings get the fields added with the settings.

--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -151,6 +151,11 @@
             retry_window=10.0,
             retry_slack=50.0,
             grant_horizon=25.0,
+            regions={},
+            cold_overrun=None,
+            cold_slack=None,
+            link_wait_ratio=0.25,
+            pace=False,
         )
         ports = gateway_ports(settings.store, settings.store_timeout)
         gateway = Gateway(settings, ports, asyncio.get_running_loop().time())
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -136,30 +136,14 @@
             origin=origin,
             broken_at=started_at,
         )
-        now, link = self.context.timers.now(), self.context.link_admission
-        size = len(request.body) + 600
-        priority = customer.priority if customer and customer.priority is not None else None
-        priority = route.priority if priority is None else priority
-        if not link.has_room(now, route.name, size, route.latency_target, priority):
-            logger().info(
-                "link_full",
-                use=round(link.meter.use(now), 3),
-                sent=round(link.meter.sent.rate),
-                received=round(link.meter.received.rate),
-                committed=round(link.committed),
-                wait_ms=milliseconds(link.meter.send_wait(now)),
-            )
-            return Refusal(503, "link", "not run: this gateway has no room now", 0.02)
         admittance = self.context.quarantine.admit(job.fingerprint, job.shared_parts)
         if admittance.wait > 0:
             reason = "requests with this content or part of a prompt crash backend servers"
             return Refusal(503, "convicted", reason, admittance.wait)
         job.is_probe = admittance.is_probe
-        job.link = link.begin(now, route.name, size)
         try:
             return await self._reserve_and_forward(job)
         finally:
-            link.end(self.context.timers.now(), job.link)
             if job.is_probe and not job.runs:
                 self.context.quarantine.end_unused_probe(job.fingerprint, job.shared_parts)
 
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -15,20 +15,22 @@
     responses,
 )
 
+from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.transport import HeaderList
 
+SEPARATOR_BYTES = 4  # bytes after the name and after the value of a header
+
 
 class ExchangeHandler(Protocol):
-    """Interface through which an exchange calls its gateway."""
+    """Interface through which an exchange calls its gateway.
 
-    def body_limit(self) -> int:
-        """Return the largest accepted body size in bytes."""
+    :param byte_counter: counts the bytes received from callers and sent to them
+    """
 
-    def count_received(self, size: int) -> None:
-        """Count bytes received from a caller."""
+    byte_counter: ByteCounter
 
-    def count_sent(self, size: int) -> None:
-        """Count bytes sent to a caller."""
+    def body_limit(self) -> int:
+        """Return the largest accepted body size in bytes."""
 
     def serve(self, exchange: "CallerExchange") -> Coroutine[Any, Any, None]:
         """Respond to a request that has been read completely."""
@@ -85,12 +87,12 @@
         """Store the head of the request."""
         assert isinstance(start_line, RequestStartLine)
         self.method, self.target, self.headers = start_line.method, start_line.path, headers
-        self.handler.count_received(sum(len(k) + len(v) + 4 for k, v in headers.get_all()))
+        self.handler.byte_counter.on_received(len(start_line.path) + _size(headers))
 
     def data_received(self, chunk: bytes) -> None:
         """Store a chunk of the body; discard the body if it exceeds the limit."""
         self.body_size += len(chunk)
-        self.handler.count_received(len(chunk))
+        self.handler.byte_counter.on_received(len(chunk))
         if self.body_size <= self.handler.body_limit():
             self.body.append(chunk)
         else:
@@ -126,7 +128,7 @@
 
         :raises StreamClosedError: if the caller has disconnected
         """
-        self.handler.count_sent(len(data))
+        self.handler.byte_counter.on_sent(len(data))
         await self.connection.write(data)
 
     def end(self) -> None:
@@ -159,7 +161,7 @@
         reason = responses.get(status, "Unknown")
         line = ResponseStartLine("HTTP/1.1", status, reason)
         content = None if self.method == "HEAD" or not body else body
-        self.handler.count_sent(len(body) + sum(len(k) + len(v) + 4 for k, v in headers))
+        self.handler.byte_counter.on_sent(_size(fields) + len(content or b""))
         self.connection.write_headers(line, fields, content).add_done_callback(_retrieve_exception)
 
 
@@ -179,6 +181,11 @@
         """Ignore a closed connection: its exchange has a close callback of its own."""
 
 
+def _size(headers: HTTPHeaders) -> int:
+    """Return the bytes of headers; tornado does not tell the size of a head."""
+    return sum(len(k) + len(v) + SEPARATOR_BYTES for k, v in headers.get_all())
+
+
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
     """Keep asyncio from logging a failed write; the close callback handles the closure."""
     if not future.cancelled():
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -20,7 +20,7 @@
     SpendingBounds,
     shard_of,
 )
-from bilberryshed.coordination.admission import LinkAdmission, LinkMeter
+from bilberryshed.coordination.admission import ByteCounter, LinkMeter
 from bilberryshed.gateway._dialect import Dialect
 from bilberryshed.gateway._epoch_recovery import EpochRecovery
 from bilberryshed.protocol import Finding, encode
@@ -93,10 +93,10 @@
         self.boot = new_boot_id(settings.name)
         self.timers = TimerService(phase=shard_of(self.boot, PHASES) / PHASES)
         self.metrics = Metrics(settings.statsd, "bilberryshed.gateway")
-        self.link_meter = LinkMeter(settings.bandwidth)
-        self.link_admission = LinkAdmission(self.link_meter, settings.link_wait_ratio)
+        self.byte_counter = ByteCounter()
+        self.link_meter = LinkMeter(self.byte_counter, settings.bandwidth)
         self.backends = BackendPool(settings.zone)
-        self.connections = ConnectionPool()
+        self.connections = ConnectionPool(self.byte_counter)
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_window, settings.retry_slack
         )
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -269,8 +269,6 @@
         last_event_id = job.event_splitter.last_id
         dispatch = Dispatch(view.server.id, job.customer, left, last_event_id, priority)
         headers = self.context.dialect.dispatch_headers(job.request, dispatch)
-        size = len(job.request.body) + sum(len(k) + len(v) + 4 for k, v in headers)
-        self.context.link_meter.on_sent(self.context.timers.now(), size)
         connection.send(job.request.method, job.request.target, headers, job.request.body)
 
     async def _read_response_head(
@@ -403,9 +401,6 @@
         while chunk := await self.read_limits.read_by(deadline, job, connection.read_body):
             chunks.append(chunk)
             size += len(chunk)
-            self.context.link_meter.on_received(self.context.timers.now(), len(chunk))
-            if job.link is not None:
-                job.link.response_bytes += len(chunk)
             if size > MAX_BODY_BYTES:
                 raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
         return b"".join(chunks)
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -7,12 +7,12 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from bilberryshed.coordination.admission import LinkReadiness
 from bilberryshed.gateway._admission import RETRY_AFTER_STOPPING, Admission, Refusal
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
 from bilberryshed.gateway._context import GatewayContext, GatewayPorts
 from bilberryshed.gateway._followers import BackendUpdater, RouteTableUpdater
+from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.gateway._load_sharing import LoadSharing
 from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.gateway._peers import Peers
@@ -76,6 +76,7 @@
         self.load_sharing = LoadSharing(self.context)
         self.context.on_load_change = self.load_sharing.on_change
         self.limits = ServerLimits(self.context)
+        self.link_load = LinkLoad(self.context)
         self.streams = StreamDirectory(self.context, self.backend_updater.refresh)
         self.context.on_server_restart = self.streams.on_restart
         self.peers = Peers(self.context, self._message_handlers(), self.load_sharing.remove_peer)
@@ -85,9 +86,10 @@
             self.funds.peers.notice,
             self.context.quarantine.summary,
             self.limits.summary,
+            self.link_load.summary,
         ]
         self.http: HTTPServer | None = None
-        self.link_readiness = LinkReadiness()
+        self.byte_counter = self.context.byte_counter
         self.exchanges: set[CallerExchange] = set()
         self.metrics = GatewayMetrics(self.context)
         self.admission = Admission(
@@ -113,7 +115,7 @@
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
         self.load_sharing.start()
-        self.context.timers.subscribe(0.25, self._check_link)
+        self.link_load.start(http)
         self.context.quarantine.start()
         self.limits.start()
         self.streams.start()
@@ -128,7 +130,7 @@
     def is_ready(self) -> bool:
         """Whether new connections should be routed to this gateway."""
         configured = self.context.index is not None and bool(self.context.backends.views)
-        return configured and not self.context.draining and self.link_readiness.ready
+        return configured and not self.context.draining and not self.link_load.is_away
 
     def spawn(self, coroutine: Any) -> "asyncio.Future[Any]":
         """Run a coroutine on the event loop."""
@@ -171,30 +173,7 @@
         if tasks:
             await asyncio.wait(tasks, timeout=STOP_REQUESTS_TIME)
 
-    def _check_link(self, now: float) -> None:
-        meter, was_ready = self.context.link_meter, self.link_readiness.ready
-        ready = self.link_readiness.update(now, meter.use(now))
-        if self.http is not None and not self.context.draining:
-            self.http.conn_params.no_keep_alive = not ready
-        if ready != was_ready:
-            logger().info(
-                "link_room" if ready else "link_full",
-                use=round(meter.use(now), 3),
-                sent=round(meter.sent.rate),
-                received=round(meter.received.rate),
-            )
-
     def _prune(self, now: float) -> None:
-        meter = self.context.link_meter
-        logger().info(
-            "link_use",
-            sent=meter.sent.total,
-            swrites=meter.sent.writes,
-            received=meter.received.total,
-            rwrites=meter.received.writes,
-            committed=round(self.context.link_admission.committed),
-            wait=round(meter.send_wait(now), 3),
-        )
         self.context.connections.prune(now)
         self.context.backends.prune(now)
 
@@ -227,6 +206,7 @@
             **self.funds.handlers(),
             **self.context.quarantine.handlers(),
             **self.limits.handlers(),
+            **self.link_load.handlers(),
             **self.streams.handlers(),
             RouteTableVersion: self.route_table_updater.on_version,
             RouteTableRequest: self.route_table_updater.on_request,
@@ -262,14 +242,6 @@
         index = self.context.index
         return index.table.limits.body_bytes if index else CallerLimits().body_bytes
 
-    def count_received(self, size: int) -> None:
-        """Count bytes received from a caller."""
-        self.context.link_meter.on_received(self.context.timers.now(), size)
-
-    def count_sent(self, size: int) -> None:
-        """Count bytes sent to a caller."""
-        self.context.link_meter.on_sent(self.context.timers.now(), size)
-
     async def serve(self, exchange: CallerExchange) -> None:
         """Respond to a request that has been read completely."""
         self.exchanges.add(exchange)
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -11,7 +11,6 @@
     InFlightRequest,
     Origin,
 )
-from bilberryshed.coordination.admission import LinkRequest
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._dialect import BackendResponse, CallerRequest
 from bilberryshed.state import Route, RoutedCustomer, RoutedService, RouteKind
@@ -101,7 +100,6 @@
     writing_since: float | None = None
     is_probe: bool = False
     is_cleared: bool = False
-    link: LinkRequest | None = None
 
     @property
     def is_stream(self) -> bool:
--- a/src/bilberryshed/gateway/_peers.py
+++ b/src/bilberryshed/gateway/_peers.py
@@ -51,7 +51,9 @@
         self.hello = Hello(settings.name, context.boot, "router", settings.zone, "")
         self.monitor = LinkMonitor(lambda: context.peer_links.values(), self._is_primary)
         dispatcher = MessageDispatcher({**messages, **self.monitor.handlers()})
-        self.handlers = LinkHandlers(self._on_link_up, dispatcher.handle, self._on_link_down)
+        self.handlers = LinkHandlers(
+            self._on_link_up, dispatcher.handle, self._on_link_down, context.byte_counter
+        )
         self.server = LinkServer(self.hello, self.handlers, None, ping_interval=None)
         self.clients: dict[str, tuple[str, LinkClient]] = {}
         self.registered_epoch = -1
--- a/src/bilberryshed/gateway/_stream_relay.py
+++ b/src/bilberryshed/gateway/_stream_relay.py
@@ -46,9 +46,6 @@
         deadline = self.limits.silence_deadline(job, STALL_FACTOR)
         while chunk := await self.limits.read_by(deadline, job, connection.read_body):
             self._note_data(job)
-            self.context.link_meter.on_received(self.context.timers.now(), len(chunk))
-            if job.link is not None:
-                job.link.response_bytes += len(chunk) + 54
             events = event_splitter.feed(chunk)
             if events:
                 deadline = self.limits.silence_deadline(job, STALL_FACTOR)
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -1,5 +1,6 @@
 """Typed messages and their codec, refusals for callers and findings for operators."""
 
+from bilberryshed.protocol._admission_messages import LinkStateNotice
 from bilberryshed.protocol._bills import Charge, UsageRecord, allocate_tokens, bill_id
 from bilberryshed.protocol._codec import (
     FrameError,
@@ -118,6 +119,7 @@
     "LimitSummary",
     "LinkProbe",
     "LinkProbeReply",
+    "LinkStateNotice",
     "LoadNotice",
     "LoadReport",
     "LoadSummary",
--- a/src/bilberryshed/state/_gateway_settings.py
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -65,7 +65,7 @@
     regions: dict[str, str] = setting("places", parse_pairs, "")
     cold_overrun: float | None = setting("places", parse_optional_ratio, "")
     cold_slack: float | None = setting("places", parse_optional_ratio, "")
-    link_wait_ratio: float = setting("overload", parse_ratio, "0")
+    link_wait_ratio: float = setting("overload", parse_ratio, "0.25")
     pace: bool = setting("pace", parse_boolean, "no")
 
     @property
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -17,6 +17,7 @@
 import h11
 from tornado.iostream import IOStream, StreamClosedError
 
+from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.state import Address
 
 READ_SIZE = 65_536  # bytes per read
@@ -34,6 +35,10 @@
     """A connection could not be opened; nothing was sent."""
 
 
+class ConnectTimeoutError(ConnectError):
+    """A connection was neither opened nor refused in time."""
+
+
 class ResponseError(Exception):
     """The response is incomplete or malformed; the request may have run."""
 
@@ -54,6 +59,7 @@
     """One open connection.
 
     :param key: key of the connection in its pool
+    :param counter: counts the bytes sent and received
     :param pending_read: the next bytes received; done on an idle connection only if it is unusable
     :param is_first_use: whether it carries its first request, so that no earlier response can come
     :param body_end: what ended the body of which the last data has just been returned
@@ -63,6 +69,7 @@
     __slots__ = (
         "key",
         "stream",
+        "counter",
         "framing",
         "pending_read",
         "is_first_use",
@@ -74,9 +81,10 @@
         "eof_received",
     )
 
-    def __init__(self, key: str, stream: IOStream) -> None:
+    def __init__(self, key: str, stream: IOStream, counter: ByteCounter) -> None:
         self.key = key
         self.stream = stream
+        self.counter = counter
         self.framing = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.pending_read = self._read()
         self.is_first_use = True
@@ -94,6 +102,7 @@
         """
         self.request = h11.Request(method=method, target=target, headers=headers)
         data = self._frame(self.request, body)
+        self.counter.on_sent(len(data))
         try:
             self.stream.write(data).add_done_callback(_retrieve_exception)
         except StreamClosedError as error:
@@ -227,6 +236,7 @@
                 raise ResponseError(f"the channel was reset: {error.real_error}") from error
             self.eof_received = True
             return b""
+        self.counter.on_received(len(data))
         self.pending_read = self._read()
         return data
 
@@ -240,11 +250,15 @@
 
 
 class ConnectionPool:
-    """Pool of idle connections by key."""
+    """Pool of idle connections by key.
 
-    __slots__ = ("idle",)
+    :param counter: counts the bytes sent and received on all connections
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("idle", "counter")
+
+    def __init__(self, counter: ByteCounter | None = None) -> None:
+        self.counter = counter or ByteCounter()
         self.idle: dict[str, deque[BackendConnection]] = {}
 
     def acquire(
@@ -269,7 +283,8 @@
         """Open a new connection.
 
         :param timeout: seconds
-        :raises ConnectError: if the connection cannot be opened in time
+        :raises ConnectError: if the connection cannot be opened
+        :raises ConnectTimeoutError: if it is not opened in time
         """
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -278,13 +293,16 @@
         try:
             async with asyncio.timeout(timeout):
                 await stream.connect((address.host, address.port))
-        except (TimeoutError, OSError, StreamClosedError) as error:
+        except TimeoutError as error:
+            stream.close()
+            raise ConnectTimeoutError(str(error) or "timed out") from error
+        except (OSError, StreamClosedError) as error:
             stream.close()
             raise ConnectError(str(error) or "timed out") from error
         except asyncio.CancelledError:
             stream.close()
             raise
-        return BackendConnection(key, stream)
+        return BackendConnection(key, stream, self.counter)
 
     def release(
         self, connection: BackendConnection, now: float, server_idle_timeout: float | None
--- a/src/bilberryshed/transport/_links.py
+++ b/src/bilberryshed/transport/_links.py
@@ -8,13 +8,14 @@
 import hmac
 import ssl
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import websockets
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 
+from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.protocol import FrameError, Hello, decode, encode
 from bilberryshed.state import Address
 from bilberryshed.transport._logs import logger
@@ -35,11 +36,13 @@
     :param on_up: called when a link is established
     :param on_message: called for each received message
     :param on_down: called when an established link has closed
+    :param counter: counts the bytes sent and received
     """
 
     on_up: Callable[["Link"], None]
     on_message: Callable[["Link", Any], None]
     on_down: Callable[["Link"], None]
+    counter: ByteCounter = field(default_factory=ByteCounter)
 
 
 class Link:
@@ -89,12 +92,13 @@
 
     async def run(self, handlers: LinkHandlers) -> None:
         """Send and receive messages until the link closes."""
-        writer = asyncio.create_task(self._write())
+        writer = asyncio.create_task(self._write(handlers.counter))
         handlers.on_up(self)
         try:
             async for data in self.websocket:
                 self.received_at = asyncio.get_running_loop().time()
                 self.probed_at = None
+                handlers.counter.on_received(len(data))
                 handlers.on_message(self, decode(data))
         except websockets.ConnectionClosed:
             pass
@@ -106,10 +110,11 @@
             self.websocket.transport.abort()
             handlers.on_down(self)
 
-    async def _write(self) -> None:
+    async def _write(self, counter: ByteCounter) -> None:
         try:
             while True:
                 data = await self.queue.get()
+                counter.on_sent(len(data))
                 await self.websocket.send(data)
                 self.queue.task_done()
         except websockets.ConnectionClosed:
