--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -17,7 +17,7 @@
     "cold_slack": "requests in one second that a cold backend server tolerates in addition; empty"
     " in either of both: cold backend servers are not protected",
     "link_wait_ratio": "share of its latency target that a request may wait for the VM's network"
-    " link; 0 for no limit",
+    " link; 0: a full link has no effect on admission, dispatch and readiness",
     "pace": "whether backend servers that have started or recovered get a growing share, yes or no",
     "name": "VM name, unique in the fleet",
     "zone": "availability zone",
--- a/src/bilberryshed/coordination/admission/_link_readiness.py
+++ b/src/bilberryshed/coordination/admission/_link_readiness.py
@@ -9,13 +9,14 @@
 FULL_USE = 0.7  # use of the link above which it is full
 ROOM_USE = 0.35  # use below which it has room again
 FULL_TIME = 0.5  # seconds above FULL_USE until it is full
-STEEP_USE = 0.9  # predicted use above which it is full sooner
+STEEP_USE = 0.8  # predicted use above which it is full sooner
 STEEP_MIN_USE = 0.4  # use below which a prediction does not count, as one response may cause it
 STEEP_TIME = 0.2  # seconds above STEEP_USE until it is full
 # The platform sends no new connections after two missed probes, 1 s apart: a shorter absence moves
 # few callers.
 FIRST_ABSENCE = 4.0  # seconds
 ABSENCE_GROWTH = 1.5  # factor by which each absence exceeds the one before
+MIN_ABSENCE = 3.0  # seconds that must be allowed, else the gateway stays ready
 MAX_ABSENCE = 12.0  # seconds
 CALM_TIME = 30.0  # seconds with readiness after which the next absence is short again
 AWAY_WINDOW = 60.0  # seconds in which the time without readiness is bounded
@@ -63,7 +64,7 @@
             return
         is_above = self._is_above(now, use, predicted_use)
         self.is_full = is_above or (self.is_full and use >= ROOM_USE)
-        if is_above and is_allowed and self._time_allowed(now) > 0:
+        if is_above and is_allowed and self._time_allowed(now) >= MIN_ABSENCE:
             self._leave(now, use)
 
     def _is_above(self, now: float, use: float, predicted_use: float) -> bool:
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -5,12 +5,14 @@
 import xxhash
 from returns.result import Failure
 
-from bilberryshed.coordination import Shortage, split_point
+from bilberryshed.coordination import Shortage, shard_of, split_point
+from bilberryshed.coordination.admission import LinkDemand
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._dialect import CallerRequest
 from bilberryshed.gateway._forwarder import Forwarder
 from bilberryshed.gateway._job import AttemptOutcome, Job, milliseconds
+from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
 from bilberryshed.gateway._server_limits import ServerLimits
@@ -22,6 +24,9 @@
 MIN_RETRY_AFTER = 0.1  # seconds
 MAX_RETRY_AFTER = 3_600.0  # seconds; a backend server may ask for any time
 RETRY_AFTER_STOPPING = 0.1  # seconds until a caller should retry at another gateway
+MIN_RETRY_AFTER_LINK = 0.02  # seconds; a retry may reach another gateway at once
+RETRY_SPREAD = 0.2  # seconds over which the retries of callers refused for the link are spread
+RETRY_STEPS = 100  # different times of such retries
 RETRY_AFTER_UNFUNDED = 1.0  # seconds until a caller should retry, as tokens may be reachable then
 
 
@@ -44,7 +49,7 @@
 class Admission:
     """Processes callers' requests from validation to settlement."""
 
-    __slots__ = ("context", "funds", "metrics", "streams", "forwarder")
+    __slots__ = ("context", "funds", "metrics", "streams", "link_load", "forwarder")
 
     def __init__(
         self,
@@ -53,12 +58,14 @@
         metrics: GatewayMetrics,
         limits: ServerLimits,
         streams: StreamDirectory,
+        link_load: LinkLoad,
     ) -> None:
         self.context = context
         self.funds = funds
         self.metrics = metrics
         self.streams = streams
-        self.forwarder = Forwarder(context, limits, streams)
+        self.link_load = link_load
+        self.forwarder = Forwarder(context, limits, streams, link_load)
 
     async def respond(self, exchange: CallerExchange) -> Refusal | None:
         """Process a request that has been read completely.
@@ -136,6 +143,8 @@
             origin=origin,
             broken_at=started_at,
         )
+        if self.link_load.must_refuse(_link_demand(job)):
+            return _link_refusal(job)
         admittance = self.context.quarantine.admit(job.fingerprint, job.shared_parts)
         if admittance.wait > 0:
             reason = "requests with this content or part of a prompt crash backend servers"
@@ -248,6 +257,8 @@
 
     def _not_run_refusal(self, job: Job) -> Refusal:
         """Return the refusal of a request that reached no backend server that took it."""
+        if job.is_link_full:
+            return _link_refusal(job)
         reason = f"not run: {job.last_failure or 'no backend server'}"
         if job.admitted_at is None:
             return Refusal(503, "not_run", reason, RETRY_AFTER_UNAVAILABLE)
@@ -258,6 +269,22 @@
         return Refusal(503, "not_run", reason, wait)
 
 
+def _link_demand(job: Job) -> LinkDemand:
+    """Return what a new request needs of the gateway's network link."""
+    priority = job.customer.priority if job.customer else None
+    if priority is None:
+        priority = job.route.priority
+    is_urgent = priority == 0 or bool(job.request.last_event_id)
+    return LinkDemand(job.route.latency_target, job.deadline - job.started_at, is_urgent)
+
+
+def _link_refusal(job: Job) -> Refusal:
+    """Return the refusal of a request for which the link is too full; retries are spread by id."""
+    delay = RETRY_SPREAD * shard_of(job.request.id, RETRY_STEPS) / RETRY_STEPS
+    reason = "not run: the network link of this gateway is full"
+    return Refusal(503, "link", reason, MIN_RETRY_AFTER_LINK + delay)
+
+
 def _fingerprint(request: CallerRequest) -> str:
     """Return a hash that requests with the same key, target and body share."""
     text = f"{request.key}\n{request.method} {request.target}\n".encode()
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -13,6 +13,7 @@
 from bilberryshed.gateway._crash_reports import BrokenRun, CrashReports
 from bilberryshed.gateway._dialect import BackendResponse, Dispatch
 from bilberryshed.gateway._job import AttemptOutcome, BackendLoad, Job, milliseconds
+from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.gateway._read_limits import FIRST_BYTE_FACTOR, ReadLimits
 from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.gateway._stream_directory import StreamDirectory
@@ -21,6 +22,7 @@
 from bilberryshed.transport import (
     BackendConnection,
     ConnectError,
+    ConnectTimeoutError,
     ResponseError,
     logger,
 )
@@ -43,15 +45,21 @@
         "connections",
         "limits",
         "streams",
+        "link_load",
         "crash_reports",
         "read_limits",
         "stream_relay",
     )
 
     def __init__(
-        self, context: GatewayContext, limits: ServerLimits, streams: StreamDirectory
+        self,
+        context: GatewayContext,
+        limits: ServerLimits,
+        streams: StreamDirectory,
+        link_load: LinkLoad,
     ) -> None:
         self.context = context
+        self.link_load = link_load
         self.limits = limits
         self.streams = streams
         self.pool = context.backends
@@ -83,6 +91,8 @@
         now = self.context.timers.now()
         if job.deadline - now < MIN_TIME_LEFT or job.refused > MAX_REFUSED_CONNECTIONS:
             return False
+        if not self.link_load.may_dispatch():
+            return False
         if result is AttemptOutcome.TIMEOUT or (
             result is not AttemptOutcome.NOT_RUN and not job.route.retryable
         ):
@@ -206,6 +216,9 @@
         )
 
     async def _acquire_connection(self, job: Job, view: BackendView) -> BackendConnection | None:
+        """Return a connection, ``None`` if there is none or the own link is too full to use it."""
+        if not self._may_dispatch(job):
+            return None
         now = self.context.timers.now()
         idle_fraction = 1.0 if job.route.retryable else NON_RETRYABLE_IDLE_FRACTION
         connection = None
@@ -215,14 +228,29 @@
             return connection
         try:
             address = Address.parse(view.server.address)
-            return await self.connections.open(view.server.id, address, CONNECT_TIMEOUT)
+            connection = await self.connections.open(view.server.id, address, CONNECT_TIMEOUT)
+            if self._may_dispatch(job):
+                return connection
+            connection.abort()
+            return None
         except (ConnectError, ValueError) as error:
-            self.pool.on_connection_refused(self.context.timers.now(), view)
+            is_own = isinstance(error, ConnectTimeoutError) and self.link_load.delays_connections
+            if not is_own:
+                self.pool.on_connection_refused(self.context.timers.now(), view)
             job.refused += 1
             job.last_failure = f"channel refused: {error}"
             self._log(job, "connection_refused", error=str(error), refused=view.refused_connections)
             return None
 
+    def _may_dispatch(self, job: Job) -> bool:
+        """Whether a request leaves the own link soon enough to be sent."""
+        if self.link_load.may_dispatch():
+            return True
+        job.is_link_full = True
+        job.last_failure = "the network link of this gateway is full"
+        self._log(job, "link_wait")
+        return False
+
     async def _send_and_relay(
         self, job: Job, view: BackendView, connection: BackendConnection
     ) -> AttemptOutcome:
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -93,7 +93,7 @@
         self.exchanges: set[CallerExchange] = set()
         self.metrics = GatewayMetrics(self.context)
         self.admission = Admission(
-            self.context, self.funds, self.metrics, self.limits, self.streams
+            self.context, self.funds, self.metrics, self.limits, self.streams, self.link_load
         )
 
     # Lifecycle ------------------------------------------------------------------------------
--- a/src/bilberryshed/gateway/_link_load.py
+++ b/src/bilberryshed/gateway/_link_load.py
@@ -5,12 +5,21 @@
 
 from tornado.httpserver import HTTPServer
 
-from bilberryshed.coordination.admission import LinkPeers, LinkReadiness, LinkState
+from bilberryshed.coordination.admission import (
+    FULL_USE,
+    LinkDemand,
+    LinkPeers,
+    LinkReadiness,
+    LinkState,
+    longest_wait,
+)
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.protocol import LinkStateNotice
 from bilberryshed.transport import Link, logger
 
 CHECK_INTERVAL = 0.1  # seconds between updates of the meter
+MAX_DISPATCH_WAIT = 0.5  # seconds; bytes that wait longer may arrive at a server that has left
+FULL_WAIT = 0.05  # seconds of waiting bytes from which the link may make a connection time out
 RENEWAL_INTERVAL = 2.0  # seconds between notices of a gateway that is full
 
 
@@ -54,6 +63,31 @@
         """Whether the gateway has given up readiness, so that its callers move."""
         return self.is_on and self.readiness.is_away
 
+    def must_refuse(self, demand: LinkDemand) -> bool:
+        """Whether a new request would wait too long for the link."""
+        if not self.is_on:
+            return False
+        now = self.context.timers.now()
+        wait = self.meter.send_wait(now)
+        if wait <= 0.0:
+            return False
+        names, ratio = self._zone_peers(), self.context.settings.link_wait_ratio
+        return wait > longest_wait(demand, ratio, self.peers.have_room(now, names))
+
+    def may_dispatch(self) -> bool:
+        """Whether a request that is written to a backend server now leaves the link soon."""
+        return not self.is_on or self.meter.send_wait(self.context.timers.now()) <= (
+            MAX_DISPATCH_WAIT
+        )
+
+    @property
+    def delays_connections(self) -> bool:
+        """Whether the own link may be why a connection is not opened in time."""
+        if not self.is_on:
+            return False
+        wait = self.meter.send_wait(self.context.timers.now())
+        return self.readiness.is_full or self.meter.use >= FULL_USE or wait >= FULL_WAIT
+
     def check(self, now: float) -> None:
         """Update the meter and decide on readiness.
 
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -55,6 +55,16 @@
             registry=registry,
         )
         self.hubs = Gauge(f"{PREFIX}_hubs", "Hubs known to this gateway", registry=registry)
+        self.link_use = Gauge(
+            f"{PREFIX}_link_use",
+            "Use of the VM's network link, as a share of its capacity",
+            registry=registry,
+        )
+        self.link_wait = Gauge(
+            f"{PREFIX}_link_wait_seconds",
+            "Estimated wait of a byte to be sent over the VM's network link",
+            registry=registry,
+        )
         self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
 
     def render(self) -> bytes:
@@ -63,6 +73,9 @@
         now = self.context.timers.now()
         self.load_age.set(self.context.backends.report_age(now))
         self.hubs.set(len(self.context.hubs.names))
+        if self.context.link_meter.capacity > 0:
+            self.link_wait.set(self.context.link_meter.send_wait(now))
+            self.link_use.set(self.context.link_meter.use)
         views = self.context.backends.views.values()
         self.backends.labels("leaving").set(sum(view.is_leaving for view in views))
         self.backends.labels("avoided").set(sum(view.ejected_until > now for view in views))
--- a/src/bilberryshed/state/_gateway_settings.py
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -39,7 +39,7 @@
     :param cold_slack: requests in one second that they tolerate in addition; cold backend servers
         are protected only if both are set
     :param link_wait_ratio: share of its latency target that a request may wait for the VM's network
-        link, 0 for no limit
+        link; 0: a full link has no effect on admission, dispatch and readiness
     :param pace: whether backend servers that have started or recovered get a growing share of work
     :param store_timeout: timeout of one call to the store
     """
