Link load: tests with four gateways and at dispatch; at most 100 updates of the meter a second

LinkMeter computes its averages at most every 10 ms, however many requests ask for the wait in between.

--- a/features/link_load.feature
+++ b/features/link_load.feature
@@ -80,16 +80,32 @@
       | 1.9  | plain  | none has    | admitted |
       | 2.1  | urgent | none has    | refused  |
 
-  Scenario Outline: A gateway process with a link of 0.5 Mbit/s and link_wait_ratio <ratio>
+  Scenario: One of four gateways is full
+    Guards against gateways that act on their own: the second one that is full has to stay ready.
+
+    Given a platform with 2 model engines and 2 plain servers
+    And 4 gateways in one zone
+    When the link of gateway 1 is full
+    Then gateway 1 is not ready, and answers with Connection: close
+    And the other gateways know that it is away
+    When the link of gateway 2 is full
+    Then gateway 2 is ready, and answers without Connection: close
+
+  Scenario: A gateway process with a link of 0.5 Mbit/s
     Guards against requests that reach a backend server after it has left, as they waited in the link.
 
     Given a platform with 2 model engines and 2 plain servers
-    And a gateway process with a link of 0.5 Mbit/s and link_wait_ratio <ratio>
+    And a gateway process with a link of 0.5 Mbit/s and link_wait_ratio 0.25
     When a caller sends 40 requests of 9,000 bytes
-    Then <outcome>
+    Then some are served, and the others were not run
     And the gateway is ready
+    When the process is sent SIGTERM
+    Then it ends with code 0
+    And its log has a line of key=value pairs for each of: link_wait, refused
 
-    Examples: the only gateway of a zone stays ready
-      | ratio | outcome                                     |
-      | 0.25  | some are served, and the others were not run |
-      | 0     | all are served                              |
+  Scenario: A gateway process with a link of 0.5 Mbit/s and without the limit
+    Given a platform with 2 model engines and 2 plain servers
+    And a gateway process with a link of 0.5 Mbit/s and link_wait_ratio 0
+    When a caller sends 40 requests of 9,000 bytes
+    Then all are served
+    And the gateway is ready
--- a/features/steps/link_load_steps.py
+++ b/features/steps/link_load_steps.py
@@ -205,6 +205,40 @@
     assert not context.is_refused
 
 
+@when("the link of gateway {number:d} is full")
+def when_full(context, number):
+    gateway = context.harness.gateways[f"gate-{number}"]
+
+    async def fill():
+        loop = asyncio.get_running_loop()
+        at, end = loop.time(), loop.time() + 5.0
+        while not gateway.link_load.readiness.is_full and loop.time() < end:
+            await asyncio.sleep(STEP / 2)
+            elapsed, at = loop.time() - at, loop.time()
+            capacity = gateway.context.link_meter.capacity
+            gateway.byte_counter.on_received(round(1.5 * elapsed * capacity))
+        await asyncio.sleep(2 * STEP)  # for the notice
+
+    run(context, fill())
+
+
+@then("gateway {number:d} is {ready}, and answers {how} Connection: close")
+def then_answers(context, number, ready, how):
+    name = f"gate-{number}"
+    assert context.harness.gateways[name].link_load.readiness.is_full
+    assert context.harness.gateways[name].is_ready() == (ready == "ready")
+    response = run(context, context.harness.call("/look/1", name))
+    assert response.status == 200, response.status
+    closes = response.headers.get("connection", "") == "close"
+    assert closes == (how == "with"), response.headers
+
+
+@then("the other gateways know that it is away")
+def then_known(context):
+    for name in ("gate-2", "gate-3", "gate-4"):
+        assert context.harness.gateways[name].link_load.peers.states["gate-1"].is_away
+
+
 @given("a gateway process with a link of {bandwidth} Mbit/s and link_wait_ratio {ratio}")
 def given_process(context, bandwidth, ratio):
     run(context, context.harness.close_gateways())
--- a/src/bilberryshed/coordination/admission/_link_meter.py
+++ b/src/bilberryshed/coordination/admission/_link_meter.py
@@ -6,6 +6,7 @@
 BITS_PER_MEGABIT = 1_000_000
 USE_WINDOW = 0.5  # seconds over which the use of the link is averaged
 TREND_WINDOW = 0.2  # seconds over which the use is averaged that the other average approaches
+MIN_UPDATE_INTERVAL = 0.01  # seconds; bounds the cost of updates at a high rate of requests
 PACKET_HEADER_BYTES = 54  # bytes of the Ethernet, IP and TCP headers of one packet
 PACKET_BYTES = 1460  # bytes of data in one packet
 
@@ -93,8 +94,12 @@
 
     def send_wait(self, now: float) -> float:
         """Return the seconds for which a byte that is written now waits."""
-        self.update(now)
-        return self.sent.queued / self.capacity
+        elapsed = now - self.updated_at
+        if elapsed >= MIN_UPDATE_INTERVAL:
+            self.update(now)
+            return self.sent.queued / self.capacity
+        new = self.counter.sent - self.sent.total
+        return max(0.0, (self.sent.queued + new) / self.capacity - max(0.0, elapsed))
 
     @property
     def use(self) -> float:
