Route tables reach gateways with narrow links through their hub, compressed

Cause: each version of a table is read in full from the store. With 1,650 routes that is about 700 kB; on a link of 5 Mbit/s the call times out after 2 s beside requests, and starts again. Such gateways served nearly nothing for 10 s. Change: members of a hub leave the store alone while their hub reaches it, and ask it for announced versions; a call that reads from the store times out only if no byte arrives. Run: store_restored, platform, gateway and hubs features, passed.

--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import zlib
 from collections.abc import Callable
 
 from returns.result import Failure
 
 from bilberryshed.coordination import BackendRegistry, RouteIndex
+from bilberryshed.coordination.distribution import TableFetch, TableSource
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.protocol import (
     BackendEntry,
@@ -22,6 +24,9 @@
 ERROR_BACKOFF = 0.15  # seconds between a failed call and the next one
 ROUTE_TABLE_LONG_POLL = 1.0  # seconds that a call waits for a change of the route table
 PEER_FETCH_DELAY = 0.3  # seconds for the store to deliver a table before a peer is queried
+PAUSE_CHECK_INTERVAL = 0.1  # seconds between checks whether a paused follower may go on
+FETCH_INTERVAL = 0.05  # seconds between checks for a table that a peer is to send
+MAX_TABLE_BYTES = 256 * 1024 * 1024  # bytes of a table that a peer sends; a larger one is damaged
 SERVER_POLL_INTERVAL = 0.4  # seconds between reads of the backend servers
 EXPIRY_CHECK_INTERVAL = 0.2  # seconds between checks for entries that did not reappear
 
@@ -36,6 +41,7 @@
     :param poll_interval: seconds between calls
     :param on_changes: called with each batch of changes
     :param on_outage: called when the store does not respond
+    :param is_paused: whether changes reach the gateway in another way for now
     :param version: version of the table as last read, -1 if a snapshot is to be read
     :param epoch: epoch of the store in which it was read
     :param store_up: whether the store responded to the last call
@@ -51,6 +57,7 @@
         "poll_interval",
         "on_changes",
         "on_outage",
+        "is_paused",
         "version",
         "epoch",
         "store_up",
@@ -68,6 +75,7 @@
         poll_interval: float,
         on_changes: Callable[[ChangeBatch], None],
         on_outage: Callable[[], None],
+        is_paused: Callable[[], bool] = lambda: False,
     ) -> None:
         self.context = context
         self.table = table
@@ -75,6 +83,7 @@
         self.poll_interval = poll_interval
         self.on_changes = on_changes
         self.on_outage = on_outage
+        self.is_paused = is_paused
         self.version = -1
         self.epoch = 0
         self.store_up = True
@@ -104,6 +113,9 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            if self.version >= 0 and self.is_paused():
+                await asyncio.sleep(PAUSE_CHECK_INTERVAL)
+                continue
             feed = self.context.ports.feed
             self.begun += 1
             self.begun_at = self.context.timers.now()
@@ -144,23 +156,53 @@
 class RouteTableUpdater:
     """Activates the newest route table from the store or a peer.
 
-    :param newest_announced: newest version that a peer has announced
+    On a narrow network link the hub sends the tables instead, see :class:`TableSource`.
+
+    :param source: choice between the store and the hub
+    :param fetch: versions that peers have announced
     :param fetching: whether a request to a peer is scheduled
+    :param compressed: version and compressed bytes of the table sent last
+    :param from_hub: whether the hub sends the tables, as last logged
     """
 
     def __init__(self, context: GatewayContext, on_table: Callable[[], None]) -> None:
         self.context = context
         self.on_table = on_table
-        self.newest_announced = 0
+        self.source = TableSource(context.settings.bandwidth)
+        self.fetch = TableFetch()
         self.fetching = False
+        self.compressed = (-1, b"")
+        self.from_hub = False
 
     def follower(self) -> TableFollower:
         """Return a follower of the route table in the store."""
         name = self.context.ports.route_table
         return TableFollower(
-            self.context, name, ROUTE_TABLE_LONG_POLL, 0.0, self._on_changes, lambda: None
+            self.context,
+            name,
+            ROUTE_TABLE_LONG_POLL,
+            0.0,
+            self._on_changes,
+            lambda: None,
+            self._uses_hub,
         )
 
+    def _uses_hub(self) -> bool:
+        """Whether the hub sends the tables, so that the store need not be read."""
+        context, hubs = self.context, self.context.hubs
+        has_store = hubs.own in context.peer_links and hubs.own in context.peers_with_store
+        is_behind = self.fetch.is_behind(context.timers.now(), self.version())
+        uses_hub = self.source.uses_hub(len(context.table_data), hubs.is_hub, has_store, is_behind)
+        if uses_hub != self.from_hub:
+            self.from_hub = uses_hub
+            logger().info(
+                "route_table_source",
+                hub=hubs.own if uses_hub else None,
+                behind=is_behind,
+                bytes=len(context.table_data),
+            )
+        return uses_hub
+
     def _on_changes(self, changes: ChangeBatch) -> None:
         for row in changes.rows:
             if row.key == self.context.ports.route_key and row.data is not None:
@@ -177,29 +219,46 @@
 
     def on_version(self, link: Link, message: RouteTableVersion) -> None:
         """Request a newer table from a peer unless the store delivers it soon."""
-        self.newest_announced = max(self.newest_announced, message.version)
+        self.fetch.on_version(self.context.timers.now(), link.peer.name, message.version)
         if message.version > self.version() and not self.fetching:
             self.fetching = True
-            self.context.spawn(self._fetch(link))
+            self.context.spawn(self._fetch())
 
-    async def _fetch(self, link: Link) -> None:
+    async def _fetch(self) -> None:
+        """Ask peers, one after another, until the newest announced table is active."""
         try:
-            if self.context.index is not None:
+            if self.context.index is not None and not self.from_hub:
                 await asyncio.sleep(PEER_FETCH_DELAY)
-            if self.newest_announced > self.version():
-                link.send(RouteTableRequest(self.version()))
+            while self.fetch.newest > self.version() and not self.context.closing:
+                self._ask_next()
+                await asyncio.sleep(FETCH_INTERVAL)
         finally:
             self.fetching = False
 
+    def _ask_next(self) -> None:
+        links, now = self.context.peer_links, self.context.timers.now()
+        name = self.fetch.next_gateway(now, self.version(), self.context.hubs.own, links)
+        if name is not None:
+            links[name].send(RouteTableRequest(self.version()))
+
     def on_request(self, link: Link, request: RouteTableRequest) -> None:
         """Send the active table to a peer that has an older one."""
-        if self.version() > request.known:
-            link.send(RouteTableResponse(self.version(), self.context.table_data))
+        if self.version() <= request.known:
+            return
+        if self.compressed[0] != self.version():
+            self.compressed = (self.version(), zlib.compress(self.context.table_data))
+        link.send(RouteTableResponse(*self.compressed))
 
     def on_response(self, link: Link, response: RouteTableResponse) -> None:
         """Install a table that a peer forwards."""
-        if response.version > self.version():
-            self.install(response.data, link.peer.name)
+        if response.version <= self.version():
+            return
+        try:
+            data = zlib.decompressobj().decompress(response.data, MAX_TABLE_BYTES)
+        except zlib.error as error:
+            logger().error("route_table_damaged", peer=link.peer.name, error=str(error))
+            return
+        self.install(data, link.peer.name)
 
     def install(self, data: bytes, source: str) -> None:
         """Activate a table if it can be decoded and is newer than the active one."""
--- a/src/bilberryshed/platform/_store.py
+++ b/src/bilberryshed/platform/_store.py
@@ -2,9 +2,12 @@
 
 import base64
 import json
+import math
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
+import pycurl
 from returns.result import Failure, Result, Success
 from tornado.httpclient import HTTPRequest
 
@@ -27,6 +30,7 @@
 MS_PER_SECOND = 1000
 PAGE_SIZE = 500  # maximum rows in one response
 CONNECT_TIMEOUT = 0.4  # seconds
+MAX_TRANSFER_TIME = 8.0  # seconds that a response of the store may take while its bytes arrive
 ERA_HEADER = "Store-Era"  # rises whenever the store comes back from a copy
 
 RESTORED_MEANWHILE = StoreError(False, "the store was restored from a copy during the read")
@@ -179,13 +183,15 @@
         expected_statuses: tuple[int, ...] = (),
         wait: float = 0.0,
     ) -> Result[Reply, StoreError]:
+        limit = self.timeout + wait
         request = HTTPRequest(
             self.base_url + path,
             method=method,
             headers={"Content-Type": "application/json"} if body is not None else None,
             body=json.dumps(body) if body is not None else None,
-            request_timeout=self.timeout + wait,
+            request_timeout=limit + (0.0 if body is not None else MAX_TRANSFER_TIME),
             connect_timeout=CONNECT_TIMEOUT,
+            prepare_curl_callback=None if body is not None else _time_out_silent(limit),
         )
         is_write = body is not None
         try:
@@ -225,6 +231,20 @@
         return epoch == self.latest_epoch
 
 
+def _time_out_silent(seconds: float) -> Callable[[pycurl.Curl], None]:
+    """Have a call fail after some seconds without a byte, however long a response takes.
+
+    A large row takes longer than a call may be silent on a VM with a narrow network link; a call
+    that timed out meanwhile would transfer the row from its start again and again.
+    """
+
+    def prepare(curl: pycurl.Curl) -> None:
+        curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+        curl.setopt(pycurl.LOW_SPEED_TIME, math.ceil(seconds))
+
+    return prepare
+
+
 def _row_address(ref: RowRef) -> dict[str, str]:
     return {"tableName": ref.table, "part": "", "key": ref.key}
 
--- a/src/bilberryshed/protocol/_peer_messages.py
+++ b/src/bilberryshed/protocol/_peer_messages.py
@@ -53,13 +53,13 @@
     known: int
 
 
-@register_message(52)
+@register_message(110)
 @dataclass(slots=True, frozen=True)
 class RouteTableResponse:
-    """Response to :class:`RouteTableRequest` with the sender's active table, as stored.
+    """Response to :class:`RouteTableRequest` with the sender's active table.
 
     :param version: version of the table
-    :param data: stored bytes of the table
+    :param data: stored bytes of the table, compressed with zlib
     """
 
     version: int
