Equal servers are spread over the gateways by rendezvous hashing

Cause: placement broke ties by the lowest id, so gateways that decided between two load reports chose the same server: 24 of 24 plain requests at 24 gateways went to one of 6 or 10 idle servers.

Change: placement is a package of its own. Ties go to the server with the highest rendezvous weight for the gateway's name. The weight is computed when a server is added, not for each decision. placement_steps.py patches a constant by its new module; what it asserts is unchanged.

--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -4,14 +4,14 @@
 
 from behave import given, then, when
 
-from bilberryshed.coordination import _placement
+from bilberryshed.coordination.placement import _choice
 from bilberryshed_load._replay import PoolPlacement, placements, replay
 
 SEED = 1
 OWN_POLICY = "bilberryshed"
 ABLATIONS = {
     "load notices": (PoolPlacement, "exchange_notices", lambda policy, now: None),
-    "weight of repeated prefill": (_placement, "REPREFILL_WEIGHT", 0),
+    "weight of repeated prefill": (_choice, "REPREFILL_WEIGHT", 0),
 }
 
 
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -8,8 +8,9 @@
 from collections.abc import Iterable
 
 from bilberryshed.coordination._backend_view import BackendDemand, BackendView, InFlightRequest
-from bilberryshed.coordination._placement import place_plain, place_prompt, prefill_tokens
+from bilberryshed.coordination._rendezvous import weight
 from bilberryshed.coordination._self_reports import SelfReports, is_same_process
+from bilberryshed.coordination.placement import place_plain, place_prompt, prefill_tokens
 from bilberryshed.protocol import LoadNotice, LoadSummary, PrefixSent, ServerLoad
 from bilberryshed.state import BackendServer
 
@@ -42,14 +43,24 @@
     """One router's views of the backend servers, by id.
 
     :param zone: availability zone of this router, preferred for plain requests
+    :param name: name of this router, which spreads its choices among equal backend servers
     :param reported_at: monotonic time of each peer's last report, in seconds
     :param self_reports: what backend servers have said of themselves
     """
 
-    __slots__ = ("zone", "views", "peer_loads", "reported_at", "new_prefixes", "self_reports")
-
-    def __init__(self, zone: str) -> None:
+    __slots__ = (
+        "zone",
+        "name",
+        "views",
+        "peer_loads",
+        "reported_at",
+        "new_prefixes",
+        "self_reports",
+    )
+
+    def __init__(self, zone: str, name: str = "") -> None:
         self.zone = zone
+        self.name = name
         self.views: dict[str, BackendView] = {}
         self.peer_loads: dict[str, tuple[ServerLoad, ...]] = {}
         self.reported_at: dict[str, float] = {}
@@ -122,7 +133,7 @@
                 removed.append(view)
                 del self.views[id_]
         for id_, server in servers.items():
-            view = self.views.setdefault(id_, BackendView(server))
+            view = self.views.get(id_) or self._add_view(server)
             if server.sequence != view.server.sequence and view.refused_connections:
                 view.refused_connections = 0
                 view.backoff_until = 0.0
@@ -132,6 +143,11 @@
             self._sum_peer_loads()
         return removed
 
+    def _add_view(self, server: BackendServer) -> BackendView:
+        view = BackendView(server, tie_rank=weight(self.name, server.id))
+        self.views[server.id] = view
+        return view
+
     def _apply_self_report(self, view: BackendView, server: BackendServer) -> None:
         report = self.self_reports.get(server)
         view.says_leaving, view.quiet_until = report.is_leaving, report.quiet_until
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -29,6 +29,7 @@
 class BackendView:
     """One router's view of a backend server.
 
+    :param tie_rank: preference of this router among equal backend servers, highest first
     :param running: requests of this router that run there
     :param work: tokens of these requests, with outputs weighted
     :param unread: tokens of their prompts that are not yet prefilled
@@ -52,6 +53,7 @@
     """
 
     server: BackendServer
+    tie_rank: int = 0
     running: int = 0
     work: int = 0
     unread: int = 0
--- a/src/bilberryshed/coordination/_placement.py
+++ b/src/bilberryshed/coordination/placement/_choice.py
@@ -15,8 +15,12 @@
 
 
 def place_plain(views: Sequence[BackendView], zone: str) -> BackendView:
-    """Choose for a request without a prompt: the fewest requests, then the same zone."""
-    return min(views, key=lambda v: (v.total_running, v.server.zone != zone, v.server.id))
+    """Choose for a request without a prompt: the fewest requests, then the same zone.
+
+    Ties go to another backend server at each router. By the lowest id, all routers that decide
+    between two load reports would choose the same one.
+    """
+    return min(views, key=lambda v: (v.total_running, v.server.zone != zone, -v.tie_rank))
 
 
 def place_prompt(now: float, views: Sequence[BackendView], demand: BackendDemand) -> BackendView:
@@ -30,10 +34,11 @@
     """
     underloaded = _underloaded(views, demand)
     if not underloaded:
-        return min(views, key=lambda view: view.total_work)
+        return min(views, key=lambda view: (view.total_work, -view.tie_rank))
     home = owner(demand.affinity, (view.server.id for view in underloaded))
     return min(
-        underloaded, key=lambda view: (_cost(now, view, demand, home), view.server.id != home)
+        underloaded,
+        key=lambda v: (_cost(now, v, demand, home), v.server.id != home, -v.tie_rank),
     )
 
 
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -92,7 +92,7 @@
         self.boot = new_boot_id(settings.name)
         self.timers = TimerService(phase=shard_of(self.boot, PHASES) / PHASES)
         self.metrics = Metrics(settings.statsd, "bilberryshed.gateway")
-        self.backends = BackendPool(settings.zone)
+        self.backends = BackendPool(settings.zone, settings.name)
         self.connections = ConnectionPool()
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_window, settings.retry_slack
--- a/src/bilberryshed_load/_replay.py
+++ b/src/bilberryshed_load/_replay.py
@@ -228,7 +228,7 @@
     def __init__(self, engines: list[str], rng: random.Random) -> None:
         super().__init__(engines, rng)
         servers = {id_: BackendServer(id_, "model", id_, "quay", SLOTS, False) for id_ in engines}
-        self.pools = [BackendPool("quay") for _ in range(ROUTERS)]
+        self.pools = [BackendPool("quay", f"router-{n}") for n in range(ROUTERS)]
         for pool in self.pools:
             pool.set_servers(servers)
         self.in_flight: dict[int, InFlightRequest] = {}
