Requests are not placed on servers without room in memory for them

Cause: prompts of one prefix stay on one server, which crashes if the prompts and outputs that it holds exceed its memory (kvCapacityTokens). Placement did not look at it.

Change: servers on which a request's prompt and longest output, with those of all gateways, would exceed the memory are left out while others have room.

--- a/features/steps/uneven_servers_steps.py
+++ b/features/steps/uneven_servers_steps.py
@@ -6,8 +6,15 @@
 
 from behave import given, then, when
 
-from bilberryshed.coordination import BackendDemand, BackendPool, _backend_pool, owner
+from bilberryshed.coordination import (
+    OUTPUT_WEIGHT,
+    BackendDemand,
+    BackendPool,
+    _backend_pool,
+    owner,
+)
 from bilberryshed.coordination.placement import _choice
+from bilberryshed.protocol import LoadNotice
 from bilberryshed.state import BackendServer
 from bilberryshed_load._replay import replay
 
@@ -125,3 +132,30 @@
 def then_ordinary(context):
     slow = next(iter(context.pool.views.values()))
     assert slow.estimate.slowness == 1, slow.estimate
+
+
+@given("2 gateways that report their load, and servers with memory for {capacity:d} tokens: {ids}")
+def given_memory(context, capacity, ids):
+    context.pools = [build_pool(f"gate-{n}", ids.split(",")) for n in range(2)]
+    context.capacity = capacity
+
+
+@when(
+    "{count:d} prompts of one prefix that hold {tokens:d} tokens each run at the gateways in turn"
+)
+def when_prompts_run(context, count, tokens):
+    output = tokens // 10
+    prompt = tokens - output
+    work = prompt + OUTPUT_WEIGHT * output
+    demand = BackendDemand("hot", work, prompt, 0, tokens, context.capacity)
+    context.held = Counter()
+    for number in range(count):
+        sender, receiver = context.pools[number % 2], context.pools[1 - number % 2]
+        context.held[place(sender, demand).view.server.id] += tokens
+        notice = LoadNotice(sender.loads(), sender.pop_new_prefixes())
+        receiver.on_load_notice(NOW, sender.name, notice)
+
+
+@then("the server with the most holds {most:d} tokens at most")
+def then_held(context, most):
+    assert max(context.held.values()) <= most, context.held
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -49,3 +49,17 @@
     Given 40 answers of each of 3 servers at paces 2,1,1 with deviations of 0 percent
     When only the others answer for 40 s
     Then the slow server counts as an ordinary one
+
+  Scenario Outline: A hot prefix does not exceed the memory of its server: <case>
+    A server crashes if the prompts and outputs that it holds exceed its memory.
+
+    Given 2 gateways that report their load, and servers with memory for <capacity> tokens: a,b,c
+    When <count> prompts of one prefix that hold <tokens> tokens each run at the gateways in turn
+    Then the server with the most holds <most> tokens at most
+
+    Examples:
+      | case              | capacity | count | tokens | most  |
+      | a prefix spreads  | 10000    | 9     | 3000   | 9000  |
+      | two fit           | 2500     | 6     | 1000   | 2000  |
+      | all are full      | 2500     | 7     | 1000   | 3000  |
+      | no limit is known | 0        | 6     | 1000   | 6000  |
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -15,6 +15,7 @@
     place_prompt,
     prefill_tokens,
     update_paces,
+    with_room,
 )
 from bilberryshed.protocol import LoadNotice, LoadSummary, PrefixSent, ServerLoad
 from bilberryshed.state import BackendServer
@@ -203,9 +204,10 @@
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
+        roomy = with_room(healthy, demand)
         if demand.affinity:
-            return place_prompt(now, healthy, demand)
-        return place_plain(healthy, self.zone)
+            return place_prompt(now, roomy, demand)
+        return place_plain(roomy, self.zone)
 
     def next_admission(self, now: float, service: str, tried: frozenset[str]) -> float | None:
         """Return the earliest time at which a backend server takes requests by what it has said.
@@ -227,6 +229,7 @@
             view.limited_until = max(view.limited_until, now + RESUME_INTERVAL)
         view.running += 1
         view.work += demand.work
+        view.held += demand.held
         view.unread += request.unread
         if demand.affinity:
             if not view.has_cached(now, demand.affinity):
@@ -251,6 +254,7 @@
         self.on_prefill_done(request)
         request.view.running -= 1
         request.view.work -= request.demand.work
+        request.view.held -= request.demand.held
 
     def on_connection_refused(self, now: float, view: BackendView) -> None:
         """Back off exponentially after a connection that could not be opened."""
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -18,12 +18,16 @@
     :param work: weighted sum of prompt and output tokens; 1 for a plain request
     :param shared: tokens of the shared prefix, which are prefilled unless the server has it cached
     :param own: tokens of the prompt that are prefilled in any case
+    :param held: tokens of the prompt and the longest output, which stay in the server's memory
+    :param capacity: tokens that fit into the memory of a server, 0 if that is no limit
     """
 
     affinity: str
     work: int
     shared: int = 0
     own: int = 0
+    held: int = 0
+    capacity: int = 0
 
 
 @dataclass(slots=True)
@@ -35,6 +39,7 @@
     :param running: requests of this router that run there
     :param work: tokens of these requests, with outputs weighted
     :param unread: tokens of their prompts that are not yet prefilled
+    :param held: tokens that they hold in its memory at most
     :param peers_running: requests of other routers, according to their last reports
     :param peers_work: tokens of these requests, with outputs weighted
     :param peers_unread: tokens of their prompts that are not yet prefilled
@@ -60,6 +65,7 @@
     running: int = 0
     work: int = 0
     unread: int = 0
+    held: int = 0
     peers_running: int = 0
     peers_work: int = 0
     peers_unread: int = 0
--- a/src/bilberryshed/coordination/placement/__init__.py
+++ b/src/bilberryshed/coordination/placement/__init__.py
@@ -2,5 +2,13 @@
 
 from bilberryshed.coordination.placement._choice import place_plain, place_prompt, prefill_tokens
 from bilberryshed.coordination.placement._estimate import ServerEstimate, update_paces
+from bilberryshed.coordination.placement._memory import with_room
 
-__all__ = ["ServerEstimate", "place_plain", "place_prompt", "prefill_tokens", "update_paces"]
+__all__ = [
+    "ServerEstimate",
+    "place_plain",
+    "place_prompt",
+    "prefill_tokens",
+    "update_paces",
+    "with_room",
+]
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -162,7 +162,9 @@
         shared = prompt.parts[:-1] or prompt.parts
         affinity = shared[-1] if shared else ""
         work = prompt.tokens + OUTPUT_WEIGHT * prompt.max_output
-        return BackendDemand(affinity, work, prompt.shared, max(0, prompt.tokens - prompt.shared))
+        own = max(0, prompt.tokens - prompt.shared)
+        held = prompt.tokens + prompt.max_output
+        return BackendDemand(affinity, work, prompt.shared, own, held, self.service.cache_tokens)
 
 
 def milliseconds(seconds: float) -> int:
