A test that the first data of a stream is observed by the speed estimate

It guards against a gateway that never learns speeds, and against a second observation of the same prompt. It uses the relay with small fakes, without a network.

--- a/features/steps/uneven_servers_steps.py
+++ b/features/steps/uneven_servers_steps.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from types import SimpleNamespace
 from unittest import mock
 
 from behave import given, then, when
@@ -14,6 +15,7 @@
     owner,
 )
 from bilberryshed.coordination.placement import _choice
+from bilberryshed.gateway._stream_relay import StreamRelay
 from bilberryshed.protocol import LoadNotice
 from bilberryshed.state import BackendServer
 from bilberryshed_load._replay import replay
@@ -159,3 +161,23 @@
 @then("the server with the most holds {most:d} tokens at most")
 def then_held(context, most):
     assert max(context.held.values()) <= most, context.held
+
+
+@when(
+    "a stream of the first server begins {seconds:g} s after a prompt of {tokens:d} tokens "
+    "was sent there"
+)
+def when_stream_begins(context, seconds, tokens):
+    context.view = next(iter(context.pool.views.values()))
+    run = context.pool.begin(NOW, context.view, BackendDemand("", tokens, 0, tokens))
+    timers = SimpleNamespace(now=lambda: NOW + seconds)
+    gateway = SimpleNamespace(backends=context.pool, timers=timers, on_load_change=lambda: None)
+    relay = StreamRelay(gateway, None, None)
+    for _ in range(2):  # only the first data counts
+        relay._note_data(SimpleNamespace(run=run, sent_at=NOW))
+
+
+@then("{count:d} answers of that server are known, and none of its prompt tokens is unread")
+def then_known(context, count):
+    assert context.view.estimate.answers == count, context.view.estimate
+    assert context.view.unread == 0, context.view
--- a/features/uneven_servers.feature
+++ b/features/uneven_servers.feature
@@ -63,3 +63,10 @@
       | two fit           | 2500     | 6     | 1000   | 2000  |
       | all are full      | 2500     | 7     | 1000   | 3000  |
       | no limit is known | 0        | 6     | 1000   | 6000  |
+
+  Scenario: The first data of a stream is an observation of its server's speed
+    Without it, a gateway would never learn.
+
+    Given 5 answers of each of 3 servers at paces 1,1,1 with deviations of 0 percent
+    When a stream of the first server begins 0.2 s after a prompt of 9000 tokens was sent there
+    Then 6 answers of that server are known, and none of its prompt tokens is unread
