--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -5,11 +5,18 @@
 the failure rate of real requests (passive health checks), not by probes.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from bilberryshed.coordination._backend_view import BackendDemand, BackendView, InFlightRequest
-from bilberryshed.coordination._placement import place_plain, place_prompt, prefill_tokens
+from bilberryshed.coordination._rendezvous import weight
 from bilberryshed.coordination._self_reports import SelfReports, is_same_process
+from bilberryshed.coordination.placement import (
+    place_plain,
+    place_prompt,
+    prefill_tokens,
+    update_paces,
+    with_room,
+)
 from bilberryshed.protocol import LoadNotice, LoadSummary, PrefixSent, ServerLoad
 from bilberryshed.state import BackendServer
 
@@ -42,14 +49,24 @@
     """One router's views of the backend servers, by id.
 
     :param zone: availability zone of this router, preferred for plain requests
+    :param name: name of this router, which spreads its choices among equal backend servers
     :param reported_at: monotonic time of each peer's last report, in seconds
     :param self_reports: what backend servers have said of themselves
     """
 
-    __slots__ = ("zone", "views", "peer_loads", "reported_at", "new_prefixes", "self_reports")
-
-    def __init__(self, zone: str) -> None:
+    __slots__ = (
+        "zone",
+        "name",
+        "views",
+        "peer_loads",
+        "reported_at",
+        "new_prefixes",
+        "self_reports",
+    )
+
+    def __init__(self, zone: str, name: str = "") -> None:
         self.zone = zone
+        self.name = name
         self.views: dict[str, BackendView] = {}
         self.peer_loads: dict[str, tuple[ServerLoad, ...]] = {}
         self.reported_at: dict[str, float] = {}
@@ -122,7 +139,7 @@
                 removed.append(view)
                 del self.views[id_]
         for id_, server in servers.items():
-            view = self.views.setdefault(id_, BackendView(server))
+            view = self.views.get(id_) or self._add_view(server)
             if server.sequence != view.server.sequence and view.refused_connections:
                 view.refused_connections = 0
                 view.backoff_until = 0.0
@@ -132,6 +149,17 @@
             self._sum_peer_loads()
         return removed
 
+    def _add_view(self, server: BackendServer) -> BackendView:
+        view = BackendView(server, tie_rank=weight(self.name, server.id))
+        for other in self._of_service(server.service):
+            view.estimate.service_pace = other.estimate.service_pace
+            break
+        self.views[server.id] = view
+        return view
+
+    def _of_service(self, service: str) -> Iterator[BackendView]:
+        return (view for view in self.views.values() if view.server.service == service)
+
     def _apply_self_report(self, view: BackendView, server: BackendServer) -> None:
         report = self.self_reports.get(server)
         view.says_leaving, view.quiet_until = report.is_leaving, report.quiet_until
@@ -176,9 +204,10 @@
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
+        roomy = with_room(healthy, demand)
         if demand.affinity:
-            return place_prompt(now, healthy, demand)
-        return place_plain(healthy, self.zone)
+            return place_prompt(now, roomy, demand)
+        return place_plain(roomy, self.zone)
 
     def next_admission(self, now: float, service: str, tried: frozenset[str]) -> float | None:
         """Return the earliest time at which a backend server takes requests by what it has said.
@@ -192,11 +221,15 @@
 
     def begin(self, now: float, view: BackendView, demand: BackendDemand) -> InFlightRequest:
         """Add a request to the in-flight load of a backend server."""
-        request = InFlightRequest(view, demand, prefill_tokens(now, view, demand))
+        prefill = prefill_tokens(now, view, demand)
+        # The prompt at the head of the queue is half prefilled on average, and counts in full.
+        ahead = max(view.total_unread - prefill // 2, 0)
+        request = InFlightRequest(view, demand, prefill, ahead + prefill)
         if now < view.quiet_until + RESUME_TIME:
             view.limited_until = max(view.limited_until, now + RESUME_INTERVAL)
         view.running += 1
         view.work += demand.work
+        view.held += demand.held
         view.unread += request.unread
         if demand.affinity:
             if not view.has_cached(now, demand.affinity):
@@ -204,6 +237,13 @@
             view.record_prefix_sent(now, demand.affinity)
         return request
 
+    def on_first_event(self, now: float, request: InFlightRequest, sent_at: float) -> None:
+        """Learn from the time from sending a prompt, at ``sent_at``, to its first event."""
+        view = request.view
+        if view.estimate.observe(now, now - sent_at, request.until_first):
+            update_paces(now, [v.estimate for v in self._of_service(view.server.service)])
+        self.on_prefill_done(request)
+
     def on_prefill_done(self, request: InFlightRequest) -> None:
         """Record that the prompt of a request is prefilled, as its first event has arrived."""
         request.view.unread -= request.unread
@@ -214,6 +254,7 @@
         self.on_prefill_done(request)
         request.view.running -= 1
         request.view.work -= request.demand.work
+        request.view.held -= request.demand.held
 
     def on_connection_refused(self, now: float, view: BackendView) -> None:
         """Back off exponentially after a connection that could not be opened."""
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -95,7 +95,7 @@
         self.metrics = Metrics(settings.statsd, "bilberryshed.gateway")
         self.byte_counter = ByteCounter()
         self.link_meter = LinkMeter(self.byte_counter, settings.bandwidth)
-        self.backends = BackendPool(settings.zone)
+        self.backends = BackendPool(settings.zone, settings.name)
         self.connections = ConnectionPool(self.byte_counter)
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_window, settings.retry_slack
