--- a/src/bilberryshed/gateway/_link_load.py
+++ b/src/bilberryshed/gateway/_link_load.py
@@ -77,9 +77,9 @@
 
     def may_dispatch(self) -> bool:
         """Whether a request that is written to a backend server now leaves the link soon."""
-        return not self.is_on or self.meter.send_wait(self.context.timers.now()) <= (
-            MAX_DISPATCH_WAIT
-        )
+        if not self.is_on:
+            return True
+        return self.meter.send_wait(self.context.timers.now()) <= MAX_DISPATCH_WAIT
 
     @property
     def delays_connections(self) -> bool:
@@ -128,7 +128,7 @@
 
     def _send_notice(self, now: float) -> None:
         self.noticed_at = now
-        self.context.broadcast(self._notice())
+        self.context.send_to(self._zone_peers(), self._notice())
 
     def _notice(self) -> LinkStateNotice:
         now = self.context.timers.now()
