--- a/src/bilberryshed/gateway/_link_load.py
+++ b/src/bilberryshed/gateway/_link_load.py
@@ -7,6 +7,7 @@
 
 from bilberryshed.coordination.admission import (
     FULL_USE,
+    ROOM_USE,
     LinkDemand,
     LinkPeers,
     LinkReadiness,
@@ -76,9 +77,9 @@
 
     def may_dispatch(self) -> bool:
         """Whether a request that is written to a backend server now leaves the link soon."""
-        return not self.is_on or self.meter.send_wait(self.context.timers.now()) <= (
-            MAX_DISPATCH_WAIT
-        )
+        if not self.is_on:
+            return True
+        return self.meter.send_wait(self.context.timers.now()) <= MAX_DISPATCH_WAIT
 
     @property
     def delays_connections(self) -> bool:
@@ -102,13 +103,18 @@
         self.meter.update(now)
         readiness = self.readiness
         before = readiness.is_full, readiness.is_away
-        is_allowed = self.peers.allow_away(now, self._state(now), self._zone_peers())
-        readiness.update(now, self.meter.use, self.meter.predicted_use, is_allowed)
+        readiness.update(now, self.meter.use, self.meter.predicted_use, self._is_allowed(now))
         if (readiness.is_full, readiness.is_away) != before:
             self._on_change(now)
         elif readiness.is_full and now - self.noticed_at >= RENEWAL_INTERVAL:
             self._send_notice(now)
 
+    def _is_allowed(self, now: float) -> bool:
+        """Whether the zone leaves room for an absence; not looked up while the link has room."""
+        if self.meter.use < ROOM_USE and not self.readiness.is_away:
+            return False
+        return self.peers.allow_away(now, self._state(now), self._zone_peers())
+
     def _on_change(self, now: float) -> None:
         readiness, meter = self.readiness, self.meter
         logger().info(
@@ -122,7 +128,7 @@
 
     def _send_notice(self, now: float) -> None:
         self.noticed_at = now
-        self.context.broadcast(self._notice())
+        self.context.send_to(self._zone_peers(), self._notice())
 
     def _notice(self) -> LinkStateNotice:
         now = self.context.timers.now()
