Evacuated zones: an operator's row evacuate/ZONE stops all requests to its servers

Cause: requests kept going to a zone for 5,034 ms and more after the order. Change: BackendPool offers no server of an evacuated zone, and the zone is checked again right before a request is sent. Run: features/evacuation.feature.

--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -1,7 +1,7 @@
 """Runs gateways in this process against stand-ins for the users' platform."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 import h11
@@ -75,13 +75,17 @@
 
 @dataclass
 class GatewayHarness:
-    """Manages a store, backend servers and gateways, and sends requests to the gateways."""
+    """Manages a store, backend servers and gateways, and sends requests to the gateways.
+
+    :param settings: settings of gateways that replace the defaults
+    """
 
     store: RowStore = field(default_factory=RowStore)
     backends: dict = field(default_factory=dict)
     gateways: dict = field(default_factory=dict)
     stop_events: dict = field(default_factory=dict)
     tasks: dict = field(default_factory=dict)
+    settings: dict = field(default_factory=dict)
     store_port: int = 0
     next_id: int = 1
 
@@ -151,7 +155,13 @@
             retry_window=10.0,
             retry_slack=50.0,
             grant_horizon=25.0,
+            regions={},
+            cold_overrun=None,
+            cold_slack=None,
+            link_wait_ratio=0.0,
+            pace=False,
         )
+        settings = replace(settings, **self.settings)
         ports = gateway_ports(settings.store, settings.store_timeout)
         gateway = Gateway(settings, ports, asyncio.get_running_loop().time())
         stop_event = asyncio.Event()
--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -315,7 +315,7 @@
     address = Address("127.0.0.1", 1)
     return GatewaySettings(
         name, zone, address, address, address, None, None, 300, 1.0, 1.0, 1000.0,
-        address, 1.0, 8.0, 0.2, 10.0, 50.0, 25.0,
+        address, 1.0, 8.0, 0.2, 10.0, 50.0, 25.0, {}, None, None, 0.0, False,
     )  # fmt: skip
 
 
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -44,9 +44,18 @@
     :param zone: availability zone of this router, preferred for plain requests
     :param reported_at: monotonic time of each peer's last report, in seconds
     :param self_reports: what backend servers have said of themselves
+    :param evacuated: availability zones whose backend servers get no requests
     """
 
-    __slots__ = ("zone", "views", "peer_loads", "reported_at", "new_prefixes", "self_reports")
+    __slots__ = (
+        "zone",
+        "views",
+        "peer_loads",
+        "reported_at",
+        "new_prefixes",
+        "self_reports",
+        "evacuated",
+    )
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
@@ -55,6 +64,7 @@
         self.reported_at: dict[str, float] = {}
         self.new_prefixes: list[PrefixSent] = []
         self.self_reports = SelfReports()
+        self.evacuated: frozenset[str] = frozenset()
 
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return this router's load at each backend server, to be reported to its peers."""
@@ -159,9 +169,17 @@
         self.self_reports.prune(now, (view.server for view in self.views.values()))
 
     def usable(self, service: str) -> list[BackendView]:
-        """Return the backend servers of a service that are not draining."""
+        """Return the backend servers of a service that may get requests."""
+        return [v for v in self.serving(service) if v.server.zone not in self.evacuated]
+
+    def serving(self, service: str) -> list[BackendView]:
+        """Return the backend servers of a service that are not draining, of all zones."""
         return [v for v in self.views.values() if v.server.service == service and not v.is_leaving]
 
+    def may_receive(self, view: BackendView) -> bool:
+        """Whether a backend server that was chosen earlier may still get the request."""
+        return not view.is_leaving and view.server.zone not in self.evacuated
+
     def choose(
         self, now: float, service: str, demand: BackendDemand, tried: frozenset[str]
     ) -> BackendView | None:
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -250,13 +250,19 @@
         """Return the refusal of a request that reached no backend server that took it."""
         reason = f"not run: {job.last_failure or 'no backend server'}"
         if job.admitted_at is None:
-            return Refusal(503, "not_run", reason, RETRY_AFTER_UNAVAILABLE)
+            return Refusal(503, self._not_run_cause(job), reason, RETRY_AFTER_UNAVAILABLE)
         rest = job.admitted_at - self.context.timers.now()
         wait = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, rest))
         if job.admitted_at >= job.deadline:
             reason += f", for {wait:.1f} s, longer than the caller waits"
         return Refusal(503, "not_run", reason, wait)
 
+    def _not_run_cause(self, job: Job) -> str:
+        """Return the cause of a refusal: no server is in a place where the request may go."""
+        pool = self.context.backends
+        serving = pool.serving(job.service.name)
+        return "evacuated" if serving and not pool.usable(job.service.name) else "not_run"
+
 
 def _fingerprint(request: CallerRequest) -> str:
     """Return a hash that requests with the same key, target and body share."""
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -55,6 +55,8 @@
     :param route_table: name of the store table with the route table
     :param route_key: key of the route table's row
     :param server_table: name of the table of backend servers
+    :param evacuation_prefix: prefix of the keys of rows that order to evacuate a zone; these rows
+        are in the table with the route table
     """
 
     tables: ClockedTableService
@@ -65,6 +67,7 @@
     route_table: str
     route_key: str
     server_table: str
+    evacuation_prefix: str = "evacuate/"
 
 
 class GatewayContext:
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -8,6 +8,7 @@
 
 from bilberryshed.coordination import BackendRegistry, RouteIndex
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._evacuation_orders import EvacuationOrders
 from bilberryshed.protocol import (
     BackendEntry,
     BackendsNotice,
@@ -146,22 +147,32 @@
 
     :param newest_announced: newest version that a peer has announced
     :param fetching: whether a request to a peer is scheduled
+    :param evacuations: gets all rows of the table
+    :param follower: follower of the table in the store
     """
 
-    def __init__(self, context: GatewayContext, on_table: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        context: GatewayContext,
+        on_table: Callable[[], None],
+        evacuations: EvacuationOrders,
+    ) -> None:
         self.context = context
         self.on_table = on_table
+        self.evacuations = evacuations
         self.newest_announced = 0
         self.fetching = False
-
-    def follower(self) -> TableFollower:
-        """Return a follower of the route table in the store."""
-        name = self.context.ports.route_table
-        return TableFollower(
-            self.context, name, ROUTE_TABLE_LONG_POLL, 0.0, self._on_changes, lambda: None
+        self.follower = TableFollower(
+            context,
+            context.ports.route_table,
+            ROUTE_TABLE_LONG_POLL,
+            0.0,
+            self._on_changes,
+            evacuations.on_outage,
         )
 
     def _on_changes(self, changes: ChangeBatch) -> None:
+        self.evacuations.on_changes(changes, self.follower.begun_at)
         for row in changes.rows:
             if row.key == self.context.ports.route_key and row.data is not None:
                 self.install(row.data, "store")
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -131,7 +131,7 @@
                 wait = await self.limits.acquire(view.server)
                 if wait > 0:
                     view.limited_until = now + wait
-                elif not view.is_leaving and view.admits_at <= self.context.timers.now():
+                elif self.pool.may_receive(view) and view.admits_at <= self.context.timers.now():
                     return view
                 continue
             job.admitted_at = self.pool.next_admission(now, job.service.name, excluded)
@@ -175,6 +175,10 @@
             connection = await self._acquire_connection(job, view)
             if connection is None:
                 return AttemptOutcome.NOT_RUN
+            if view.server.zone in self.pool.evacuated:
+                connection.abort()
+                job.last_failure = f"zone {view.server.zone} is evacuated"
+                return AttemptOutcome.NOT_RUN
             job.sent += 1
             self._log_sent(job)
             return await self._send_and_relay(job, view, connection)
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -11,6 +11,7 @@
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
 from bilberryshed.gateway._context import GatewayContext, GatewayPorts
+from bilberryshed.gateway._evacuation_orders import EvacuationOrders
 from bilberryshed.gateway._followers import BackendUpdater, RouteTableUpdater
 from bilberryshed.gateway._load_sharing import LoadSharing
 from bilberryshed.gateway._metrics import GatewayMetrics
@@ -70,7 +71,8 @@
         self.recorder = BoundsRecorder(self.context)
         self.funds = PrepaidFunds(self.context, self.recorder)
         self.predecessor_cleanup = PredecessorCleanup(self.context, self.funds.pool_sync)
-        self.route_table_updater = RouteTableUpdater(self.context, self._on_table)
+        self.evacuations = EvacuationOrders(self.context)
+        self.route_table_updater = RouteTableUpdater(self.context, self._on_table, self.evacuations)
         self.backend_updater = BackendUpdater(self.context)
         self.load_sharing = LoadSharing(self.context)
         self.context.on_load_change = self.load_sharing.on_change
@@ -84,6 +86,7 @@
             self.funds.peers.notice,
             self.context.quarantine.summary,
             self.limits.summary,
+            self.evacuations.notice,
         ]
         self.http: HTTPServer | None = None
         self.exchanges: set[CallerExchange] = set()
@@ -107,12 +110,13 @@
         self.recorder.start()
         self.funds.start()
         self.spawn(self.predecessor_cleanup.run())
-        for follower in (self.route_table_updater.follower(), self.backend_updater):
+        for follower in (self.route_table_updater.follower, self.backend_updater):
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
         self.load_sharing.start()
         self.context.quarantine.start()
         self.limits.start()
+        self.evacuations.start()
         self.streams.start()
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
@@ -201,6 +205,7 @@
             **self.funds.handlers(),
             **self.context.quarantine.handlers(),
             **self.limits.handlers(),
+            **self.evacuations.handlers(),
             **self.streams.handlers(),
             RouteTableVersion: self.route_table_updater.on_version,
             RouteTableRequest: self.route_table_updater.on_request,
--- a/src/bilberryshed/platform/_ports.py
+++ b/src/bilberryshed/platform/_ports.py
@@ -10,6 +10,7 @@
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
 SERVER_TABLE = "servers"
+EVACUATION_PREFIX = "evacuate/"  # in the operators' table; the zone follows
 
 
 def gateway_ports(store: Address, timeout: float) -> GatewayPorts:
@@ -28,4 +29,5 @@
         route_table=OPERATOR_TABLE,
         route_key=CONFIG_KEY,
         server_table=SERVER_TABLE,
+        evacuation_prefix=EVACUATION_PREFIX,
     )
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -68,6 +68,7 @@
     ServerLoad,
     TransfersSettled,
 )
+from bilberryshed.protocol._place_messages import EvacuationNotice
 from bilberryshed.protocol._quarantine_messages import (
     BlockNotice,
     ClearNotice,
@@ -102,6 +103,7 @@
     "CrashReport",
     "CrashedRun",
     "Dispatch",
+    "EvacuationNotice",
     "Failed",
     "Finding",
     "FrameError",
