Home regions: a request goes only to servers of the regions that its route and customer allow

A zone without a known region is outside all homes. A list with an item that is no text, or without a known region, allows no server, and is logged with its place when the table is installed.

--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from bilberryshed.coordination import Shortage, split_point
+from bilberryshed.coordination.places import home_regions, is_at_home
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._dialect import CallerRequest
@@ -259,8 +260,13 @@
 
     def _not_run_cause(self, job: Job) -> str:
         """Return the cause of a refusal: no server is in a place where the request may go."""
-        pool = self.context.backends
+        pool, regions = self.context.backends, self.context.settings.regions
+        homes = home_regions(job.route, job.customer)
         serving = pool.serving(job.service.name)
+        if homes is not None and not any(
+            is_at_home(view.server.zone, homes, regions) for view in serving
+        ):
+            return "homes"
         return "evacuated" if serving and not pool.usable(job.service.name) else "not_run"
 
 
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from bilberryshed.coordination import BackendRegistry, RouteIndex
+from bilberryshed.coordination.places import homeless
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._evacuation_orders import EvacuationOrders
 from bilberryshed.protocol import (
@@ -232,6 +233,8 @@
             routes=len(table.routes),
             customers=len(table.customers),
         )
+        for place in homeless(table, self.context.settings.regions):
+            logger().warning("homes_unknown", finding=f"{place}: no known region, so no server")
         for name, total in self.context.prepaid_totals().items():
             if known.get(name) != total:
                 logger().info("prepaid", customer=name, total=total, before=known.get(name))
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from bilberryshed.coordination import BackendView
+from bilberryshed.coordination.places import home_regions, is_at_home
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._crash_reports import BrokenRun, CrashReports
 from bilberryshed.gateway._dialect import BackendResponse, Dispatch
@@ -147,12 +148,14 @@
     def _excluded(self, job: Job) -> frozenset[str]:
         """Return the ids of the backend servers that must not run a request.
 
-        These are the ones that were tried, and for a stream that has begun those of other versions.
+        These are the ones that were tried, those outside the home regions, and for a stream that
+        has begun those of other versions.
         """
+        away = self._away(job)
         if not job.is_resumable:
-            return frozenset(job.excluded)
+            return frozenset(job.excluded | away)
         origin, streams = job.origin, self.streams
-        usable = self.pool.usable(job.service.name)
+        usable = [v for v in self.pool.usable(job.service.name) if v.server.id not in away]
         if origin is None:
             other = {view.server.id for view in usable if not streams.may_begin(view)}
             if len(other) == len(usable):
@@ -160,7 +163,16 @@
         else:
             since = job.broken_at
             other = {v.server.id for v in usable if not streams.may_resume(v, origin, since)}
-        return frozenset(job.excluded | other)
+        return frozenset(job.excluded | other | away)
+
+    def _away(self, job: Job) -> set[str]:
+        """Return the ids of the backend servers outside the home regions of a request."""
+        homes = home_regions(job.route, job.customer)
+        if homes is None:
+            return set()
+        regions = self.context.settings.regions
+        views = self.pool.views.items()
+        return {id_ for id_, v in views if not is_at_home(v.server.zone, homes, regions)}
 
     # One attempt ----------------------------------------------------------------------------
 
--- a/src/bilberryshed/platform/_config.py
+++ b/src/bilberryshed/platform/_config.py
@@ -120,9 +120,9 @@
     regions = item.get("allowedRegions")
     if regions is None or regions == []:
         return None
-    if not isinstance(regions, list):
+    if not isinstance(regions, list) or not all(isinstance(item, str) for item in regions):
         return frozenset()
-    return frozenset(region for region in regions if isinstance(region, str))
+    return frozenset(regions)
 
 
 def _customer(item: dict[str, Any], location: str) -> RoutedCustomer:
