--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -77,6 +77,12 @@
     context.harness.store.put("op", f"evacuate/{zone}", {})
     known = lambda: zone in gateway(context).backends.evacuated  # noqa: E731
     run(context, context.harness.wait_until(known, READ_TIME))
+    gauge = f'bilberryshed_evacuated_zone{{zone="{zone}"}} 1.0'
+    assert gauge in run(context, rendered_metrics(context))
+
+
+async def rendered_metrics(context):
+    return context.harness.gateways["gate-1"].metrics.render().decode()
 
 
 @when('the evacuation of "{zone}" ends')
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -55,6 +55,9 @@
             registry=registry,
         )
         self.hubs = Gauge(f"{PREFIX}_hubs", "Hubs known to this gateway", registry=registry)
+        self.evacuated = Gauge(
+            f"{PREFIX}_evacuated_zone", "Evacuated zones", ["zone"], registry=registry
+        )
         self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
 
     def render(self) -> bytes:
@@ -67,6 +70,9 @@
         self.backends.labels("leaving").set(sum(view.is_leaving for view in views))
         self.backends.labels("avoided").set(sum(view.ejected_until > now for view in views))
         self.backends.labels("all").set(len(views))
+        self.evacuated.clear()
+        for zone in self.context.backends.evacuated:
+            self.evacuated.labels(zone).set(1)
         for customer, account in self.context.book.accounts.items():
             self.tokens.labels(customer, "held").set(account.held)
             self.tokens.labels(customer, "reserved").set(account.reserved)
