--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -1,7 +1,7 @@
 """Runs gateways in this process against stand-ins for the users' platform."""
 
 import asyncio
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from functools import partial
 
 import h11
@@ -85,13 +85,17 @@
 
 @dataclass
 class GatewayHarness:
-    """Manages a store, backend servers and gateways, and sends requests to the gateways."""
+    """Manages a store, backend servers and gateways, and sends requests to the gateways.
+
+    :param settings: settings of gateways that replace the defaults
+    """
 
     store: RowStore = field(default_factory=RowStore)
     backends: dict = field(default_factory=dict)
     gateways: dict = field(default_factory=dict)
     stop_events: dict = field(default_factory=dict)
     tasks: dict = field(default_factory=dict)
+    settings: dict = field(default_factory=dict)
     store_port: int = 0
     next_id: int = 1
 
@@ -167,6 +171,7 @@
             link_wait_ratio=0.25,
             pace=False,
         )
+        settings = replace(settings, **self.settings)
         ports = gateway_ports(settings.store, settings.store_timeout)
         gateway = Gateway(settings, ports, asyncio.get_running_loop().time())
         stop_event = asyncio.Event()
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -7,6 +7,7 @@
 
 from bilberryshed.coordination import Shortage, shard_of, split_point
 from bilberryshed.coordination.admission import LinkDemand
+from bilberryshed.coordination.places import home_regions, is_at_home
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._dialect import CallerRequest
@@ -261,13 +262,24 @@
             return _link_refusal(job)
         reason = f"not run: {job.last_failure or 'no backend server'}"
         if job.admitted_at is None:
-            return Refusal(503, "not_run", reason, RETRY_AFTER_UNAVAILABLE)
+            return Refusal(503, self._not_run_cause(job), reason, RETRY_AFTER_UNAVAILABLE)
         rest = job.admitted_at - self.context.timers.now()
         wait = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, rest))
         if job.admitted_at >= job.deadline:
             reason += f", for {wait:.1f} s, longer than the caller waits"
         return Refusal(503, "not_run", reason, wait)
 
+    def _not_run_cause(self, job: Job) -> str:
+        """Return the cause of a refusal: no server is in a place where the request may go."""
+        pool, regions = self.context.backends, self.context.settings.regions
+        homes = home_regions(job.route, job.customer)
+        serving = pool.serving(job.service.name)
+        if homes is not None and not any(
+            is_at_home(view.server.zone, homes, regions) for view in serving
+        ):
+            return "homes"
+        return "evacuated" if serving and not pool.usable(job.service.name) else "not_run"
+
 
 def _link_demand(job: Job) -> LinkDemand:
     """Return what a new request needs of the gateway's network link."""
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -9,7 +9,9 @@
 
 from bilberryshed.coordination import BackendRegistry, RouteIndex
 from bilberryshed.coordination.distribution import TableFetch, TableSource
+from bilberryshed.coordination.places import homeless
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._evacuation_orders import EvacuationOrders
 from bilberryshed.protocol import (
     BackendEntry,
     BackendsNotice,
@@ -163,27 +165,31 @@
     :param fetching: whether a request to a peer is scheduled
     :param compressed: version and compressed bytes of the table sent last
     :param from_hub: whether the hub sends the tables, as last logged
+    :param evacuations: gets all rows of the table
+    :param follower: follower of the table in the store
     """
 
-    def __init__(self, context: GatewayContext, on_table: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        context: GatewayContext,
+        on_table: Callable[[], None],
+        evacuations: EvacuationOrders,
+    ) -> None:
         self.context = context
         self.on_table = on_table
+        self.evacuations = evacuations
         self.source = TableSource(context.settings.bandwidth)
         self.fetch = TableFetch()
         self.fetching = False
         self.compressed = (-1, b"")
         self.from_hub = False
-
-    def follower(self) -> TableFollower:
-        """Return a follower of the route table in the store."""
-        name = self.context.ports.route_table
-        return TableFollower(
-            self.context,
-            name,
+        self.follower = TableFollower(
+            context,
+            context.ports.route_table,
             ROUTE_TABLE_LONG_POLL,
             0.0,
             self._on_changes,
-            lambda: None,
+            evacuations.on_outage,
             self._uses_hub,
         )
 
@@ -204,6 +210,7 @@
         return uses_hub
 
     def _on_changes(self, changes: ChangeBatch) -> None:
+        self.evacuations.on_changes(changes, self.follower.begun_at)
         for row in changes.rows:
             if row.key == self.context.ports.route_key and row.data is not None:
                 self.install(row.data, "store")
@@ -280,6 +287,8 @@
             routes=len(table.routes),
             customers=len(table.customers),
         )
+        for place in homeless(table, self.context.settings.regions):
+            logger().warning("homes_unknown", finding=f"{place}: no known region, so no server")
         for name, total in self.context.prepaid_totals().items():
             if known.get(name) != total:
                 logger().info("prepaid", customer=name, total=total, before=known.get(name))
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from bilberryshed.coordination import BackendView
+from bilberryshed.coordination.places import home_regions, is_at_home
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._crash_reports import BrokenRun, CrashReports
 from bilberryshed.gateway._dialect import BackendResponse, Dispatch
@@ -141,7 +142,7 @@
                 wait = await self.limits.acquire(view.server)
                 if wait > 0:
                     view.limited_until = now + wait
-                elif not view.is_leaving and view.admits_at <= self.context.timers.now():
+                elif self.pool.may_receive(view) and view.admits_at <= self.context.timers.now():
                     return view
                 continue
             job.admitted_at = self.pool.next_admission(now, job.service.name, excluded)
@@ -157,12 +158,14 @@
     def _excluded(self, job: Job) -> frozenset[str]:
         """Return the ids of the backend servers that must not run a request.
 
-        These are the ones that were tried, and for a stream that has begun those of other versions.
+        These are the ones that were tried, those outside the home regions, and for a stream that
+        has begun those of other versions.
         """
+        away = self._away(job)
         if not job.is_resumable:
-            return frozenset(job.excluded)
+            return frozenset(job.excluded | away)
         origin, streams = job.origin, self.streams
-        usable = self.pool.usable(job.service.name)
+        usable = [v for v in self.pool.usable(job.service.name) if v.server.id not in away]
         if origin is None:
             other = {view.server.id for view in usable if not streams.may_begin(view)}
             if len(other) == len(usable):
@@ -170,7 +173,16 @@
         else:
             since = job.broken_at
             other = {v.server.id for v in usable if not streams.may_resume(v, origin, since)}
-        return frozenset(job.excluded | other)
+        return frozenset(job.excluded | other | away)
+
+    def _away(self, job: Job) -> set[str]:
+        """Return the ids of the backend servers outside the home regions of a request."""
+        homes = home_regions(job.route, job.customer)
+        if homes is None:
+            return set()
+        regions = self.context.settings.regions
+        views = self.pool.views.items()
+        return {id_ for id_, v in views if not is_at_home(v.server.zone, homes, regions)}
 
     # One attempt ----------------------------------------------------------------------------
 
@@ -185,6 +197,10 @@
             connection = await self._acquire_connection(job, view)
             if connection is None:
                 return AttemptOutcome.NOT_RUN
+            if view.server.zone in self.pool.evacuated:
+                connection.abort()
+                job.last_failure = f"zone {view.server.zone} is evacuated"
+                return AttemptOutcome.NOT_RUN
             job.sent += 1
             self._log_sent(job)
             return await self._send_and_relay(job, view, connection)
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -11,6 +11,7 @@
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
 from bilberryshed.gateway._context import GatewayContext, GatewayPorts
+from bilberryshed.gateway._evacuation_orders import EvacuationOrders
 from bilberryshed.gateway._followers import BackendUpdater, RouteTableUpdater
 from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.gateway._load_sharing import LoadSharing
@@ -71,7 +72,8 @@
         self.recorder = BoundsRecorder(self.context)
         self.funds = PrepaidFunds(self.context, self.recorder)
         self.predecessor_cleanup = PredecessorCleanup(self.context, self.funds.pool_sync)
-        self.route_table_updater = RouteTableUpdater(self.context, self._on_table)
+        self.evacuations = EvacuationOrders(self.context)
+        self.route_table_updater = RouteTableUpdater(self.context, self._on_table, self.evacuations)
         self.backend_updater = BackendUpdater(self.context)
         self.load_sharing = LoadSharing(self.context)
         self.context.on_load_change = self.load_sharing.on_change
@@ -87,6 +89,7 @@
             self.context.quarantine.summary,
             self.limits.summary,
             self.link_load.summary,
+            self.evacuations.notice,
         ]
         self.http: HTTPServer | None = None
         self.byte_counter = self.context.byte_counter
@@ -111,13 +114,14 @@
         self.recorder.start()
         self.funds.start()
         self.spawn(self.predecessor_cleanup.run())
-        for follower in (self.route_table_updater.follower(), self.backend_updater):
+        for follower in (self.route_table_updater.follower, self.backend_updater):
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
         self.load_sharing.start()
         self.link_load.start(http)
         self.context.quarantine.start()
         self.limits.start()
+        self.evacuations.start()
         self.streams.start()
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
@@ -207,6 +211,7 @@
             **self.context.quarantine.handlers(),
             **self.limits.handlers(),
             **self.link_load.handlers(),
+            **self.evacuations.handlers(),
             **self.streams.handlers(),
             RouteTableVersion: self.route_table_updater.on_version,
             RouteTableRequest: self.route_table_updater.on_request,
