Pace of started and recovered servers: decision, pool integration, logs and gauge

A server that starts, returns after refused connections or is ejected gets a window of requests of all gateways, which grows with good answers. The test harness passes the new settings; without them each gateway scenario failed with a TypeError at construction.

--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -84,6 +84,7 @@
     tasks: dict = field(default_factory=dict)
     store_port: int = 0
     next_id: int = 1
+    pace: bool = False
 
     async def start(self):
         """Start the store and write a config to it."""
@@ -151,6 +152,11 @@
             retry_window=10.0,
             retry_slack=50.0,
             grant_horizon=25.0,
+            regions={},
+            cold_overrun=None,
+            cold_slack=None,
+            link_wait_ratio=0.25,
+            pace=self.pace,
         )
         ports = gateway_ports(settings.store, settings.store_timeout)
         gateway = Gateway(settings, ports, asyncio.get_running_loop().time())
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -10,6 +10,7 @@
 from bilberryshed.coordination._backend_view import BackendDemand, BackendView, InFlightRequest
 from bilberryshed.coordination._placement import place_plain, place_prompt, prefill_tokens
 from bilberryshed.coordination._self_reports import SelfReports, is_same_process
+from bilberryshed.coordination.pacing import Pacing
 from bilberryshed.protocol import LoadNotice, LoadSummary, PrefixSent, ServerLoad
 from bilberryshed.state import BackendServer
 
@@ -20,6 +21,7 @@
 RESUME_TIME = 1.0  # seconds after a time without requests in which they are paced
 RESUME_INTERVAL = 0.05  # seconds between two requests then
 MAX_BACKOFF = 4.0  # seconds, upper limit of the doubled backoff
+PACED_BACKOFF = 0.6  # seconds, the same where pacing prevents the surge at the end of the backoff
 FAILURE_WEIGHT = 0.25  # weight of the newest outcome in the moving average of failures
 EJECT_FAILURE_RATE = 0.5  # failure rate above which a backend server is ejected
 EJECT_TIME = 1.5  # seconds for which a backend server is ejected
@@ -44,9 +46,18 @@
     :param zone: availability zone of this router, preferred for plain requests
     :param reported_at: monotonic time of each peer's last report, in seconds
     :param self_reports: what backend servers have said of themselves
+    :param pacing: paces backend servers that have started or recovered, ``None`` if it is off
     """
 
-    __slots__ = ("zone", "views", "peer_loads", "reported_at", "new_prefixes", "self_reports")
+    __slots__ = (
+        "zone",
+        "views",
+        "peer_loads",
+        "reported_at",
+        "new_prefixes",
+        "self_reports",
+        "pacing",
+    )
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
@@ -55,6 +66,7 @@
         self.reported_at: dict[str, float] = {}
         self.new_prefixes: list[PrefixSent] = []
         self.self_reports = SelfReports()
+        self.pacing: Pacing | None = None
 
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return this router's load at each backend server, to be reported to its peers."""
@@ -108,9 +120,10 @@
                 view.peers_work += sign * load.work
                 view.peers_unread += sign * load.unread
 
-    def set_servers(self, servers: dict[str, BackendServer]) -> list[BackendView]:
+    def set_servers(self, servers: dict[str, BackendServer], now: float = 0.0) -> list[BackendView]:
         """Update the views from the registered backend servers.
 
+        :param now: monotonic time in seconds, from which new ones are paced
         :returns: views of those that were removed or have restarted
         """
         removed: list[BackendView] = []
@@ -121,6 +134,7 @@
                 view.is_leaving = True
                 removed.append(view)
                 del self.views[id_]
+        added = [id_ for id_ in servers if id_ not in self.views]
         for id_, server in servers.items():
             view = self.views.setdefault(id_, BackendView(server))
             if server.sequence != view.server.sequence and view.refused_connections:
@@ -130,6 +144,8 @@
             view.update(server)
         if removed or self.views.keys() != known:
             self._sum_peer_loads()
+        if self.pacing is not None:
+            self.pacing.on_servers(now, [self.views[id_] for id_ in added], self.views)
         return removed
 
     def _apply_self_report(self, view: BackendView, server: BackendServer) -> None:
@@ -176,9 +192,10 @@
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
+        candidates = healthy if self.pacing is None else self.pacing.candidates(now, healthy)
         if demand.affinity:
-            return place_prompt(now, healthy, demand)
-        return place_plain(healthy, self.zone)
+            return place_prompt(now, candidates, demand)
+        return place_plain(candidates, self.zone)
 
     def next_admission(self, now: float, service: str, tried: frozenset[str]) -> float | None:
         """Return the earliest time at which a backend server takes requests by what it has said.
@@ -192,7 +209,9 @@
 
     def begin(self, now: float, view: BackendView, demand: BackendDemand) -> InFlightRequest:
         """Add a request to the in-flight load of a backend server."""
-        request = InFlightRequest(view, demand, prefill_tokens(now, view, demand))
+        request = InFlightRequest(view, demand, prefill_tokens(now, view, demand), now)
+        if self.pacing is not None:
+            self.pacing.on_sent(now, view)
         if now < view.quiet_until + RESUME_TIME:
             view.limited_until = max(view.limited_until, now + RESUME_INTERVAL)
         view.running += 1
@@ -204,6 +223,11 @@
             view.record_prefix_sent(now, demand.affinity)
         return request
 
+    def on_first_event(self, now: float, request: InFlightRequest) -> None:
+        """Record the first event of an answer, or a whole answer that has no events."""
+        if self.pacing is not None:
+            self.pacing.on_first_event(request.view, now - request.began_at)
+
     def on_prefill_done(self, request: InFlightRequest) -> None:
         """Record that the prompt of a request is prefilled, as its first event has arrived."""
         request.view.unread -= request.unread
@@ -219,20 +243,29 @@
         """Back off exponentially after a connection that could not be opened."""
         view.refused_connections += 1
         view.failed_at = now
-        backoff = min(MAX_BACKOFF, REFUSED_BACKOFF * 2 ** (view.refused_connections - 1))
+        longest = MAX_BACKOFF if self.pacing is None else PACED_BACKOFF
+        backoff = min(longest, REFUSED_BACKOFF * 2 ** (view.refused_connections - 1))
+        if self.pacing is not None:
+            self.pacing.begin(now, view, "refused")
         view.backoff_until = max(view.backoff_until, now + backoff)
 
     def on_overloaded(self, now: float, view: BackendView) -> None:
         """Back off after a request that the backend server refused because it is full."""
         view.backoff_until = max(view.backoff_until, now + FULL_BACKOFF)
+        if self.pacing is not None:
+            self.pacing.on_rejected(view)
 
     def on_outcome(self, now: float, view: BackendView, failed: bool) -> None:
         """Update the failure rate with the outcome of a request that the backend server started."""
         if failed:
             view.failed_at = now
+            if self.pacing is not None:
+                self.pacing.on_rejected(view)
         else:
             view.refused_connections = 0
         view.failure_rate += FAILURE_WEIGHT * (float(failed) - view.failure_rate)
         if view.failure_rate > EJECT_FAILURE_RATE:
             view.ejected_until = now + EJECT_TIME
             view.failure_rate = PROBATION_FAILURE_RATE
+            if self.pacing is not None:
+                self.pacing.begin(now, view, "ejected")
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -124,8 +124,10 @@
     """A request in flight at a backend server.
 
     :param unread: tokens of its prompt that are not yet prefilled
+    :param began_at: monotonic time in seconds at which it was sent
     """
 
     view: BackendView
     demand: BackendDemand
     unread: int
+    began_at: float = 0.0
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -20,6 +20,7 @@
     SpendingBounds,
     shard_of,
 )
+from bilberryshed.coordination.pacing import Pacing
 from bilberryshed.gateway._dialect import Dialect
 from bilberryshed.gateway._epoch_recovery import EpochRecovery
 from bilberryshed.protocol import Finding, encode
@@ -93,6 +94,7 @@
         self.timers = TimerService(phase=shard_of(self.boot, PHASES) / PHASES)
         self.metrics = Metrics(settings.statsd, "bilberryshed.gateway")
         self.backends = BackendPool(settings.zone)
+        self.backends.pacing = Pacing(settings.name) if settings.pace else None
         self.connections = ConnectionPool()
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_window, settings.retry_slack
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -341,7 +341,8 @@
     def _apply(self) -> None:
         before = {id_: view.is_leaving for id_, view in self.context.backends.views.items()}
         versions = {id_: v.server.version for id_, v in self.context.backends.views.items()}
-        for view in self.context.backends.set_servers(self.registry.servers):
+        now = self.context.timers.now()
+        for view in self.context.backends.set_servers(self.registry.servers, now):
             self.context.connections.close_idle(view.server.id)
             logger().info("backend_gone", server=view.server.id, service=view.server.service)
         for id_, view in self.context.backends.views.items():
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -366,6 +366,8 @@
             await self.stream_relay.relay(job, connection, response)
         else:
             body = await self._read_body(job, connection)
+            if job.run is not None:
+                self.pool.on_first_event(self.context.timers.now(), job.run)
             if response.status >= 500 and self._is_error_retryable(job):
                 job.failed_response = (response, body)
                 job.excluded.add(view.server.id)
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -14,6 +14,7 @@
 from bilberryshed.gateway._followers import BackendUpdater, RouteTableUpdater
 from bilberryshed.gateway._load_sharing import LoadSharing
 from bilberryshed.gateway._metrics import GatewayMetrics
+from bilberryshed.gateway._pace_reports import PaceReports
 from bilberryshed.gateway._peers import Peers
 from bilberryshed.gateway._predecessor_cleanup import PredecessorCleanup
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
@@ -113,6 +114,7 @@
         self.load_sharing.start()
         self.context.quarantine.start()
         self.limits.start()
+        PaceReports(self.context, self.metrics.registry).start()
         self.streams.start()
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
--- a/src/bilberryshed/gateway/_stream_relay.py
+++ b/src/bilberryshed/gateway/_stream_relay.py
@@ -88,6 +88,7 @@
     def _note_data(self, job: Job) -> None:
         """Note that the backend server has read the prompt."""
         if job.run is not None and job.run.unread:
+            self.context.backends.on_first_event(self.context.timers.now(), job.run)
             self.context.backends.on_prefill_done(job.run)
             self.context.on_load_change()
 
