--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -21,7 +21,7 @@
 RESUME_TIME = 1.0  # seconds after a time without requests in which they are paced
 RESUME_INTERVAL = 0.05  # seconds between two requests then
 MAX_BACKOFF = 4.0  # seconds, upper limit of the doubled backoff
-PACED_BACKOFF = 0.6  # seconds, the same where pacing prevents the surge at the end of the backoff
+PACED_BACKOFF = 0.4  # seconds, the same where pacing prevents the surge at the end of the backoff
 FAILURE_WEIGHT = 0.25  # weight of the newest outcome in the moving average of failures
 EJECT_FAILURE_RATE = 0.5  # failure rate above which a backend server is ejected
 EJECT_TIME = 1.5  # seconds for which a backend server is ejected
@@ -226,7 +226,7 @@
     def on_first_event(self, now: float, request: InFlightRequest) -> None:
         """Record the first event of an answer, or a whole answer that has no events."""
         if self.pacing is not None:
-            self.pacing.on_first_event(request.view, now - request.began_at)
+            self.pacing.on_first_event(now, request.view, now - request.began_at)
 
     def on_prefill_done(self, request: InFlightRequest) -> None:
         """Record that the prompt of a request is prefilled, as its first event has arrived."""
--- a/src/bilberryshed/coordination/pacing/_pacing.py
+++ b/src/bilberryshed/coordination/pacing/_pacing.py
@@ -9,7 +9,7 @@
 
 DEFAULT_FIRST_EVENT = 0.1  # seconds, of a service that has not answered yet
 AVERAGE_WEIGHT = 0.1  # weight of the newest time to the first event in the moving average
-SLOW_ANSWER_FACTOR = 2.0  # times the peers' time to the first event above which an answer is slow
+SLOW_ANSWER_FACTOR = 1.5  # times the peers' time to the first event above which an answer is slow
 SLOW_ANSWER_SLACK = 0.05  # seconds in addition, as very short times vary more
 PHASES = 1000  # different phases of the first requests of gateways
 
@@ -105,18 +105,15 @@
         pace = self.paces.get(view.server.id)
         if pace is None:
             return True
+        if view.peers_running:
+            pace.is_used_by_peers = True
         if pace.is_round_over(now, self._first_event(view.server.service)):
-            target = self._target(views)
-            if pace.end_round(now, view.total_running, view.peers_running, target):
+            target = sum(v.total_running for v in views) / len(views)
+            if pace.end_round(now, view.total_running, target):
                 self._end(now, view, pace)
                 return True
         return pace.has_room(now, view.total_running)
 
-    def _target(self, views: Sequence[BackendView]) -> float:
-        """Return the mean load of the peers that are not paced, of all if there are none."""
-        peers = [view for view in views if view.server.id not in self.paces] or views
-        return sum(view.total_running for view in peers) / len(peers)
-
     def _relative_load(self, view: BackendView) -> float:
         pace = self.paces.get(view.server.id)
         limit = pace.window if pace is not None else view.server.slots
@@ -135,17 +132,19 @@
         if pace is not None:
             pace.on_sent(now, self.gateways, self._first_event(view.server.service))
 
-    def on_first_event(self, view: BackendView, seconds: float) -> None:
+    def on_first_event(self, now: float, view: BackendView, seconds: float) -> None:
         """Compare the time to the first event of an answer with that of the server's peers."""
         service, pace = view.server.service, self.paces.get(view.server.id)
         usual = self.first_events.get(service)
         if pace is None:
             before = seconds if usual is None else usual
             self.first_events[service] = before + AVERAGE_WEIGHT * (seconds - before)
-        elif usual is not None and seconds > SLOW_ANSWER_FACTOR * usual + SLOW_ANSWER_SLACK:
+            return
+        pace.on_ratio(1.0 if usual is None else seconds / max(usual, SLOW_ANSWER_SLACK))
+        if usual is not None and seconds > SLOW_ANSWER_FACTOR * usual + SLOW_ANSWER_SLACK:
             pace.lower(SLOW_FACTOR)
         else:
-            pace.good += 1
+            pace.on_good(now, seconds)
 
     def on_rejected(self, view: BackendView) -> None:
         """Record that a backend server rejected or failed a request."""
