--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -98,6 +98,7 @@
     settings: dict = field(default_factory=dict)
     store_port: int = 0
     next_id: int = 1
+    pace: bool = False
 
     async def start(self):
         """Start the store and write a config to it."""
@@ -169,7 +170,7 @@
             cold_overrun=None,
             cold_slack=None,
             link_wait_ratio=0.25,
-            pace=False,
+            pace=self.pace,
         )
         settings = replace(settings, **self.settings)
         ports = gateway_ports(settings.store, settings.store_timeout)
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -10,6 +10,7 @@
 from bilberryshed.coordination._backend_view import BackendDemand, BackendView, InFlightRequest
 from bilberryshed.coordination._rendezvous import weight
 from bilberryshed.coordination._self_reports import SelfReports, is_same_process
+from bilberryshed.coordination.pacing import Pacing
 from bilberryshed.coordination.placement import (
     place_plain,
     place_prompt,
@@ -27,6 +28,7 @@
 RESUME_TIME = 1.0  # seconds after a time without requests in which they are paced
 RESUME_INTERVAL = 0.05  # seconds between two requests then
 MAX_BACKOFF = 4.0  # seconds, upper limit of the doubled backoff
+PACED_BACKOFF = 0.4  # seconds, the same where pacing prevents the surge at the end of the backoff
 FAILURE_WEIGHT = 0.25  # weight of the newest outcome in the moving average of failures
 EJECT_FAILURE_RATE = 0.5  # failure rate above which a backend server is ejected
 EJECT_TIME = 1.5  # seconds for which a backend server is ejected
@@ -53,6 +55,7 @@
     :param reported_at: monotonic time of each peer's last report, in seconds
     :param self_reports: what backend servers have said of themselves
     :param evacuated: availability zones whose backend servers get no requests
+    :param pacing: paces backend servers that have started or recovered, ``None`` if it is off
     """
 
     __slots__ = (
@@ -64,6 +67,7 @@
         "new_prefixes",
         "self_reports",
         "evacuated",
+        "pacing",
     )
 
     def __init__(self, zone: str, name: str = "") -> None:
@@ -75,6 +79,7 @@
         self.new_prefixes: list[PrefixSent] = []
         self.self_reports = SelfReports()
         self.evacuated: frozenset[str] = frozenset()
+        self.pacing: Pacing | None = None
 
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return this router's load at each backend server, to be reported to its peers."""
@@ -128,9 +133,10 @@
                 view.peers_work += sign * load.work
                 view.peers_unread += sign * load.unread
 
-    def set_servers(self, servers: dict[str, BackendServer]) -> list[BackendView]:
+    def set_servers(self, servers: dict[str, BackendServer], now: float = 0.0) -> list[BackendView]:
         """Update the views from the registered backend servers.
 
+        :param now: monotonic time in seconds, from which new ones are paced
         :returns: views of those that were removed or have restarted
         """
         removed: list[BackendView] = []
@@ -141,6 +147,7 @@
                 view.is_leaving = True
                 removed.append(view)
                 del self.views[id_]
+        added = [id_ for id_ in servers if id_ not in self.views]
         for id_, server in servers.items():
             view = self.views.get(id_) or self._add_view(server)
             if server.sequence != view.server.sequence and view.refused_connections:
@@ -150,6 +157,8 @@
             view.update(server)
         if removed or self.views.keys() != known:
             self._sum_peer_loads()
+        if self.pacing is not None:
+            self.pacing.on_servers(now, [self.views[id_] for id_ in added], self.views)
         return removed
 
     def _add_view(self, server: BackendServer) -> BackendView:
@@ -215,10 +224,11 @@
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
-        roomy = with_room(healthy, demand)
+        candidates = healthy if self.pacing is None else self.pacing.candidates(now, healthy)
+        candidates = with_room(candidates, demand)
         if demand.affinity:
-            return place_prompt(now, roomy, demand)
-        return place_plain(roomy, self.zone)
+            return place_prompt(now, candidates, demand)
+        return place_plain(candidates, self.zone)
 
     def next_admission(self, now: float, service: str, tried: frozenset[str]) -> float | None:
         """Return the earliest time at which a backend server takes requests by what it has said.
@@ -236,6 +246,8 @@
         # The prompt at the head of the queue is half prefilled on average, and counts in full.
         ahead = max(view.total_unread - prefill // 2, 0)
         request = InFlightRequest(view, demand, prefill, ahead + prefill)
+        if self.pacing is not None:
+            self.pacing.on_sent(now, view)
         if now < view.quiet_until + RESUME_TIME:
             view.limited_until = max(view.limited_until, now + RESUME_INTERVAL)
         view.running += 1
@@ -249,8 +261,13 @@
         return request
 
     def on_first_event(self, now: float, request: InFlightRequest, sent_at: float) -> None:
-        """Learn from the time from sending a prompt, at ``sent_at``, to its first event."""
+        """Learn from the time from sending a request, at ``sent_at``, to its first event.
+
+        The head of a response that has no events counts as one.
+        """
         view = request.view
+        if self.pacing is not None:
+            self.pacing.on_first_event(now, view, now - sent_at)
         if view.estimate.observe(now, now - sent_at, request.until_first):
             update_paces(now, [v.estimate for v in self._of_service(view.server.service)])
         self.on_prefill_done(request)
@@ -271,20 +288,29 @@
         """Back off exponentially after a connection that could not be opened."""
         view.refused_connections += 1
         view.failed_at = now
-        backoff = min(MAX_BACKOFF, REFUSED_BACKOFF * 2 ** (view.refused_connections - 1))
+        longest = MAX_BACKOFF if self.pacing is None else PACED_BACKOFF
+        backoff = min(longest, REFUSED_BACKOFF * 2 ** (view.refused_connections - 1))
+        if self.pacing is not None:
+            self.pacing.begin(now, view, "refused")
         view.backoff_until = max(view.backoff_until, now + backoff)
 
     def on_overloaded(self, now: float, view: BackendView) -> None:
         """Back off after a request that the backend server refused because it is full."""
         view.backoff_until = max(view.backoff_until, now + FULL_BACKOFF)
+        if self.pacing is not None:
+            self.pacing.on_rejected(view)
 
     def on_outcome(self, now: float, view: BackendView, failed: bool) -> None:
         """Update the failure rate with the outcome of a request that the backend server started."""
         if failed:
             view.failed_at = now
+            if self.pacing is not None:
+                self.pacing.on_rejected(view)
         else:
             view.refused_connections = 0
         view.failure_rate += FAILURE_WEIGHT * (float(failed) - view.failure_rate)
         if view.failure_rate > EJECT_FAILURE_RATE:
             view.ejected_until = now + EJECT_TIME
             view.failure_rate = PROBATION_FAILURE_RATE
+            if self.pacing is not None:
+                self.pacing.begin(now, view, "ejected")
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.gateway._load_sharing import LoadSharing
 from bilberryshed.gateway._metrics import GatewayMetrics
+from bilberryshed.gateway._pace_reports import PaceReports
 from bilberryshed.gateway._peers import Peers
 from bilberryshed.gateway._predecessor_cleanup import PredecessorCleanup
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
@@ -122,6 +123,7 @@
         self.context.quarantine.start()
         self.limits.start()
         self.evacuations.start()
+        PaceReports(self.context, self.metrics.registry).start()
         self.streams.start()
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
