--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -1,7 +1,7 @@
 """Runs gateways in this process against stand-ins for the users' platform."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from functools import partial
 
 import h11
@@ -62,6 +62,16 @@
     return {**defaults, **overrides}
 
 
+def build_gateway_settings(**values):
+    """Return settings of a gateway; settings that are not given have their defaults."""
+    defaults = {
+        key.name: key.metadata["parse"](key.metadata["default"])
+        for key in fields(GatewaySettings)
+        if key.metadata["default"] is not None
+    }
+    return GatewaySettings(**{**defaults, **values})
+
+
 @dataclass
 class ReceivedResponse:
     """A response as received by its caller; ``complete`` is whether its framing ended properly."""
@@ -132,7 +142,7 @@
         :param ready: whether to wait until it is ready and has all backend servers
         """
         addresses = [Address("127.0.0.1", free_port()) for _ in range(3)]
-        settings = GatewaySettings(
+        settings = build_gateway_settings(
             name=name,
             zone="quay",
             listen=addresses[0],
--- a/features/prepaid_support.py
+++ b/features/prepaid_support.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from unittest import mock
 
+from gateway_support import build_gateway_settings
 from returns.result import Failure, Success
 
 from bilberryshed.coordination import PoolRow, RouteIndex
@@ -21,7 +22,6 @@
 from bilberryshed.state import (
     Address,
     ClockedTableService,
-    GatewaySettings,
     RoutedCustomer,
     RouteTable,
     Row,
@@ -313,7 +313,7 @@
 def settings_for(name, zone="quay"):
     """Return settings of a gateway; its addresses are placeholders."""
     address = Address("127.0.0.1", 1)
-    return GatewaySettings(
+    return build_gateway_settings(
         name, zone, address, address, address, None, None, 300, 1.0, 1.0, 1000.0,
         address, 1.0, 8.0, 0.2, 10.0, 50.0, 25.0,
     )  # fmt: skip
