An account of the bytes held for callers, which names the callers that give way

Unread responses give way before requests that are not read completely; callers without a known key first, then those over an equal part of the total, then by size times age. Whole requests never give way, as they may be running.

--- /dev/null
+++ b/features/held_memory.feature
@@ -0,0 +1,22 @@
+Feature: The account of bytes held for callers
+  Decides which callers give way when too many bytes are held.
+
+  Scenario: Any sequence of changes keeps the account exact and within its total
+    Then for any changes, the sum is exact, and without the victims it is within the total or only whole requests
+
+  Scenario: Victims are chosen by kind, key and size
+    Given an account of 100 bytes with
+      | connection | kind     | size | key |
+      | 1          | WHOLE    | 60   | yes |
+      | 2          | PARTIAL  | 30   | yes |
+      | 3          | PARTIAL  | 40   | yes |
+      | 4          | PARTIAL  | 10   | no  |
+      | 5          | RESPONSE | 5    | yes |
+    Then the victims are 5, 4, 3
+
+  Scenario: A caller that has held a body for long gives way to one that sends as large a body faster
+    Given an account of 100 bytes with
+      | connection | kind    | size | key | age |
+      | 1          | PARTIAL | 60   | yes | 1   |
+      | 2          | PARTIAL | 55   | yes | 9   |
+    Then the victims are 2
