Judge requests on their head, and bound what callers may hold

Cause: bodies were read before the request was judged, at any address and without a bound on their sum. Now route, key and length are judged before the body; the readiness and metrics addresses take no bodies; header fields are counted before they are parsed; bodies are held in one buffer each, within a share of the memory; heads, bodies and the reading of responses have time limits; connections are bounded by descriptors and memory.

--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -16,7 +16,7 @@
 from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.gateway._stream_directory import StreamDirectory
 from bilberryshed.state import Route, RoutedCustomer
-from bilberryshed.transport import logger
+from bilberryshed.transport import HeaderList, logger
 
 RETRY_AFTER_UNAVAILABLE = 0.5  # seconds until a refused caller should retry
 MIN_RETRY_AFTER = 0.1  # seconds
@@ -68,21 +68,32 @@
         started_at = self.context.timers.now()
         headers = exchange.header_list()
         exchange.request_id = self.context.dialect.request_id(headers)
+        judged = self.judge(exchange, headers, exchange.take_body())
+        if isinstance(judged, Refusal):
+            return judged
+        request, route, customer = judged
+        return await self._admit(exchange, request, route, customer, started_at)
+
+    def judge(
+        self, exchange: CallerExchange, headers: HeaderList, body: bytes = b""
+    ) -> Refusal | tuple[CallerRequest, Route, RoutedCustomer | None]:
+        """Judge a request on its head.
+
+        :param body: the body, empty if it has not been read
+        :returns: the refusal to send, or the validated request with its route and customer
+        """
         if self.context.closing:
             # A late request on a kept-alive connection could be aborted when the process exits.
             return Refusal(503, "stopping", "this gateway is stopping", RETRY_AFTER_STOPPING)
         if exchange.oversized:
-            return Refusal(
-                413, "body", f"the body has {exchange.body_size} bytes, more than allowed"
-            )
+            size = max(exchange.length, exchange.body_size)
+            return Refusal(413, "body", f"the body has {size} bytes, more than allowed")
         index = self.context.index
         if index is None:
             return Refusal(
                 503, "no_table", "no route table is in force yet", RETRY_AFTER_UNAVAILABLE
             )
-        parsed = self.context.dialect.parse_request(
-            exchange.method, exchange.target, headers, b"".join(exchange.body)
-        )
+        parsed = self.context.dialect.parse_request(exchange.method, exchange.target, headers, body)
         if isinstance(parsed, Failure):
             error = parsed.failure()
             return Refusal(error.status, "malformed", error.reason)
@@ -95,7 +106,7 @@
             customer = index.customer(request.key)
             if customer is None:
                 return Refusal(401, "key", "the key is not known")
-        return await self._admit(exchange, request, route, customer, started_at)
+        return request, route, customer
 
     async def _admit(
         self,
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -15,7 +15,7 @@
     responses,
 )
 
-from bilberryshed.transport import HeaderList
+from bilberryshed.transport import CallerStream, EarlyRefusal, HeaderList, Phase, announces_body
 
 
 class ExchangeHandler(Protocol):
@@ -24,6 +24,12 @@
     def body_limit(self) -> int:
         """Return the largest accepted body size in bytes."""
 
+    def judge(self, exchange: "CallerExchange") -> None:
+        """Refuse a request on its head, before its body is read, if it cannot be served."""
+
+    def hold(self, exchange: "CallerExchange") -> None:
+        """Account for what has arrived of a request; it may be refused."""
+
     def serve(self, exchange: "CallerExchange") -> Coroutine[Any, Any, None]:
         """Respond to a request that has been read completely."""
 
@@ -34,8 +40,13 @@
 class CallerExchange(HTTPMessageDelegate):
     """A caller's request and its response.
 
-    :param body: chunks of the body, none if it exceeds the limit
+    :param body: what has arrived of the body, nothing once the request is refused or sent on
     :param body_size: bytes of the body received so far
+    :param length: bytes of the body that the head announces, 0 if it does not say
+    :param head_size: bytes of the header fields
+    :param is_read: whether the request has been read completely
+    :param has_key: whether the key of the request is known
+    :param early_refusal: refusal sent before the body had been read
     :param started: whether the head of the response has been sent
     :param ended: whether the response is complete or aborted
     :param is_sent: whether the request has been sent to a backend server
@@ -50,6 +61,11 @@
         "headers",
         "body",
         "body_size",
+        "length",
+        "head_size",
+        "is_read",
+        "has_key",
+        "early_refusal",
         "started",
         "ended",
         "is_sent",
@@ -64,8 +80,13 @@
         self.method = ""
         self.target = ""
         self.headers = HTTPHeaders()
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.body_size = 0
+        self.length = 0
+        self.head_size = 0
+        self.is_read = False
+        self.has_key = False
+        self.early_refusal: EarlyRefusal | None = None
         self.request_id = ""
         self.started = False
         self.ended = False
@@ -76,25 +97,45 @@
     # Called by the server -------------------------------------------------------------------
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
-        """Store the head of the request."""
+        """Store the head of the request; with a body to come, judge it."""
         assert isinstance(start_line, RequestStartLine)
         self.method, self.target, self.headers = start_line.method, start_line.path, headers
+        if announces_body(headers):
+            length = headers.get("Content-Length", "0")
+            self.length = int(length) if length.isdecimal() else 0
+            self.head_size = sum(len(name) + len(value) for name, value in headers.get_all())
+            self.stream.enter(Phase.BODY)
+            self.handler.judge(self)
+            self.handler.hold(self)
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a chunk of the body; discard the body if it exceeds the limit."""
+        """Store a chunk of the body, unless the request has been refused."""
+        if self.early_refusal is not None:
+            self.early_refusal.discard(chunk)
+            return
         self.body_size += len(chunk)
-        if self.body_size <= self.handler.body_limit():
-            self.body.append(chunk)
-        else:
-            self.body.clear()
+        if self.oversized:
+            self.handler.judge(self)
+            return
+        self.body += chunk
+        self.handler.hold(self)
 
     def finish(self) -> None:
         """Start processing the complete request."""
+        if self.early_refusal is not None:
+            self.early_refusal.finish()
+            return
+        self.is_read = True
+        self.stream.enter(Phase.RUNNING)
+        self.handler.hold(self)
         self.connection.set_close_callback(self.on_connection_close)  # type: ignore[attr-defined]
         self.task = self.handler.spawn(self.handler.serve(self))
 
     def on_connection_close(self) -> None:
         """Cancel the request, as its caller has disconnected."""
+        self.body = bytearray()
+        if not self.is_read:
+            self.handler.hold(self)
         if self.task is not None and not self.ended:
             self.task.cancel()
 
@@ -103,7 +144,25 @@
     @property
     def oversized(self) -> bool:
         """Whether the body is larger than the limit."""
-        return self.body_size > self.handler.body_limit()
+        return max(self.length, self.body_size) > self.handler.body_limit()
+
+    @property
+    def stream(self) -> CallerStream:
+        """The connection's stream."""
+        stream = self.connection.stream  # type: ignore[attr-defined]
+        assert isinstance(stream, CallerStream)
+        return stream
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the request has been read completely and its response has not ended."""
+        return self.task is not None and not self.task.done()
+
+    def take_body(self) -> bytes:
+        """Return the body, which is then no longer held here."""
+        body = bytes(self.body)
+        self.body = bytearray()
+        return body
 
     def header_list(self) -> HeaderList:
         """Return the request's headers, names in lower case."""
@@ -126,7 +185,10 @@
         self.connection.finish()
 
     def respond(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send a complete response."""
+        """Send a complete response; the rest of a request that is not read yet is discarded."""
+        if not self.is_read:
+            self._respond_early(status, headers, body)
+            return
         self._send_head(status, [*headers, ("Content-Length", str(len(body)))], body)
         self.end()
 
@@ -142,6 +204,15 @@
         if isinstance(self.connection, HTTP1Connection):
             self.connection.close()
 
+    def _respond_early(self, status: int, headers: HeaderList, body: bytes) -> None:
+        self.started = self.ended = True
+        self.body = bytearray()
+        self.headers = fields = HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        self.early_refusal = EarlyRefusal(self.connection)
+        self.early_refusal.send(status, fields, body)
+
     def _send_head(self, status: int, headers: HeaderList, body: bytes) -> None:
         self.started = True
         fields = HTTPHeaders()
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -3,13 +3,13 @@
 import asyncio
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
 from bilberryshed.gateway._admission import RETRY_AFTER_STOPPING, Admission, Refusal
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
+from bilberryshed.gateway._caller_limits import PAGE_CONNECTIONS, CallerLimiter
 from bilberryshed.gateway._context import GatewayContext, GatewayPorts
 from bilberryshed.gateway._followers import BackendUpdater, RouteTableUpdater
 from bilberryshed.gateway._load_sharing import LoadSharing
@@ -29,10 +29,10 @@
     RouteTableVersion,
 )
 from bilberryshed.state import CallerLimits, GatewaySettings
-from bilberryshed.transport import logger
+from bilberryshed.transport import BodylessServer, CallerListener, logger
 
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
-BODY_READ_FACTOR = 2  # times the body limit; up to it, an oversized body is read and gets a 413
+RETRY_AFTER_MEMORY = 0.5  # seconds until a caller whose body had to give way should retry
 PRUNE_INTERVAL = 1.0  # seconds between removals of idle connections
 DEREGISTRATION_DELAY = 2.6  # seconds after SIGTERM until no new connections arrive
 DRAIN_MARGIN = 0.9  # seconds before SIGKILL by which the shutdown must be complete
@@ -85,9 +85,10 @@
             self.context.quarantine.summary,
             self.limits.summary,
         ]
-        self.http: HTTPServer | None = None
+        self.http: CallerListener | None = None
         self.exchanges: set[CallerExchange] = set()
         self.metrics = GatewayMetrics(self.context)
+        self.limiter = CallerLimiter(self.context, self.metrics, self._evict)
         self.admission = Admission(
             self.context, self.funds, self.metrics, self.limits, self.streams
         )
@@ -102,7 +103,8 @@
         http = self.http = self._listen()
         self._apply_limits()
         ready = self._listen_ready()
-        metrics = self.metrics.listen()
+        metrics = self.metrics.listen(PAGE_CONNECTIONS, self.limiter.on_cut)
+        self.limiter.start(http, ready, metrics)
         await self.peers.start()
         self.recorder.start()
         self.funds.start()
@@ -131,7 +133,7 @@
         """Run a coroutine on the event loop."""
         return self.context.spawn(coroutine)
 
-    async def _drain(self, http: HTTPServer) -> bool:
+    async def _drain(self, http: CallerListener) -> bool:
         """Accept connections until no more arrive, finish requests in flight, settle the tokens.
 
         :returns: whether all requests were finished
@@ -183,8 +185,15 @@
             return
         limits, params = index.table.limits, self.http.conn_params
         params.max_header_size = limits.header_bytes
-        params.max_body_size = limits.body_bytes * BODY_READ_FACTOR
+        # The limiter checks the time of a head, which this time includes.
         params.header_timeout = limits.idle_timeout
+        self._apply_caller_settings()
+
+    def _apply_caller_settings(self) -> None:
+        self.limiter.apply_total()
+        if self.http is not None:
+            self.http.max_connections = self.limiter.max_connections()
+            self.http.max_fields = self.settings.header_fields
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings; addresses and names take effect at the next start only."""
@@ -194,6 +203,7 @@
         retries.window = settings.retry_window
         retries.slack = settings.retry_slack
         self.context.book.horizon = settings.grant_horizon
+        self._apply_caller_settings()
         logger().info("settings_applied")
 
     def _message_handlers(self) -> dict[type, Any]:
@@ -213,24 +223,56 @@
 
     # HTTP -----------------------------------------------------------------------------------
 
-    def _listen(self) -> HTTPServer:
+    def _listen(self) -> CallerListener:
         limits = CallerLimits()
-        server = HTTPServer(
+        fields = self.context.dialect.refusal_headers(None)
+        server = CallerListener(
             CallerServer(self),
-            max_body_size=limits.body_bytes * BODY_READ_FACTOR,
+            max_connections=self.limiter.max_connections(),
+            on_cut=self.limiter.on_cut,
+            max_fields=self.settings.header_fields,
+            refusal_fields="".join(f"{name}: {value}\r\n" for name, value in fields).encode(),
             max_header_size=limits.header_bytes,
             idle_connection_timeout=limits.idle_timeout,
         )
         server.listen(self.settings.listen.port, self.settings.listen.host, backlog=LISTEN_BACKLOG)
         return server
 
-    def _listen_ready(self) -> HTTPServer:
+    def _listen_ready(self) -> CallerListener:
+        limits = CallerLimits()
         application = Application([(r"/.*", ReadyHandler, {"owner": self})])
-        server = HTTPServer(application)
+        server = CallerListener(
+            BodylessServer(application),
+            max_connections=PAGE_CONNECTIONS,
+            on_cut=self.limiter.on_cut,
+            max_header_size=limits.header_bytes,
+            idle_connection_timeout=limits.idle_timeout,
+        )
         address = self.settings.ready_listen
         server.listen(address.port, address.host)
         return server
 
+    def judge(self, exchange: CallerExchange) -> None:
+        """Refuse a request on its head, before its body is read, if it cannot be served."""
+        headers = exchange.header_list()
+        exchange.request_id = self.context.dialect.request_id(headers)
+        judged = self.admission.judge(exchange, headers)
+        if isinstance(judged, Refusal):
+            self._refuse(exchange, judged)
+            self.limiter.release(exchange)
+        else:
+            exchange.has_key = judged[2] is not None
+
+    def hold(self, exchange: CallerExchange) -> None:
+        """Account for what has arrived of a request; it may be refused."""
+        self.limiter.hold(exchange)
+
+    def _evict(self, exchange: CallerExchange) -> None:
+        """Refuse a request whose body is not read completely, as too much is held."""
+        reason = "not run: this gateway holds too many unfinished requests"
+        self.limiter.on_cut("memory")
+        self._refuse(exchange, Refusal(503, "memory", reason, RETRY_AFTER_MEMORY))
+
     def body_limit(self) -> int:
         """Return the largest accepted body size in bytes."""
         index = self.context.index
@@ -259,6 +301,7 @@
             self._refuse(exchange, Refusal(502, "internal", "internal error"))
         finally:
             self.exchanges.discard(exchange)
+            self.limiter.release(exchange)
 
     def _refuse(self, exchange: CallerExchange, refusal: Refusal) -> None:
         logger().info(
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -1,11 +1,12 @@
 """Prometheus metrics of a gateway."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.transport import logger
+from bilberryshed.transport import BodylessServer, CallerListener, logger
 
 LATENCIES = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)  # seconds
 PREFIX = "bilberryshed"
@@ -55,6 +56,16 @@
             registry=registry,
         )
         self.hubs = Gauge(f"{PREFIX}_hubs", "Hubs known to this gateway", registry=registry)
+        self.cut_callers = Counter(
+            f"{PREFIX}_cut_callers",
+            "Callers' connections that a limit closed",
+            ["cause"],
+            registry=registry,
+        )
+        self.held_bytes = Gauge(f"{PREFIX}_held_bytes", "Bytes held for callers", registry=registry)
+        self.caller_connections = Gauge(
+            f"{PREFIX}_caller_connections", "Open connections of callers", registry=registry
+        )
         self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
 
     def render(self) -> bytes:
@@ -75,15 +86,20 @@
             self.events.labels(event).set(count)
         return generate_latest(self.registry)
 
-    def listen(self) -> HTTPServer | None:
+    def listen(self, max_connections: int, on_cut: Callable[[str], None]) -> CallerListener | None:
         """Serve the metrics if an address is set.
 
+        :param max_connections: bound on the connections to the page
+        :param on_cut: called with the cause when a limit closes one
         :returns: the server, ``None`` if no address is set or it cannot be bound
         """
         address = self.context.settings.metrics_listen
         if address is None:
             return None
-        server = HTTPServer(Application([(r"/.*", MetricsHandler, {"metrics": self})]))
+        application = Application([(r"/.*", MetricsHandler, {"metrics": self})])
+        server = CallerListener(
+            BodylessServer(application), max_connections=max_connections, on_cut=on_cut
+        )
         try:
             server.listen(address.port, address.host)
         except OSError as error:
--- a/src/bilberryshed/state/_gateway_settings.py
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -6,12 +6,14 @@
     Address,
     parse_boolean,
     parse_count,
+    parse_count_or_zero,
     parse_name,
     parse_optional_address,
     parse_optional_ratio,
     parse_pairs,
     parse_ratio,
     parse_seconds,
+    parse_share,
     setting,
 )
 
@@ -41,6 +43,11 @@
     :param link_wait_ratio: share of its latency target that a request may wait for the VM's network
         link, 0 for no limit
     :param pace: whether backend servers that have started or recovered get a growing share of work
+    :param held_share: share of the memory that may hold requests and responses of callers
+    :param header_fields: header fields of a request
+    :param body_time: time without a byte of a body after which its caller is cut off
+    :param read_time: time in which a caller reads nothing of a response and is cut off
+    :param connections: callers' connections, 0 for as many as descriptors and memory allow
     :param store_timeout: timeout of one call to the store
     """
 
@@ -67,6 +74,11 @@
     cold_slack: float | None = setting("places", parse_optional_ratio, "")
     link_wait_ratio: float = setting("overload", parse_ratio, "0.25")
     pace: bool = setting("pace", parse_boolean, "no")
+    held_share: float = setting("callers", parse_share, "0.2")
+    header_fields: int = setting("callers", parse_count, "256")
+    body_time: float = setting("callers", parse_seconds, "15")
+    read_time: float = setting("callers", parse_seconds, "30")
+    connections: int = setting("callers", parse_count_or_zero, "0")
 
     @property
     def capacity(self) -> float:
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -67,6 +67,19 @@
     return value
 
 
+def parse_count_or_zero(text: str) -> int:
+    """Parse a whole number that is not negative."""
+    return 0 if text.strip() == "0" else parse_count(text)
+
+
+def parse_share(text: str) -> float:
+    """Parse a share, above 0 and below 1."""
+    value = float(text)
+    if not 0 < value < 1:
+        raise ValueError(f"{text} is not a share between 0 and 1")
+    return value
+
+
 def parse_name(text: str) -> str:
     """Parse a name of letters, digits, dots, hyphens and underscores."""
     if not text or not all(c.isalnum() or c in ".-_" for c in text):
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -1,5 +1,11 @@
 """Timers, background tasks, logs, metrics, TLS, HTTP and links."""
 
+from bilberryshed.transport._caller_streams import (
+    DRAIN_TIME,
+    CallerListener,
+    CallerStream,
+    Phase,
+)
 from bilberryshed.transport._connections import (
     BackendConnection,
     ConnectError,
@@ -8,6 +14,7 @@
     ResponseError,
     ResponseHead,
 )
+from bilberryshed.transport._early_refusal import BodylessServer, EarlyRefusal, announces_body
 from bilberryshed.transport._http import (
     HttpError,
     describe_error,
@@ -40,6 +47,13 @@
 from bilberryshed.transport._tls import client_tls_context, server_tls_context
 
 __all__ = [
+    "BodylessServer",
+    "CallerListener",
+    "CallerStream",
+    "DRAIN_TIME",
+    "EarlyRefusal",
+    "Phase",
+    "announces_body",
     "Admittance",
     "QuarantineExchange",
     "QuarantinePorts",
