Callers' limits: half of an equal share, closing order at the bound on connections, documentation

A 4 MiB request was refused beside 120 slow callers that had stopped at 3 MB, as these were below an equal share and it was not; with half of a share it was answered 200 (peak 115 MB). Refused connections are closed for new ones before idle ones, and none that is younger than 1 s. Parsed header fields are counted with 256 bytes each: 1,500 short fields took 32 times their bytes.

--- a/src/bilberryshed/coordination/memory/_held_bytes.py
+++ b/src/bilberryshed/coordination/memory/_held_bytes.py
@@ -78,8 +78,12 @@
 
     @property
     def fair_part(self) -> int:
-        """Bytes of one connection if the total is shared equally."""
-        return self.total // max(1, len(self.holdings))
+        """Bytes up to which a connection gives way after larger ones: half of an equal share.
+
+        With a whole share, a large request would give way to a few callers that have stopped just
+        below it.
+        """
+        return self.total // (2 * max(1, len(self.holdings)))
 
     def victims(self, now: float) -> list[int]:
         """Return the connections that give way so that the rest is within the total.
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -17,6 +17,8 @@
 
 from bilberryshed.transport import CallerStream, EarlyRefusal, HeaderList, Phase, announces_body
 
+FIELD_BYTES = 256  # bytes that a parsed header field takes beside its text
+
 
 class ExchangeHandler(Protocol):
     """Interface through which an exchange calls its gateway."""
@@ -43,7 +45,7 @@
     :param body: what has arrived of the body, nothing once the request is refused or sent on
     :param body_size: bytes of the body received so far
     :param length: bytes of the body that the head announces, 0 if it does not say
-    :param head_size: bytes of the header fields
+    :param head_size: bytes that the parsed header fields take
     :param is_read: whether the request has been read completely
     :param has_key: whether the key of the request is known
     :param early_refusal: refusal sent before the body had been read
@@ -103,7 +105,7 @@
         if announces_body(headers):
             length = headers.get("Content-Length", "0")
             self.length = int(length) if length.isdecimal() else 0
-            self.head_size = sum(len(name) + len(value) for name, value in headers.get_all())
+            self.head_size = sum(len(k) + len(v) + FIELD_BYTES for k, v in headers.get_all())
             self.stream.enter(Phase.BODY)
             self.handler.judge(self)
             self.handler.hold(self)
--- a/src/bilberryshed/gateway/_caller_limits.py
+++ b/src/bilberryshed/gateway/_caller_limits.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from bilberryshed.coordination.memory import HeldBytes, HeldKind
-from bilberryshed.gateway._caller_exchange import CallerExchange
+from bilberryshed.gateway._caller_exchange import FIELD_BYTES, CallerExchange
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.state import CallerLimits
@@ -13,7 +13,6 @@
 SWEEP_INTERVAL = 0.5  # seconds between checks of all connections
 MEGABYTE = 1_000_000
 CONNECTION_BYTES = 32_768  # bytes of an open connection: objects, read buffer
-HEAD_FACTOR = 4  # bytes of parsed header fields per byte of the head
 WHOLE_FACTOR = 2  # a whole request is copied once while it is sent to a backend server
 RESERVED_DESCRIPTORS = 256  # for backend servers, other gateways, the store and the log
 FALLBACK_CONNECTIONS = 64  # callers' connections if hardly any descriptors are left
@@ -56,7 +55,8 @@
         """Set the total of the account; the largest legal request always fits."""
         settings = self.context.settings
         share = int(settings.memory * MEGABYTE * settings.held_share)
-        legal = WHOLE_FACTOR * self.limits.body_bytes + HEAD_FACTOR * self.limits.header_bytes
+        head = self.limits.header_bytes + settings.header_fields * FIELD_BYTES
+        legal = WHOLE_FACTOR * self.limits.body_bytes + head
         self.held.total = max(share, legal)
 
     def max_connections(self) -> int:
@@ -83,7 +83,7 @@
             return
         kind = HeldKind.WHOLE if exchange.is_read else HeldKind.PARTIAL
         factor = WHOLE_FACTOR if exchange.is_read else 1
-        size = exchange.head_size * HEAD_FACTOR + exchange.body_size * factor
+        size = exchange.head_size + exchange.body_size * factor
         self.exchanges[number] = exchange
         self.held.put(number, kind, size, self.context.timers.now(), exchange.has_key)
         self.make_room()
--- a/src/bilberryshed/transport/_caller_streams.py
+++ b/src/bilberryshed/transport/_caller_streams.py
@@ -14,6 +14,7 @@
 READ_CHUNK = 32_768  # bytes read at once, and buffered for a connection that nobody reads
 MAX_BUFFER = 262_144  # bytes of the read buffer; above READ_CHUNK and the largest head together
 UNLIMITED_BODY = 1 << 62  # the listener leaves the limit of bodies to its delegate
+MIN_IDLE = 1.0  # seconds for which a connection without a whole head is not closed for another
 DRAIN_TIME = 5.0  # seconds in which a caller that has been refused may still send
 DRAIN_BYTES = 8_388_608  # bytes that it may send; twice the largest body
 DEFAULT_FIELDS = 256  # header fields of a request
@@ -171,11 +172,17 @@
         self.streams.discard(server_conn.stream)
 
     def _close_idle(self) -> bool:
-        """Close the connection that has been without a whole head for the longest time."""
-        idle = [s for s in self.streams if s.phase in (Phase.IDLE, Phase.HEAD, Phase.REFUSED)]
+        """Close a connection without a running request: refused ones first, then by age."""
+        latest = time.monotonic() - MIN_IDLE
+        idle = [
+            stream
+            for stream in self.streams
+            if stream.phase is Phase.REFUSED
+            or (stream.phase in (Phase.IDLE, Phase.HEAD) and stream.since < latest)
+        ]
         if not idle:
             return False
-        oldest = min(idle, key=lambda stream: stream.since)
+        oldest = min(idle, key=lambda stream: (stream.phase is not Phase.REFUSED, stream.since))
         oldest.cut("connections")
         self.streams.discard(oldest)
         return True
