Judge a request with a body only once while its route table stays in force

It was parsed on its head and again with its body. Run: gateway.feature and gateway_program.feature, all 142 scenarios passed.

--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -1,11 +1,11 @@
 """Validates a caller's request, reserves its tokens, forwards it and settles the reservation."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 from returns.result import Failure
 
-from bilberryshed.coordination import Shortage, split_point
+from bilberryshed.coordination import RouteIndex, Shortage, split_point
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._dialect import CallerRequest
@@ -16,7 +16,7 @@
 from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.gateway._stream_directory import StreamDirectory
 from bilberryshed.state import Route, RoutedCustomer
-from bilberryshed.transport import HeaderList, logger
+from bilberryshed.transport import logger
 
 RETRY_AFTER_UNAVAILABLE = 0.5  # seconds until a refused caller should retry
 MIN_RETRY_AFTER = 0.1  # seconds
@@ -25,6 +25,19 @@
 RETRY_AFTER_UNFUNDED = 1.0  # seconds until a caller should retry, as tokens may be reachable then
 
 
+@dataclass(slots=True, frozen=True)
+class Judged:
+    """A request that was judged on its head, without its body.
+
+    :param index: route table by which it was judged
+    """
+
+    index: RouteIndex
+    request: CallerRequest
+    route: Route
+    customer: RoutedCustomer | None
+
+
 @dataclass(slots=True, frozen=True)
 class Refusal:
     """An error response that the gateway itself generates.
@@ -66,22 +79,22 @@
         :returns: the refusal to send, ``None`` if the caller has been sent a response
         """
         started_at = self.context.timers.now()
-        headers = exchange.header_list()
-        exchange.request_id = self.context.dialect.request_id(headers)
-        judged = self.judge(exchange, headers, exchange.take_body())
-        if isinstance(judged, Refusal):
-            return judged
-        request, route, customer = judged
-        return await self._admit(exchange, request, route, customer, started_at)
+        judged = exchange.judged
+        if not isinstance(judged, Judged) or self._is_outdated(judged):
+            verdict = self.judge(exchange)
+            if isinstance(verdict, Refusal):
+                return verdict
+            judged = verdict
+        request = replace(judged.request, body=exchange.take_body())
+        return await self._admit(exchange, request, judged.route, judged.customer, started_at)
 
-    def judge(
-        self, exchange: CallerExchange, headers: HeaderList, body: bytes = b""
-    ) -> Refusal | tuple[CallerRequest, Route, RoutedCustomer | None]:
-        """Judge a request on its head.
+    def _is_outdated(self, judged: Judged) -> bool:
+        return self.context.closing or judged.index is not self.context.index
 
-        :param body: the body, empty if it has not been read
-        :returns: the refusal to send, or the validated request with its route and customer
-        """
+    def judge(self, exchange: CallerExchange) -> Refusal | Judged:
+        """Judge a request on its head; returns the refusal to send if it cannot be served."""
+        headers = exchange.header_list()
+        exchange.request_id = self.context.dialect.request_id(headers)
         if self.context.closing:
             # A late request on a kept-alive connection could be aborted when the process exits.
             return Refusal(503, "stopping", "this gateway is stopping", RETRY_AFTER_STOPPING)
@@ -93,7 +106,7 @@
             return Refusal(
                 503, "no_table", "no route table is in force yet", RETRY_AFTER_UNAVAILABLE
             )
-        parsed = self.context.dialect.parse_request(exchange.method, exchange.target, headers, body)
+        parsed = self.context.dialect.parse_request(exchange.method, exchange.target, headers, b"")
         if isinstance(parsed, Failure):
             error = parsed.failure()
             return Refusal(error.status, "malformed", error.reason)
@@ -106,7 +119,7 @@
             customer = index.customer(request.key)
             if customer is None:
                 return Refusal(401, "key", "the key is not known")
-        return request, route, customer
+        return Judged(index, request, route, customer)
 
     async def _admit(
         self,
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -48,6 +48,7 @@
     :param head_size: bytes that the parsed header fields take
     :param is_read: whether the request has been read completely
     :param has_key: whether the key of the request is known
+    :param judged: what the admission found on the head, ``None`` if there was no body to wait for
     :param early_refusal: refusal sent before the body had been read
     :param started: whether the head of the response has been sent
     :param ended: whether the response is complete or aborted
@@ -67,6 +68,7 @@
         "head_size",
         "is_read",
         "has_key",
+        "judged",
         "early_refusal",
         "started",
         "ended",
@@ -88,6 +90,7 @@
         self.head_size = 0
         self.is_read = False
         self.has_key = False
+        self.judged: object = None
         self.early_refusal: EarlyRefusal | None = None
         self.request_id = ""
         self.started = False
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -254,14 +254,13 @@
 
     def judge(self, exchange: CallerExchange) -> None:
         """Refuse a request on its head, before its body is read, if it cannot be served."""
-        headers = exchange.header_list()
-        exchange.request_id = self.context.dialect.request_id(headers)
-        judged = self.admission.judge(exchange, headers)
+        judged = self.admission.judge(exchange)
         if isinstance(judged, Refusal):
             self._refuse(exchange, judged)
             self.limiter.release(exchange)
         else:
-            exchange.has_key = judged[2] is not None
+            exchange.judged = judged
+            exchange.has_key = judged.customer is not None
 
     def hold(self, exchange: CallerExchange) -> None:
         """Account for what has arrived of a request; it may be refused."""
