--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -1,11 +1,11 @@
 """Validates a caller's request, reserves its tokens, forwards it and settles the reservation."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 from returns.result import Failure
 
-from bilberryshed.coordination import Shortage, shard_of, split_point
+from bilberryshed.coordination import RouteIndex, Shortage, shard_of, split_point
 from bilberryshed.coordination.admission import LinkDemand
 from bilberryshed.coordination.places import home_regions, is_at_home
 from bilberryshed.gateway._caller_exchange import CallerExchange
@@ -31,6 +31,19 @@
 RETRY_AFTER_UNFUNDED = 1.0  # seconds until a caller should retry, as tokens may be reachable then
 
 
+@dataclass(slots=True, frozen=True)
+class Judged:
+    """A request that was judged on its head, without its body.
+
+    :param index: route table by which it was judged
+    """
+
+    index: RouteIndex
+    request: CallerRequest
+    route: Route
+    customer: RoutedCustomer | None
+
+
 @dataclass(slots=True, frozen=True)
 class Refusal:
     """An error response that the gateway itself generates.
@@ -74,23 +87,34 @@
         :returns: the refusal to send, ``None`` if the caller has been sent a response
         """
         started_at = self.context.timers.now()
+        judged = exchange.judged
+        if not isinstance(judged, Judged) or self._is_outdated(judged):
+            verdict = self.judge(exchange)
+            if isinstance(verdict, Refusal):
+                return verdict
+            judged = verdict
+        request = replace(judged.request, body=exchange.take_body())
+        return await self._admit(exchange, request, judged.route, judged.customer, started_at)
+
+    def _is_outdated(self, judged: Judged) -> bool:
+        return self.context.closing or judged.index is not self.context.index
+
+    def judge(self, exchange: CallerExchange) -> Refusal | Judged:
+        """Judge a request on its head; returns the refusal to send if it cannot be served."""
         headers = exchange.header_list()
         exchange.request_id = self.context.dialect.request_id(headers)
         if self.context.closing:
             # A late request on a kept-alive connection could be aborted when the process exits.
             return Refusal(503, "stopping", "this gateway is stopping", RETRY_AFTER_STOPPING)
         if exchange.oversized:
-            return Refusal(
-                413, "body", f"the body has {exchange.body_size} bytes, more than allowed"
-            )
+            size = max(exchange.length, exchange.body_size)
+            return Refusal(413, "body", f"the body has {size} bytes, more than allowed")
         index = self.context.index
         if index is None:
             return Refusal(
                 503, "no_table", "no route table is in force yet", RETRY_AFTER_UNAVAILABLE
             )
-        parsed = self.context.dialect.parse_request(
-            exchange.method, exchange.target, headers, b"".join(exchange.body)
-        )
+        parsed = self.context.dialect.parse_request(exchange.method, exchange.target, headers, b"")
         if isinstance(parsed, Failure):
             error = parsed.failure()
             return Refusal(error.status, "malformed", error.reason)
@@ -103,7 +127,7 @@
             customer = index.customer(request.key)
             if customer is None:
                 return Refusal(401, "key", "the key is not known")
-        return await self._admit(exchange, request, route, customer, started_at)
+        return Judged(index, request, route, customer)
 
     async def _admit(
         self,
