--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -189,6 +189,7 @@
                 return AttemptOutcome.NOT_RUN
             if view.server.zone in self.pool.evacuated:
                 connection.abort()
+                job.excluded.add(view.server.id)
                 job.last_failure = f"zone {view.server.zone} is evacuated"
                 return AttemptOutcome.NOT_RUN
             job.sent += 1
