--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -62,14 +62,18 @@
     return {**defaults, **overrides}
 
 
-def build_gateway_settings(**values):
-    """Return settings of a gateway; settings that are not given have their defaults."""
+def build_gateway_settings(*first, **values):
+    """Return settings of a gateway; settings that are not given have their defaults.
+
+    :param first: values of the first settings, in their order
+    """
     defaults = {
         key.name: key.metadata["parse"](key.metadata["default"])
         for key in fields(GatewaySettings)
         if key.metadata["default"] is not None
     }
-    return GatewaySettings(**{**defaults, **values})
+    names = [key.name for key in fields(GatewaySettings)]
+    return GatewaySettings(**{**defaults, **dict(zip(names, first, strict=False)), **values})
 
 
 @dataclass
