--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -1,7 +1,7 @@
 """Runs gateways in this process against stand-ins for the users' platform."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields, replace
 from functools import partial
 
 import h11
@@ -62,6 +62,20 @@
     return {**defaults, **overrides}
 
 
+def build_gateway_settings(*first, **values):
+    """Return settings of a gateway; settings that are not given have their defaults.
+
+    :param first: values of the first settings, in their order
+    """
+    defaults = {
+        key.name: key.metadata["parse"](key.metadata["default"])
+        for key in fields(GatewaySettings)
+        if key.metadata["default"] is not None
+    }
+    names = [key.name for key in fields(GatewaySettings)]
+    return GatewaySettings(**{**defaults, **dict(zip(names, first, strict=False)), **values})
+
+
 @dataclass
 class ReceivedResponse:
     """A response as received by its caller; ``complete`` is whether its framing ended properly."""
@@ -75,15 +89,20 @@
 
 @dataclass
 class GatewayHarness:
-    """Manages a store, backend servers and gateways, and sends requests to the gateways."""
+    """Manages a store, backend servers and gateways, and sends requests to the gateways.
+
+    :param settings: settings of gateways that replace the defaults
+    """
 
     store: RowStore = field(default_factory=RowStore)
     backends: dict = field(default_factory=dict)
     gateways: dict = field(default_factory=dict)
     stop_events: dict = field(default_factory=dict)
     tasks: dict = field(default_factory=dict)
+    settings: dict = field(default_factory=dict)
     store_port: int = 0
     next_id: int = 1
+    pace: bool = False
 
     async def start(self):
         """Start the store and write a config to it."""
@@ -132,7 +151,7 @@
         :param ready: whether to wait until it is ready and has all backend servers
         """
         addresses = [Address("127.0.0.1", free_port()) for _ in range(3)]
-        settings = GatewaySettings(
+        settings = build_gateway_settings(
             name=name,
             zone="quay",
             listen=addresses[0],
@@ -151,7 +170,13 @@
             retry_window=10.0,
             retry_slack=50.0,
             grant_horizon=25.0,
+            regions={},
+            cold_overrun=None,
+            cold_slack=None,
+            link_wait_ratio=0.25,
+            pace=self.pace,
         )
+        settings = replace(settings, **self.settings)
         ports = gateway_ports(settings.store, settings.store_timeout)
         gateway = Gateway(settings, ports, asyncio.get_running_loop().time())
         stop_event = asyncio.Event()
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -5,11 +5,19 @@
 the failure rate of real requests (passive health checks), not by probes.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from bilberryshed.coordination._backend_view import BackendDemand, BackendView, InFlightRequest
-from bilberryshed.coordination._placement import place_plain, place_prompt, prefill_tokens
+from bilberryshed.coordination._rendezvous import weight
 from bilberryshed.coordination._self_reports import SelfReports, is_same_process
+from bilberryshed.coordination.pacing import Pacing
+from bilberryshed.coordination.placement import (
+    place_plain,
+    place_prompt,
+    prefill_tokens,
+    update_paces,
+    with_room,
+)
 from bilberryshed.protocol import LoadNotice, LoadSummary, PrefixSent, ServerLoad
 from bilberryshed.state import BackendServer
 
@@ -20,6 +28,7 @@
 RESUME_TIME = 1.0  # seconds after a time without requests in which they are paced
 RESUME_INTERVAL = 0.05  # seconds between two requests then
 MAX_BACKOFF = 4.0  # seconds, upper limit of the doubled backoff
+PACED_BACKOFF = 0.4  # seconds, the same where pacing prevents the surge at the end of the backoff
 FAILURE_WEIGHT = 0.25  # weight of the newest outcome in the moving average of failures
 EJECT_FAILURE_RATE = 0.5  # failure rate above which a backend server is ejected
 EJECT_TIME = 1.5  # seconds for which a backend server is ejected
@@ -42,19 +51,35 @@
     """One router's views of the backend servers, by id.
 
     :param zone: availability zone of this router, preferred for plain requests
+    :param name: name of this router, which spreads its choices among equal backend servers
     :param reported_at: monotonic time of each peer's last report, in seconds
     :param self_reports: what backend servers have said of themselves
+    :param evacuated: availability zones whose backend servers get no requests
+    :param pacing: paces backend servers that have started or recovered, ``None`` if it is off
     """
 
-    __slots__ = ("zone", "views", "peer_loads", "reported_at", "new_prefixes", "self_reports")
-
-    def __init__(self, zone: str) -> None:
+    __slots__ = (
+        "zone",
+        "name",
+        "views",
+        "peer_loads",
+        "reported_at",
+        "new_prefixes",
+        "self_reports",
+        "evacuated",
+        "pacing",
+    )
+
+    def __init__(self, zone: str, name: str = "") -> None:
         self.zone = zone
+        self.name = name
         self.views: dict[str, BackendView] = {}
         self.peer_loads: dict[str, tuple[ServerLoad, ...]] = {}
         self.reported_at: dict[str, float] = {}
         self.new_prefixes: list[PrefixSent] = []
         self.self_reports = SelfReports()
+        self.evacuated: frozenset[str] = frozenset()
+        self.pacing: Pacing | None = None
 
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return this router's load at each backend server, to be reported to its peers."""
@@ -108,9 +133,10 @@
                 view.peers_work += sign * load.work
                 view.peers_unread += sign * load.unread
 
-    def set_servers(self, servers: dict[str, BackendServer]) -> list[BackendView]:
+    def set_servers(self, servers: dict[str, BackendServer], now: float = 0.0) -> list[BackendView]:
         """Update the views from the registered backend servers.
 
+        :param now: monotonic time in seconds, from which new ones are paced
         :returns: views of those that were removed or have restarted
         """
         removed: list[BackendView] = []
@@ -121,8 +147,9 @@
                 view.is_leaving = True
                 removed.append(view)
                 del self.views[id_]
+        added = [id_ for id_ in servers if id_ not in self.views]
         for id_, server in servers.items():
-            view = self.views.setdefault(id_, BackendView(server))
+            view = self.views.get(id_) or self._add_view(server)
             if server.sequence != view.server.sequence and view.refused_connections:
                 view.refused_connections = 0
                 view.backoff_until = 0.0
@@ -130,8 +157,21 @@
             view.update(server)
         if removed or self.views.keys() != known:
             self._sum_peer_loads()
+        if self.pacing is not None:
+            self.pacing.on_servers(now, [self.views[id_] for id_ in added], self.views)
         return removed
 
+    def _add_view(self, server: BackendServer) -> BackendView:
+        view = BackendView(server, tie_rank=weight(self.name, server.id))
+        for other in self._of_service(server.service):
+            view.estimate.service_pace = other.estimate.service_pace
+            break
+        self.views[server.id] = view
+        return view
+
+    def _of_service(self, service: str) -> Iterator[BackendView]:
+        return (view for view in self.views.values() if view.server.service == service)
+
     def _apply_self_report(self, view: BackendView, server: BackendServer) -> None:
         report = self.self_reports.get(server)
         view.says_leaving, view.quiet_until = report.is_leaving, report.quiet_until
@@ -159,9 +199,17 @@
         self.self_reports.prune(now, (view.server for view in self.views.values()))
 
     def usable(self, service: str) -> list[BackendView]:
-        """Return the backend servers of a service that are not draining."""
+        """Return the backend servers of a service that may get requests."""
+        return [v for v in self.serving(service) if v.server.zone not in self.evacuated]
+
+    def serving(self, service: str) -> list[BackendView]:
+        """Return the backend servers of a service that are not draining, of all zones."""
         return [v for v in self.views.values() if v.server.service == service and not v.is_leaving]
 
+    def may_receive(self, view: BackendView) -> bool:
+        """Whether a backend server that was chosen earlier may still get the request."""
+        return not view.is_leaving and view.server.zone not in self.evacuated
+
     def choose(
         self, now: float, service: str, demand: BackendDemand, tried: frozenset[str]
     ) -> BackendView | None:
@@ -176,9 +224,11 @@
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
+        candidates = healthy if self.pacing is None else self.pacing.candidates(now, healthy)
+        candidates = with_room(candidates, demand)
         if demand.affinity:
-            return place_prompt(now, healthy, demand)
-        return place_plain(healthy, self.zone)
+            return place_prompt(now, candidates, demand)
+        return place_plain(candidates, self.zone)
 
     def next_admission(self, now: float, service: str, tried: frozenset[str]) -> float | None:
         """Return the earliest time at which a backend server takes requests by what it has said.
@@ -192,11 +242,17 @@
 
     def begin(self, now: float, view: BackendView, demand: BackendDemand) -> InFlightRequest:
         """Add a request to the in-flight load of a backend server."""
-        request = InFlightRequest(view, demand, prefill_tokens(now, view, demand))
+        prefill = prefill_tokens(now, view, demand)
+        # The prompt at the head of the queue is half prefilled on average, and counts in full.
+        ahead = max(view.total_unread - prefill // 2, 0)
+        request = InFlightRequest(view, demand, prefill, ahead + prefill)
+        if self.pacing is not None:
+            self.pacing.on_sent(now, view)
         if now < view.quiet_until + RESUME_TIME:
             view.limited_until = max(view.limited_until, now + RESUME_INTERVAL)
         view.running += 1
         view.work += demand.work
+        view.held += demand.held
         view.unread += request.unread
         if demand.affinity:
             if not view.has_cached(now, demand.affinity):
@@ -204,6 +260,18 @@
             view.record_prefix_sent(now, demand.affinity)
         return request
 
+    def on_first_event(self, now: float, request: InFlightRequest, sent_at: float) -> None:
+        """Learn from the time from sending a request, at ``sent_at``, to its first event.
+
+        The head of a response that has no events counts as one.
+        """
+        view = request.view
+        if self.pacing is not None:
+            self.pacing.on_first_event(now, view, now - sent_at)
+        if view.estimate.observe(now, now - sent_at, request.until_first):
+            update_paces(now, [v.estimate for v in self._of_service(view.server.service)])
+        self.on_prefill_done(request)
+
     def on_prefill_done(self, request: InFlightRequest) -> None:
         """Record that the prompt of a request is prefilled, as its first event has arrived."""
         request.view.unread -= request.unread
@@ -214,25 +282,35 @@
         self.on_prefill_done(request)
         request.view.running -= 1
         request.view.work -= request.demand.work
+        request.view.held -= request.demand.held
 
     def on_connection_refused(self, now: float, view: BackendView) -> None:
         """Back off exponentially after a connection that could not be opened."""
         view.refused_connections += 1
         view.failed_at = now
-        backoff = min(MAX_BACKOFF, REFUSED_BACKOFF * 2 ** (view.refused_connections - 1))
+        longest = MAX_BACKOFF if self.pacing is None else PACED_BACKOFF
+        backoff = min(longest, REFUSED_BACKOFF * 2 ** (view.refused_connections - 1))
+        if self.pacing is not None:
+            self.pacing.begin(now, view, "refused")
         view.backoff_until = max(view.backoff_until, now + backoff)
 
     def on_overloaded(self, now: float, view: BackendView) -> None:
         """Back off after a request that the backend server refused because it is full."""
         view.backoff_until = max(view.backoff_until, now + FULL_BACKOFF)
+        if self.pacing is not None:
+            self.pacing.on_rejected(view)
 
     def on_outcome(self, now: float, view: BackendView, failed: bool) -> None:
         """Update the failure rate with the outcome of a request that the backend server started."""
         if failed:
             view.failed_at = now
+            if self.pacing is not None:
+                self.pacing.on_rejected(view)
         else:
             view.refused_connections = 0
         view.failure_rate += FAILURE_WEIGHT * (float(failed) - view.failure_rate)
         if view.failure_rate > EJECT_FAILURE_RATE:
             view.ejected_until = now + EJECT_TIME
             view.failure_rate = PROBATION_FAILURE_RATE
+            if self.pacing is not None:
+                self.pacing.begin(now, view, "ejected")
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
+from bilberryshed.coordination.placement._estimate import ServerEstimate
 from bilberryshed.state import BackendServer
 
 PREFIX_CACHE_TIME = 10.0  # seconds for which a shared prefix is assumed cached after it was sent
@@ -17,21 +18,28 @@
     :param work: weighted sum of prompt and output tokens; 1 for a plain request
     :param shared: tokens of the shared prefix, which are prefilled unless the server has it cached
     :param own: tokens of the prompt that are prefilled in any case
+    :param held: tokens of the prompt and the longest output, which stay in the server's memory
+    :param capacity: tokens that fit into the memory of a server, 0 if that is no limit
     """
 
     affinity: str
     work: int
     shared: int = 0
     own: int = 0
+    held: int = 0
+    capacity: int = 0
 
 
 @dataclass(slots=True)
 class BackendView:
     """One router's view of a backend server.
 
+    :param tie_rank: preference of this router among equal backend servers, highest first
+    :param estimate: the time in which it prefills prompts
     :param running: requests of this router that run there
     :param work: tokens of these requests, with outputs weighted
     :param unread: tokens of their prompts that are not yet prefilled
+    :param held: tokens that they hold in its memory at most
     :param peers_running: requests of other routers, according to their last reports
     :param peers_work: tokens of these requests, with outputs weighted
     :param peers_unread: tokens of their prompts that are not yet prefilled
@@ -52,9 +60,12 @@
     """
 
     server: BackendServer
+    tie_rank: int = 0
+    estimate: ServerEstimate = field(default_factory=ServerEstimate)
     running: int = 0
     work: int = 0
     unread: int = 0
+    held: int = 0
     peers_running: int = 0
     peers_work: int = 0
     peers_unread: int = 0
@@ -124,8 +135,10 @@
     """A request in flight at a backend server.
 
     :param unread: tokens of its prompt that are not yet prefilled
+    :param until_first: tokens that the backend server prefills until its first event
     """
 
     view: BackendView
     demand: BackendDemand
     unread: int
+    until_first: int = 0
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -1,16 +1,19 @@
 """Validates a caller's request, reserves its tokens, forwards it and settles the reservation."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 from returns.result import Failure
 
-from bilberryshed.coordination import Shortage, split_point
+from bilberryshed.coordination import RouteIndex, Shortage, shard_of, split_point
+from bilberryshed.coordination.admission import LinkDemand
+from bilberryshed.coordination.places import home_regions, is_at_home
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._dialect import CallerRequest
 from bilberryshed.gateway._forwarder import Forwarder
 from bilberryshed.gateway._job import AttemptOutcome, Job, milliseconds
+from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.gateway._metrics import GatewayMetrics
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
 from bilberryshed.gateway._server_limits import ServerLimits
@@ -22,9 +25,25 @@
 MIN_RETRY_AFTER = 0.1  # seconds
 MAX_RETRY_AFTER = 3_600.0  # seconds; a backend server may ask for any time
 RETRY_AFTER_STOPPING = 0.1  # seconds until a caller should retry at another gateway
+MIN_RETRY_AFTER_LINK = 0.02  # seconds; a retry may reach another gateway at once
+RETRY_SPREAD = 0.2  # seconds over which the retries of callers refused for the link are spread
+RETRY_STEPS = 100  # different times of such retries
 RETRY_AFTER_UNFUNDED = 1.0  # seconds until a caller should retry, as tokens may be reachable then
 
 
+@dataclass(slots=True, frozen=True)
+class Judged:
+    """A request that was judged on its head, without its body.
+
+    :param index: route table by which it was judged
+    """
+
+    index: RouteIndex
+    request: CallerRequest
+    route: Route
+    customer: RoutedCustomer | None
+
+
 @dataclass(slots=True, frozen=True)
 class Refusal:
     """An error response that the gateway itself generates.
@@ -44,7 +63,7 @@
 class Admission:
     """Processes callers' requests from validation to settlement."""
 
-    __slots__ = ("context", "funds", "metrics", "streams", "forwarder")
+    __slots__ = ("context", "funds", "metrics", "streams", "link_load", "forwarder")
 
     def __init__(
         self,
@@ -53,12 +72,14 @@
         metrics: GatewayMetrics,
         limits: ServerLimits,
         streams: StreamDirectory,
+        link_load: LinkLoad,
     ) -> None:
         self.context = context
         self.funds = funds
         self.metrics = metrics
         self.streams = streams
-        self.forwarder = Forwarder(context, limits, streams)
+        self.link_load = link_load
+        self.forwarder = Forwarder(context, limits, streams, link_load)
 
     async def respond(self, exchange: CallerExchange) -> Refusal | None:
         """Process a request that has been read completely.
@@ -66,23 +87,34 @@
         :returns: the refusal to send, ``None`` if the caller has been sent a response
         """
         started_at = self.context.timers.now()
+        judged = exchange.judged
+        if not isinstance(judged, Judged) or self._is_outdated(judged):
+            verdict = self.judge(exchange)
+            if isinstance(verdict, Refusal):
+                return verdict
+            judged = verdict
+        request = replace(judged.request, body=exchange.take_body())
+        return await self._admit(exchange, request, judged.route, judged.customer, started_at)
+
+    def _is_outdated(self, judged: Judged) -> bool:
+        return self.context.closing or judged.index is not self.context.index
+
+    def judge(self, exchange: CallerExchange) -> Refusal | Judged:
+        """Judge a request on its head; returns the refusal to send if it cannot be served."""
         headers = exchange.header_list()
         exchange.request_id = self.context.dialect.request_id(headers)
         if self.context.closing:
             # A late request on a kept-alive connection could be aborted when the process exits.
             return Refusal(503, "stopping", "this gateway is stopping", RETRY_AFTER_STOPPING)
         if exchange.oversized:
-            return Refusal(
-                413, "body", f"the body has {exchange.body_size} bytes, more than allowed"
-            )
+            size = max(exchange.length, exchange.body_size)
+            return Refusal(413, "body", f"the body has {size} bytes, more than allowed")
         index = self.context.index
         if index is None:
             return Refusal(
                 503, "no_table", "no route table is in force yet", RETRY_AFTER_UNAVAILABLE
             )
-        parsed = self.context.dialect.parse_request(
-            exchange.method, exchange.target, headers, b"".join(exchange.body)
-        )
+        parsed = self.context.dialect.parse_request(exchange.method, exchange.target, headers, b"")
         if isinstance(parsed, Failure):
             error = parsed.failure()
             return Refusal(error.status, "malformed", error.reason)
@@ -95,7 +127,7 @@
             customer = index.customer(request.key)
             if customer is None:
                 return Refusal(401, "key", "the key is not known")
-        return await self._admit(exchange, request, route, customer, started_at)
+        return Judged(index, request, route, customer)
 
     async def _admit(
         self,
@@ -136,6 +168,8 @@
             origin=origin,
             broken_at=started_at,
         )
+        if self.link_load.must_refuse(_link_demand(job)):
+            return _link_refusal(job)
         admittance = self.context.quarantine.admit(job.fingerprint, job.shared_parts)
         if admittance.wait > 0:
             reason = "requests with this content or part of a prompt crash backend servers"
@@ -248,15 +282,44 @@
 
     def _not_run_refusal(self, job: Job) -> Refusal:
         """Return the refusal of a request that reached no backend server that took it."""
+        if job.is_link_full:
+            return _link_refusal(job)
         reason = f"not run: {job.last_failure or 'no backend server'}"
         if job.admitted_at is None:
-            return Refusal(503, "not_run", reason, RETRY_AFTER_UNAVAILABLE)
+            return Refusal(503, self._not_run_cause(job), reason, RETRY_AFTER_UNAVAILABLE)
         rest = job.admitted_at - self.context.timers.now()
         wait = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, rest))
         if job.admitted_at >= job.deadline:
             reason += f", for {wait:.1f} s, longer than the caller waits"
         return Refusal(503, "not_run", reason, wait)
 
+    def _not_run_cause(self, job: Job) -> str:
+        """Return the cause of a refusal: no server is in a place where the request may go."""
+        pool, regions = self.context.backends, self.context.settings.regions
+        homes = home_regions(job.route, job.customer)
+        serving = pool.serving(job.service.name)
+        if homes is not None and not any(
+            is_at_home(view.server.zone, homes, regions) for view in serving
+        ):
+            return "homes"
+        return "evacuated" if serving and not pool.usable(job.service.name) else "not_run"
+
+
+def _link_demand(job: Job) -> LinkDemand:
+    """Return what a new request needs of the gateway's network link."""
+    priority = job.customer.priority if job.customer else None
+    if priority is None:
+        priority = job.route.priority
+    is_urgent = priority == 0 or bool(job.request.last_event_id)
+    return LinkDemand(job.route.latency_target, job.deadline - job.started_at, is_urgent)
+
+
+def _link_refusal(job: Job) -> Refusal:
+    """Return the refusal of a request for which the link is too full; retries are spread by id."""
+    delay = RETRY_SPREAD * shard_of(job.request.id, RETRY_STEPS) / RETRY_STEPS
+    reason = "not run: the network link of this gateway is full"
+    return Refusal(503, "link", reason, MIN_RETRY_AFTER_LINK + delay)
+
 
 def _fingerprint(request: CallerRequest) -> str:
     """Return a hash that requests with the same key, target and body share."""
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -20,6 +20,8 @@
     SpendingBounds,
     shard_of,
 )
+from bilberryshed.coordination.admission import ByteCounter, LinkMeter
+from bilberryshed.coordination.pacing import Pacing
 from bilberryshed.gateway._dialect import Dialect
 from bilberryshed.gateway._epoch_recovery import EpochRecovery
 from bilberryshed.protocol import Finding, encode
@@ -55,6 +57,8 @@
     :param route_table: name of the store table with the route table
     :param route_key: key of the route table's row
     :param server_table: name of the table of backend servers
+    :param evacuation_prefix: prefix of the keys of rows that order to evacuate a zone; these rows
+        are in the table with the route table
     """
 
     tables: ClockedTableService
@@ -65,6 +69,7 @@
     route_table: str
     route_key: str
     server_table: str
+    evacuation_prefix: str = "evacuate/"
 
 
 class GatewayContext:
@@ -92,8 +97,11 @@
         self.boot = new_boot_id(settings.name)
         self.timers = TimerService(phase=shard_of(self.boot, PHASES) / PHASES)
         self.metrics = Metrics(settings.statsd, "bilberryshed.gateway")
-        self.backends = BackendPool(settings.zone)
-        self.connections = ConnectionPool()
+        self.byte_counter = ByteCounter()
+        self.link_meter = LinkMeter(self.byte_counter, settings.bandwidth)
+        self.backends = BackendPool(settings.zone, settings.name)
+        self.backends.pacing = Pacing(settings.name) if settings.pace else None
+        self.connections = ConnectionPool(self.byte_counter)
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_window, settings.retry_slack
         )
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -9,10 +9,12 @@
 import asyncio
 
 from bilberryshed.coordination import BackendView
+from bilberryshed.coordination.places import home_regions, is_at_home
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._crash_reports import BrokenRun, CrashReports
 from bilberryshed.gateway._dialect import BackendResponse, Dispatch
 from bilberryshed.gateway._job import AttemptOutcome, BackendLoad, Job, milliseconds
+from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.gateway._read_limits import FIRST_BYTE_FACTOR, ReadLimits
 from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.gateway._stream_directory import StreamDirectory
@@ -21,6 +23,7 @@
 from bilberryshed.transport import (
     BackendConnection,
     ConnectError,
+    ConnectTimeoutError,
     ResponseError,
     logger,
 )
@@ -43,15 +46,21 @@
         "connections",
         "limits",
         "streams",
+        "link_load",
         "crash_reports",
         "read_limits",
         "stream_relay",
     )
 
     def __init__(
-        self, context: GatewayContext, limits: ServerLimits, streams: StreamDirectory
+        self,
+        context: GatewayContext,
+        limits: ServerLimits,
+        streams: StreamDirectory,
+        link_load: LinkLoad,
     ) -> None:
         self.context = context
+        self.link_load = link_load
         self.limits = limits
         self.streams = streams
         self.pool = context.backends
@@ -83,6 +92,8 @@
         now = self.context.timers.now()
         if job.deadline - now < MIN_TIME_LEFT or job.refused > MAX_REFUSED_CONNECTIONS:
             return False
+        if not self.link_load.may_dispatch():
+            return False
         if result is AttemptOutcome.TIMEOUT or (
             result is not AttemptOutcome.NOT_RUN and not job.route.retryable
         ):
@@ -131,7 +142,7 @@
                 wait = await self.limits.acquire(view.server)
                 if wait > 0:
                     view.limited_until = now + wait
-                elif not view.is_leaving and view.admits_at <= self.context.timers.now():
+                elif self.pool.may_receive(view) and view.admits_at <= self.context.timers.now():
                     return view
                 continue
             job.admitted_at = self.pool.next_admission(now, job.service.name, excluded)
@@ -147,12 +158,14 @@
     def _excluded(self, job: Job) -> frozenset[str]:
         """Return the ids of the backend servers that must not run a request.
 
-        These are the ones that were tried, and for a stream that has begun those of other versions.
+        These are the ones that were tried, those outside the home regions, and for a stream that
+        has begun those of other versions.
         """
+        away = self._away(job)
         if not job.is_resumable:
-            return frozenset(job.excluded)
+            return frozenset(job.excluded | away)
         origin, streams = job.origin, self.streams
-        usable = self.pool.usable(job.service.name)
+        usable = [v for v in self.pool.usable(job.service.name) if v.server.id not in away]
         if origin is None:
             other = {view.server.id for view in usable if not streams.may_begin(view)}
             if len(other) == len(usable):
@@ -160,7 +173,16 @@
         else:
             since = job.broken_at
             other = {v.server.id for v in usable if not streams.may_resume(v, origin, since)}
-        return frozenset(job.excluded | other)
+        return frozenset(job.excluded | other | away)
+
+    def _away(self, job: Job) -> set[str]:
+        """Return the ids of the backend servers outside the home regions of a request."""
+        homes = home_regions(job.route, job.customer)
+        if homes is None:
+            return set()
+        regions = self.context.settings.regions
+        views = self.pool.views.items()
+        return {id_ for id_, v in views if not is_at_home(v.server.zone, homes, regions)}
 
     # One attempt ----------------------------------------------------------------------------
 
@@ -175,6 +197,11 @@
             connection = await self._acquire_connection(job, view)
             if connection is None:
                 return AttemptOutcome.NOT_RUN
+            if view.server.zone in self.pool.evacuated:
+                connection.abort()
+                job.excluded.add(view.server.id)
+                job.last_failure = f"zone {view.server.zone} is evacuated"
+                return AttemptOutcome.NOT_RUN
             job.sent += 1
             self._log_sent(job)
             return await self._send_and_relay(job, view, connection)
@@ -206,6 +233,9 @@
         )
 
     async def _acquire_connection(self, job: Job, view: BackendView) -> BackendConnection | None:
+        """Return a connection, ``None`` if there is none or the own link is too full to use it."""
+        if not self._may_dispatch(job):
+            return None
         now = self.context.timers.now()
         idle_fraction = 1.0 if job.route.retryable else NON_RETRYABLE_IDLE_FRACTION
         connection = None
@@ -215,14 +245,29 @@
             return connection
         try:
             address = Address.parse(view.server.address)
-            return await self.connections.open(view.server.id, address, CONNECT_TIMEOUT)
+            connection = await self.connections.open(view.server.id, address, CONNECT_TIMEOUT)
+            if self._may_dispatch(job):
+                return connection
+            connection.abort()
+            return None
         except (ConnectError, ValueError) as error:
-            self.pool.on_connection_refused(self.context.timers.now(), view)
+            is_own = isinstance(error, ConnectTimeoutError) and self.link_load.delays_connections
+            if not is_own:
+                self.pool.on_connection_refused(self.context.timers.now(), view)
             job.refused += 1
             job.last_failure = f"channel refused: {error}"
             self._log(job, "connection_refused", error=str(error), refused=view.refused_connections)
             return None
 
+    def _may_dispatch(self, job: Job) -> bool:
+        """Whether a request leaves the own link soon enough to be sent."""
+        if self.link_load.may_dispatch():
+            return True
+        job.is_link_full = True
+        job.last_failure = "the network link of this gateway is full"
+        self._log(job, "link_wait")
+        return False
+
     async def _send_and_relay(
         self, job: Job, view: BackendView, connection: BackendConnection
     ) -> AttemptOutcome:
@@ -366,6 +411,8 @@
             await self.stream_relay.relay(job, connection, response)
         else:
             body = await self._read_body(job, connection)
+            if job.run is not None:
+                self.pool.on_first_event(self.context.timers.now(), job.run, job.sent_at)
             if response.status >= 500 and self._is_error_retryable(job):
                 job.failed_response = (response, body)
                 job.excluded.add(view.server.id)
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -3,17 +3,20 @@
 import asyncio
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
 from bilberryshed.gateway._admission import RETRY_AFTER_STOPPING, Admission, Refusal
 from bilberryshed.gateway._bounds_recorder import BoundsRecorder
 from bilberryshed.gateway._caller_exchange import CallerExchange, CallerServer
+from bilberryshed.gateway._caller_limits import PAGE_CONNECTIONS, CallerLimiter
 from bilberryshed.gateway._context import GatewayContext, GatewayPorts
+from bilberryshed.gateway._evacuation_orders import EvacuationOrders
 from bilberryshed.gateway._followers import BackendUpdater, RouteTableUpdater
+from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.gateway._load_sharing import LoadSharing
 from bilberryshed.gateway._metrics import GatewayMetrics
+from bilberryshed.gateway._pace_reports import PaceReports
 from bilberryshed.gateway._peers import Peers
 from bilberryshed.gateway._predecessor_cleanup import PredecessorCleanup
 from bilberryshed.gateway._prepaid_funds import PrepaidFunds
@@ -29,10 +32,10 @@
     RouteTableVersion,
 )
 from bilberryshed.state import CallerLimits, GatewaySettings
-from bilberryshed.transport import logger
+from bilberryshed.transport import BodylessServer, CallerListener, logger
 
 LISTEN_BACKLOG = 1024  # connections waiting to be accepted
-BODY_READ_FACTOR = 2  # times the body limit; up to it, an oversized body is read and gets a 413
+RETRY_AFTER_MEMORY = 0.5  # seconds until a caller whose body had to give way should retry
 PRUNE_INTERVAL = 1.0  # seconds between removals of idle connections
 DEREGISTRATION_DELAY = 2.6  # seconds after SIGTERM until no new connections arrive
 DRAIN_MARGIN = 0.9  # seconds before SIGKILL by which the shutdown must be complete
@@ -70,11 +73,13 @@
         self.recorder = BoundsRecorder(self.context)
         self.funds = PrepaidFunds(self.context, self.recorder)
         self.predecessor_cleanup = PredecessorCleanup(self.context, self.funds.pool_sync)
-        self.route_table_updater = RouteTableUpdater(self.context, self._on_table)
+        self.evacuations = EvacuationOrders(self.context)
+        self.route_table_updater = RouteTableUpdater(self.context, self._on_table, self.evacuations)
         self.backend_updater = BackendUpdater(self.context)
         self.load_sharing = LoadSharing(self.context)
         self.context.on_load_change = self.load_sharing.on_change
         self.limits = ServerLimits(self.context)
+        self.link_load = LinkLoad(self.context)
         self.streams = StreamDirectory(self.context, self.backend_updater.refresh)
         self.context.on_server_restart = self.streams.on_restart
         self.peers = Peers(self.context, self._message_handlers(), self.load_sharing.remove_peer)
@@ -84,12 +89,16 @@
             self.funds.peers.notice,
             self.context.quarantine.summary,
             self.limits.summary,
+            self.link_load.summary,
+            self.evacuations.notice,
         ]
-        self.http: HTTPServer | None = None
+        self.byte_counter = self.context.byte_counter
+        self.http: CallerListener | None = None
         self.exchanges: set[CallerExchange] = set()
         self.metrics = GatewayMetrics(self.context)
+        self.limiter = CallerLimiter(self.context, self.metrics, self._evict)
         self.admission = Admission(
-            self.context, self.funds, self.metrics, self.limits, self.streams
+            self.context, self.funds, self.metrics, self.limits, self.streams, self.link_load
         )
 
     # Lifecycle ------------------------------------------------------------------------------
@@ -102,17 +111,21 @@
         http = self.http = self._listen()
         self._apply_limits()
         ready = self._listen_ready()
-        metrics = self.metrics.listen()
+        metrics = self.metrics.listen(PAGE_CONNECTIONS, self.limiter.on_cut)
+        self.limiter.start(http, ready, metrics)
         await self.peers.start()
         self.recorder.start()
         self.funds.start()
         self.spawn(self.predecessor_cleanup.run())
-        for follower in (self.route_table_updater.follower(), self.backend_updater):
+        for follower in (self.route_table_updater.follower, self.backend_updater):
             self.spawn(follower.run())
         self.context.timers.subscribe(PRUNE_INTERVAL, self._prune)
         self.load_sharing.start()
+        self.link_load.start(http)
         self.context.quarantine.start()
         self.limits.start()
+        self.evacuations.start()
+        PaceReports(self.context, self.metrics.registry).start()
         self.streams.start()
         logger().info("started", boot=self.context.boot, listen=str(self.settings.listen))
         await stop.wait()
@@ -125,13 +138,13 @@
     def is_ready(self) -> bool:
         """Whether new connections should be routed to this gateway."""
         configured = self.context.index is not None and bool(self.context.backends.views)
-        return configured and not self.context.draining
+        return configured and not self.context.draining and not self.link_load.is_away
 
     def spawn(self, coroutine: Any) -> "asyncio.Future[Any]":
         """Run a coroutine on the event loop."""
         return self.context.spawn(coroutine)
 
-    async def _drain(self, http: HTTPServer) -> bool:
+    async def _drain(self, http: CallerListener) -> bool:
         """Accept connections until no more arrive, finish requests in flight, settle the tokens.
 
         :returns: whether all requests were finished
@@ -183,8 +196,15 @@
             return
         limits, params = index.table.limits, self.http.conn_params
         params.max_header_size = limits.header_bytes
-        params.max_body_size = limits.body_bytes * BODY_READ_FACTOR
+        # The limiter checks the time of a head, which this time includes.
         params.header_timeout = limits.idle_timeout
+        self._apply_caller_settings()
+
+    def _apply_caller_settings(self) -> None:
+        self.limiter.apply_total()
+        if self.http is not None:
+            self.http.max_connections = self.limiter.max_connections()
+            self.http.max_fields = self.settings.header_fields
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings; addresses and names take effect at the next start only."""
@@ -194,6 +214,7 @@
         retries.window = settings.retry_window
         retries.slack = settings.retry_slack
         self.context.book.horizon = settings.grant_horizon
+        self._apply_caller_settings()
         logger().info("settings_applied")
 
     def _message_handlers(self) -> dict[type, Any]:
@@ -201,6 +222,8 @@
             **self.funds.handlers(),
             **self.context.quarantine.handlers(),
             **self.limits.handlers(),
+            **self.link_load.handlers(),
+            **self.evacuations.handlers(),
             **self.streams.handlers(),
             RouteTableVersion: self.route_table_updater.on_version,
             RouteTableRequest: self.route_table_updater.on_request,
@@ -213,24 +236,55 @@
 
     # HTTP -----------------------------------------------------------------------------------
 
-    def _listen(self) -> HTTPServer:
+    def _listen(self) -> CallerListener:
         limits = CallerLimits()
-        server = HTTPServer(
+        fields = self.context.dialect.refusal_headers(None)
+        server = CallerListener(
             CallerServer(self),
-            max_body_size=limits.body_bytes * BODY_READ_FACTOR,
+            max_connections=self.limiter.max_connections(),
+            on_cut=self.limiter.on_cut,
+            max_fields=self.settings.header_fields,
+            refusal_fields="".join(f"{name}: {value}\r\n" for name, value in fields).encode(),
             max_header_size=limits.header_bytes,
             idle_connection_timeout=limits.idle_timeout,
         )
         server.listen(self.settings.listen.port, self.settings.listen.host, backlog=LISTEN_BACKLOG)
         return server
 
-    def _listen_ready(self) -> HTTPServer:
+    def _listen_ready(self) -> CallerListener:
+        limits = CallerLimits()
         application = Application([(r"/.*", ReadyHandler, {"owner": self})])
-        server = HTTPServer(application)
+        server = CallerListener(
+            BodylessServer(application),
+            max_connections=PAGE_CONNECTIONS,
+            on_cut=self.limiter.on_cut,
+            max_header_size=limits.header_bytes,
+            idle_connection_timeout=limits.idle_timeout,
+        )
         address = self.settings.ready_listen
         server.listen(address.port, address.host)
         return server
 
+    def judge(self, exchange: CallerExchange) -> None:
+        """Refuse a request on its head, before its body is read, if it cannot be served."""
+        judged = self.admission.judge(exchange)
+        if isinstance(judged, Refusal):
+            self._refuse(exchange, judged)
+            self.limiter.release(exchange)
+        else:
+            exchange.judged = judged
+            exchange.has_key = judged.customer is not None
+
+    def hold(self, exchange: CallerExchange) -> None:
+        """Account for what has arrived of a request; it may be refused."""
+        self.limiter.hold(exchange)
+
+    def _evict(self, exchange: CallerExchange) -> None:
+        """Refuse a request whose body is not read completely, as too much is held."""
+        reason = "not run: this gateway holds too many unfinished requests"
+        self.limiter.on_cut("memory")
+        self._refuse(exchange, Refusal(503, "memory", reason, RETRY_AFTER_MEMORY))
+
     def body_limit(self) -> int:
         """Return the largest accepted body size in bytes."""
         index = self.context.index
@@ -259,6 +313,7 @@
             self._refuse(exchange, Refusal(502, "internal", "internal error"))
         finally:
             self.exchanges.discard(exchange)
+            self.limiter.release(exchange)
 
     def _refuse(self, exchange: CallerExchange, refusal: Refusal) -> None:
         logger().info(
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -1,11 +1,12 @@
 """Prometheus metrics of a gateway."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.transport import logger
+from bilberryshed.transport import BodylessServer, CallerListener, logger
 
 LATENCIES = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)  # seconds
 PREFIX = "bilberryshed"
@@ -55,6 +56,29 @@
             registry=registry,
         )
         self.hubs = Gauge(f"{PREFIX}_hubs", "Hubs known to this gateway", registry=registry)
+        self.link_use = Gauge(
+            f"{PREFIX}_link_use",
+            "Use of the VM's network link, as a share of its capacity",
+            registry=registry,
+        )
+        self.link_wait = Gauge(
+            f"{PREFIX}_link_wait_seconds",
+            "Estimated wait of a byte to be sent over the VM's network link",
+            registry=registry,
+        )
+        self.evacuated = Gauge(
+            f"{PREFIX}_evacuated_zone", "Evacuated zones", ["zone"], registry=registry
+        )
+        self.cut_callers = Counter(
+            f"{PREFIX}_cut_callers",
+            "Callers' connections that a limit closed",
+            ["cause"],
+            registry=registry,
+        )
+        self.held_bytes = Gauge(f"{PREFIX}_held_bytes", "Bytes held for callers", registry=registry)
+        self.caller_connections = Gauge(
+            f"{PREFIX}_caller_connections", "Open connections of callers", registry=registry
+        )
         self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
 
     def render(self) -> bytes:
@@ -63,10 +87,16 @@
         now = self.context.timers.now()
         self.load_age.set(self.context.backends.report_age(now))
         self.hubs.set(len(self.context.hubs.names))
+        if self.context.link_meter.capacity > 0:
+            self.link_wait.set(self.context.link_meter.send_wait(now))
+            self.link_use.set(self.context.link_meter.use)
         views = self.context.backends.views.values()
         self.backends.labels("leaving").set(sum(view.is_leaving for view in views))
         self.backends.labels("avoided").set(sum(view.ejected_until > now for view in views))
         self.backends.labels("all").set(len(views))
+        self.evacuated.clear()
+        for zone in self.context.backends.evacuated:
+            self.evacuated.labels(zone).set(1)
         for customer, account in self.context.book.accounts.items():
             self.tokens.labels(customer, "held").set(account.held)
             self.tokens.labels(customer, "reserved").set(account.reserved)
@@ -75,15 +105,20 @@
             self.events.labels(event).set(count)
         return generate_latest(self.registry)
 
-    def listen(self) -> HTTPServer | None:
+    def listen(self, max_connections: int, on_cut: Callable[[str], None]) -> CallerListener | None:
         """Serve the metrics if an address is set.
 
+        :param max_connections: bound on the connections to the page
+        :param on_cut: called with the cause when a limit closes one
         :returns: the server, ``None`` if no address is set or it cannot be bound
         """
         address = self.context.settings.metrics_listen
         if address is None:
             return None
-        server = HTTPServer(Application([(r"/.*", MetricsHandler, {"metrics": self})]))
+        application = Application([(r"/.*", MetricsHandler, {"metrics": self})])
+        server = CallerListener(
+            BodylessServer(application), max_connections=max_connections, on_cut=on_cut
+        )
         try:
             server.listen(address.port, address.host)
         except OSError as error:
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -1,5 +1,6 @@
 """Typed messages and their codec, refusals for callers and findings for operators."""
 
+from bilberryshed.protocol._admission_messages import LinkStateNotice
 from bilberryshed.protocol._bills import Charge, UsageRecord, allocate_tokens, bill_id
 from bilberryshed.protocol._codec import (
     FrameError,
@@ -68,6 +69,7 @@
     ServerLoad,
     TransfersSettled,
 )
+from bilberryshed.protocol._place_messages import EvacuationNotice
 from bilberryshed.protocol._quarantine_messages import (
     BlockNotice,
     ClearNotice,
@@ -102,6 +104,7 @@
     "CrashReport",
     "CrashedRun",
     "Dispatch",
+    "EvacuationNotice",
     "Failed",
     "Finding",
     "FrameError",
@@ -118,6 +121,7 @@
     "LimitSummary",
     "LinkProbe",
     "LinkProbeReply",
+    "LinkStateNotice",
     "LoadNotice",
     "LoadReport",
     "LoadSummary",
--- a/src/bilberryshed/state/_settings.py
+++ b/src/bilberryshed/state/_settings.py
@@ -67,6 +67,19 @@
     return value
 
 
+def parse_count_or_zero(text: str) -> int:
+    """Parse a whole number that is not negative."""
+    return 0 if text.strip() == "0" else parse_count(text)
+
+
+def parse_share(text: str) -> float:
+    """Parse a share, above 0 and below 1."""
+    value = float(text)
+    if not 0 < value < 1:
+        raise ValueError(f"{text} is not a share between 0 and 1")
+    return value
+
+
 def parse_name(text: str) -> str:
     """Parse a name of letters, digits, dots, hyphens and underscores."""
     if not text or not all(c.isalnum() or c in ".-_" for c in text):
@@ -98,6 +111,30 @@
     return text
 
 
+def parse_optional_ratio(text: str) -> float | None:
+    """Parse a finite number that is not negative, or return ``None`` for an empty text."""
+    return parse_ratio(text) if text.strip() else None
+
+
+def parse_boolean(text: str) -> bool:
+    """Parse ``yes`` or ``no``."""
+    if text not in ("yes", "no"):
+        raise ValueError(f"{text!r} is neither yes nor no")
+    return text == "yes"
+
+
+def parse_pairs(text: str) -> dict[str, str]:
+    """Parse ``key:value`` pairs, separated by commas."""
+    pairs: dict[str, str] = {}
+    for item in filter(None, (part.strip() for part in text.split(","))):
+        key, separator, value = (part.strip() for part in item.partition(":"))
+        if not (key and separator and value):
+            raise ValueError(f"{item!r} is no key:value pair")
+        if pairs.setdefault(key, value) != value:
+            raise ValueError(f"{key!r} has two values, {pairs[key]!r} and {value!r}")
+    return pairs
+
+
 def setting(section: str, parse: Callable[[str], Any], default: str | None = None) -> Any:
     """Declare a key of a settings class.
 
