Review: evacuations at gateways fed by their hub, errors are no fast answers, bounded fetches of tables

Members ask one peer a second for evacuations while they leave the store alone, and read it while a zone is evacuated. An ended evacuation is not revived by a peer of the same epoch. At most three gateways are asked for a version. Memory is checked before the pace. Only reads of whole tables and feeds may take long. The link limit is off without its setting.

--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -224,8 +224,9 @@
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
-        candidates = healthy if self.pacing is None else self.pacing.candidates(now, healthy)
-        candidates = with_room(candidates, demand)
+        candidates = with_room(healthy, demand)
+        if self.pacing is not None:
+            candidates = self.pacing.candidates(now, candidates)
         if demand.affinity:
             return place_prompt(now, candidates, demand)
         return place_plain(candidates, self.zone)
--- a/src/bilberryshed/coordination/distribution/_table_fetch.py
+++ b/src/bilberryshed/coordination/distribution/_table_fetch.py
@@ -4,6 +4,8 @@
 
 HUB_PREFERENCE_TIME = 0.1  # seconds for the own hub to announce a version before others are asked
 RESPONSE_TIME = 0.4  # seconds for a gateway to send a table before the next one is asked
+MAX_ASKED = 3  # gateways asked for a version, as each may send a large table over the same link
+EXHAUSTED_TIME = 3.0  # seconds from an announcement after which no gateway is asked any more
 BEHIND_TIME = 0.8  # seconds from an announcement after which the gateway reads the store itself
 
 
@@ -27,11 +29,13 @@
         self.asked_at = float("-inf")
 
     def on_version(self, now: float, gateway: str, version: int) -> None:
-        """Record that a gateway has a version."""
+        """Record that a gateway has a version; one that links again may be asked again."""
         self.announced[gateway] = max(version, self.announced.get(gateway, 0))
         if version > self.newest:
             self.newest, self.newest_at = version, now
             self.asked.clear()
+        elif gateway in self.asked:
+            self.asked.remove(gateway)
 
     def remove(self, gateway: str) -> None:
         """Forget a gateway whose link is closed."""
@@ -52,8 +56,7 @@
             for name, version in self.announced.items()
             if version > active and name in linked and name not in self.asked
         ]
-        if not candidates:
-            self.asked.clear()
+        if not candidates or len(self.asked) >= MAX_ASKED:
             return None
         if hub in candidates:
             chosen = hub
@@ -65,6 +68,11 @@
         self.asked_at = now
         return chosen
 
+    def is_exhausted(self, now: float) -> bool:
+        """Whether nobody is asked again for the newest version, as the store is read for it."""
+        is_answered = not self.asked or now - self.asked_at >= RESPONSE_TIME
+        return is_answered and now - self.newest_at >= EXHAUSTED_TIME
+
     def is_behind(self, now: float, active: int) -> bool:
         """Whether a newer version was announced for long and has not arrived."""
         return self.newest > active and now - self.newest_at >= BEHIND_TIME
--- a/src/bilberryshed/coordination/distribution/_table_source.py
+++ b/src/bilberryshed/coordination/distribution/_table_source.py
@@ -39,6 +39,6 @@
         :param hub_has_store: whether the hub is linked and reaches the store
         :param is_behind: whether a newer table has been announced for long and has not arrived
         """
-        if is_hub or not hub_has_store or is_behind or not size:
+        if is_hub or not hub_has_store or is_behind or not size or not self.capacity:
             return False
         return self.transfer_time(size) > MAX_TRANSFER_TIME
--- a/src/bilberryshed/coordination/places/_evacuations.py
+++ b/src/bilberryshed/coordination/places/_evacuations.py
@@ -78,7 +78,8 @@
         :returns: whether the peer should be sent the own set, as it is later
         """
         if stamp >= self.stamp:
-            self._keep(now, missing - self.zones)
+            ended = {z for z, at in self.ended.items() if at.epoch == stamp.epoch}
+            self._keep(now, missing - self.zones - ended)
             self.on_snapshot(now, stamp, ordered)
             return False
         if stamp.epoch < self.stamp.epoch:
--- a/src/bilberryshed/gateway/_evacuation_orders.py
+++ b/src/bilberryshed/gateway/_evacuation_orders.py
@@ -15,19 +15,21 @@
 class EvacuationOrders:
     """The evacuated zones of this gateway.
 
-    While the store does not respond, one linked gateway after another is sent the own set; it
-    responds if it knows a later one.
+    While the store does not respond, or is not read, one linked gateway after another is sent the
+    own set; it responds if it knows a later one.
 
     :param store_up: whether the store responded to the last read of the orders
+    :param relies_on_peers: whether the store is not read for now, as peers send what is new
     :param asked: number of notices sent to single peers
     """
 
-    __slots__ = ("context", "evacuations", "store_up", "asked")
+    __slots__ = ("context", "evacuations", "store_up", "relies_on_peers", "asked")
 
     def __init__(self, context: GatewayContext) -> None:
         self.context = context
         self.evacuations = Evacuations()
         self.store_up = True
+        self.relies_on_peers = False
         self.asked = 0
 
     def start(self) -> None:
@@ -87,7 +89,8 @@
 
     def _ask(self) -> None:
         links = list(self.context.peer_links.values())
-        if not self.store_up and links and self.notice() is not None:
+        is_due = self.relies_on_peers or (not self.store_up and self.notice() is not None)
+        if is_due and links:
             self.asked += 1
             links[self.asked % len(links)].send(self._notice())
 
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -28,7 +28,7 @@
 PEER_FETCH_DELAY = 0.3  # seconds for the store to deliver a table before a peer is queried
 PAUSE_CHECK_INTERVAL = 0.1  # seconds between checks whether a paused follower may go on
 FETCH_INTERVAL = 0.05  # seconds between checks for a table that a peer is to send
-MAX_TABLE_BYTES = 256 * 1024 * 1024  # bytes of a table that a peer sends; a larger one is damaged
+MAX_TABLE_BYTES = 16 * 1024 * 1024  # bytes of a table that a peer sends; a larger one is damaged
 SERVER_POLL_INTERVAL = 0.4  # seconds between reads of the backend servers
 EXPIRY_CHECK_INTERVAL = 0.2  # seconds between checks for entries that did not reappear
 
@@ -198,7 +198,11 @@
         context, hubs = self.context, self.context.hubs
         has_store = hubs.own in context.peer_links and hubs.own in context.peers_with_store
         is_behind = self.fetch.is_behind(context.timers.now(), self.version())
-        uses_hub = self.source.uses_hub(len(context.table_data), hubs.is_hub, has_store, is_behind)
+        # The orders to evacuate zones are in the same table, and their end must be read in time.
+        uses_hub = not self.evacuations.evacuations.zones and self.source.uses_hub(
+            len(context.table_data), hubs.is_hub, has_store, is_behind
+        )
+        self.evacuations.relies_on_peers = uses_hub
         if uses_hub != self.from_hub:
             self.from_hub = uses_hub
             logger().info(
@@ -237,6 +241,8 @@
             if self.context.index is not None and not self.from_hub:
                 await asyncio.sleep(PEER_FETCH_DELAY)
             while self.fetch.newest > self.version() and not self.context.closing:
+                if self.fetch.is_exhausted(self.context.timers.now()):
+                    return
                 self._ask_next()
                 await asyncio.sleep(FETCH_INTERVAL)
         finally:
@@ -260,11 +266,16 @@
         """Install a table that a peer forwards."""
         if response.version <= self.version():
             return
+        decompressor = zlib.decompressobj()
         try:
-            data = zlib.decompressobj().decompress(response.data, MAX_TABLE_BYTES)
+            data = decompressor.decompress(response.data, MAX_TABLE_BYTES)
         except zlib.error as error:
             logger().error("route_table_damaged", peer=link.peer.name, error=str(error))
             return
+        if not decompressor.eof:
+            error_text = f"not complete within {MAX_TABLE_BYTES} bytes"
+            logger().error("route_table_damaged", peer=link.peer.name, error=error_text)
+            return
         self.install(data, link.peer.name)
 
     def install(self, data: bytes, source: str) -> None:
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -410,9 +410,10 @@
         if job.is_stream and 200 <= response.status < 300:
             await self.stream_relay.relay(job, connection, response)
         else:
-            body = await self._read_body(job, connection)
-            if job.run is not None:
+            # The time of an error says nothing of how fast a backend server works.
+            if job.run is not None and 200 <= response.status < 300:
                 self.pool.on_first_event(self.context.timers.now(), job.run, job.sent_at)
+            body = await self._read_body(job, connection)
             if response.status >= 500 and self._is_error_retryable(job):
                 job.failed_response = (response, body)
                 job.excluded.add(view.server.id)
--- a/src/bilberryshed/platform/_store.py
+++ b/src/bilberryshed/platform/_store.py
@@ -125,7 +125,7 @@
         pages: list[Any] = []
         count, epoch = 0, self.latest_epoch
         while True:
-            page = await self._page(table, start_key, end_key, limit or PAGE_SIZE)
+            page = await self._page(table, start_key, end_key, limit)
             if isinstance(page, Failure):
                 return page
             if pages and epoch != self.latest_epoch:
@@ -139,14 +139,17 @@
             start_key = body["rows"][-1]["key"] + "\x00"
 
     async def _page(
-        self, table: str, start_key: str, end_key: str, limit: int
+        self, table: str, start_key: str, end_key: str, limit: int | None
     ) -> Result[Any, StoreError]:
-        query = {"tableName": table, "part": "", "maxResults": min(limit, PAGE_SIZE)}
+        """Read one page; rows of a whole table may be large."""
+        query = {"tableName": table, "part": "", "maxResults": min(limit or PAGE_SIZE, PAGE_SIZE)}
         if start_key:
             query["source"] = start_key
         if end_key:
             query["to"] = end_key
-        reply = await self._call("GET", f"/rows-get?{urlencode(query)}", None)
+        reply = await self._call(
+            "GET", f"/rows-get?{urlencode(query)}", None, is_large=limit is None
+        )
         return reply.map(lambda item: item[1])
 
     # Other tables ---------------------------------------------------------------------------
@@ -163,7 +166,7 @@
     async def changes(self, table: str, after: int, wait: float) -> Result[ChangeBatch, StoreError]:
         query = {"tableName": table, "after": after, "waitMs": int(wait * 1000)}
         path = f"/rows-feed?{urlencode(query)}"
-        reply = await self._call("GET", path, None, (STATUS_HISTORY_LOST,), wait)
+        reply = await self._call("GET", path, None, (STATUS_HISTORY_LOST,), wait, wait > 0)
         if isinstance(reply, Failure):
             return reply
         status, body = reply.unwrap()
@@ -182,16 +185,22 @@
         body: dict[str, Any] | None,
         expected_statuses: tuple[int, ...] = (),
         wait: float = 0.0,
+        is_large: bool = False,
     ) -> Result[Reply, StoreError]:
+        """Call the store.
+
+        :param wait: seconds that the store may wait for changes
+        :param is_large: whether the response may take long to transfer
+        """
         limit = self.timeout + wait
         request = HTTPRequest(
             self.base_url + path,
             method=method,
             headers={"Content-Type": "application/json"} if body is not None else None,
             body=json.dumps(body) if body is not None else None,
-            request_timeout=limit + (0.0 if body is not None else MAX_TRANSFER_TIME),
+            request_timeout=limit + (MAX_TRANSFER_TIME if is_large else 0.0),
             connect_timeout=CONNECT_TIMEOUT,
-            prepare_curl_callback=None if body is not None else _time_out_silent(limit),
+            prepare_curl_callback=_time_out_silent(limit) if is_large else None,
         )
         is_write = body is not None
         try:
@@ -235,7 +244,8 @@
     """Have a call fail after some seconds without a byte, however long a response takes.
 
     A large row takes longer than a call may be silent on a VM with a narrow network link; a call
-    that timed out meanwhile would transfer the row from its start again and again.
+    that timed out meanwhile would transfer the row from its start again and again. A transfer that
+    stops midway is noticed some seconds later, as curl averages its rate.
     """
 
     def prepare(curl: pycurl.Curl) -> None:
--- a/src/bilberryshed/state/_gateway_settings.py
+++ b/src/bilberryshed/state/_gateway_settings.py
@@ -72,7 +72,7 @@
     regions: dict[str, str] = setting("places", parse_pairs, "")
     cold_overrun: float | None = setting("places", parse_optional_ratio, "")
     cold_slack: float | None = setting("places", parse_optional_ratio, "")
-    link_wait_ratio: float = setting("overload", parse_ratio, "0.25")
+    link_wait_ratio: float = setting("overload", parse_ratio, "0")
     pace: bool = setting("pace", parse_boolean, "no")
     held_share: float = setting("callers", parse_share, "0.2")
     header_fields: int = setting("callers", parse_count, "4096")
