--- a/features/pacing_support.py
+++ b/features/pacing_support.py
@@ -298,9 +298,9 @@
             run = pool.begin(now, view, BackendDemand("", 1))
             server.running += 1
             took = server.duration(now) * self.rng.uniform(0.85, 1.15)
-            self.at(now + took, self._answer, pool, run, server, since, server.up_at, tried)
+            self.at(now + took, self._answer, pool, run, server, now, since, server.up_at, tried)
 
-    def _answer(self, now, pool, run, server, since, up_at, tried):
+    def _answer(self, now, pool, run, server, sent_at, since, up_at, tried):
         server.running -= 1
         pool.end(run)
         failed = up_at != server.up_at
@@ -308,7 +308,7 @@
         if failed:
             self._send(now, pool, since, tried)
             return
-        pool.on_first_event(now, run)
+        pool.on_first_event(now, run, sent_at)
         is_late = now - since > LATE
         self.late += is_late
         if not is_late:
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -92,7 +92,7 @@
         now = self.context.timers.now()
         if job.deadline - now < MIN_TIME_LEFT or job.refused > MAX_REFUSED_CONNECTIONS:
             return False
-        if not self.link_load.may_dispatch():
+        if not job.exchange.started and not self._may_dispatch(job):
             return False
         if result is AttemptOutcome.TIMEOUT or (
             result is not AttemptOutcome.NOT_RUN and not job.route.retryable
@@ -234,6 +234,7 @@
 
     async def _acquire_connection(self, job: Job, view: BackendView) -> BackendConnection | None:
         """Return a connection, ``None`` if there is none or the own link is too full to use it."""
+        job.is_link_full = False
         if not self._may_dispatch(job):
             return None
         now = self.context.timers.now()
