Pace requests to cold backend servers

A server that has just started crashes if all gateways send to it at once, and each gateway saw only its own requests. The coordinator of a server now issues permits for a cold one as it does for a server that names a limit, with a rate that keeps the bound of the settings in any one second. Without the settings or the service's fields nothing changes; server_limit, protocol and placement pass (60 scenarios).

--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -17,6 +17,7 @@
     update_paces,
     with_room,
 )
+from bilberryshed.coordination.places import prefer_warm
 from bilberryshed.protocol import LoadNotice, LoadSummary, PrefixSent, ServerLoad
 from bilberryshed.state import BackendServer
 
@@ -204,7 +205,7 @@
         healthy = [view for view in available if view.ejected_until <= now] or available
         if not healthy:
             return None
-        roomy = with_room(healthy, demand)
+        roomy = prefer_warm(with_room(healthy, demand))
         if demand.affinity:
             return place_prompt(now, roomy, demand)
         return place_plain(roomy, self.zone)
--- a/src/bilberryshed/coordination/_backend_view.py
+++ b/src/bilberryshed/coordination/_backend_view.py
@@ -51,6 +51,7 @@
     :param failed_at: monotonic time of its last failure
     :param failure_rate: moving average of the share of failed requests, from 0 to 1
     :param ejected_until: monotonic time before which it is used only if no other is available
+    :param is_cold: whether it is cold, so that it is used only if the others are busy
     :param wrong_sequence: sequence number of the entry when another backend server responded at its
         address; the mark lasts until the entry is renewed, which only a live server does
     :param omits_ids: whether it has rejected a request without naming it
@@ -81,6 +82,7 @@
     says_leaving: bool = False
     is_leaving: bool = False
     wrong_sequence: int | None = None
+    is_cold: bool = False
 
     @property
     def admits_at(self) -> float:
--- a/src/bilberryshed/coordination/_permits.py
+++ b/src/bilberryshed/coordination/_permits.py
@@ -76,17 +76,20 @@
     def __init__(self) -> None:
         self.buckets: dict[str, _Bucket] = {}
 
-    def request(self, now: float, server: str, limit: float, asker: str) -> PermitDecision:
+    def request(
+        self, now: float, server: str, limit: float, asker: str, ahead: bool = True
+    ) -> PermitDecision:
         """Issue a permit if one is available soon.
 
         :param server: incarnation of the backend server
         :param limit: its limit in requests per second
         :param asker: router that asks
+        :param ahead: whether permits may be issued that are not valid yet
         """
         bucket = self._filled(now, server, limit)
         bucket.asked_at[asker] = now
         wait, crowd = bucket.wait, self._crowd(now, bucket)
-        longest = 0.0 if crowd > 1 else max(MAX_WAIT, 1.0 / bucket.rate)
+        longest = 0.0 if crowd > 1 or not ahead else max(MAX_WAIT, 1.0 / bucket.rate)
         if wait <= longest:
             bucket.permits -= 1.0
             return PermitDecision(True, wait)
@@ -122,6 +125,12 @@
         }
         return max(1.0, len(bucket.asked_at) / ASKERS_AHEAD)
 
+    def askers(self, now: float, server: str, asker: str) -> int:
+        """Return how many routers have recently asked for permits, including this one."""
+        bucket = self.buckets.get(server)
+        asked = {} if bucket is None else bucket.asked_at
+        return len({asker, *(name for name, at in asked.items() if now - at < ASKER_MEMORY)})
+
     def retain(self, servers: Collection[str]) -> None:
         """Forget all backend servers but these."""
         self.buckets = {s: bucket for s, bucket in self.buckets.items() if s in servers}
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -21,6 +21,7 @@
     shard_of,
 )
 from bilberryshed.coordination.admission import ByteCounter, LinkMeter
+from bilberryshed.coordination.places import ColdServers
 from bilberryshed.gateway._dialect import Dialect
 from bilberryshed.gateway._epoch_recovery import EpochRecovery
 from bilberryshed.protocol import Finding, encode
@@ -96,6 +97,7 @@
         self.byte_counter = ByteCounter()
         self.link_meter = LinkMeter(self.byte_counter, settings.bandwidth)
         self.backends = BackendPool(settings.zone, settings.name)
+        self.cold_servers = ColdServers()
         self.connections = ConnectionPool(self.byte_counter)
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_window, settings.retry_slack
--- a/src/bilberryshed/gateway/_dialect.py
+++ b/src/bilberryshed/gateway/_dialect.py
@@ -99,6 +99,8 @@
     :param quiet_time: seconds for which it wants no requests from this gateway, 0 if it says none
     :param limit: requests per second that the backend server takes, ``None`` if it names no limit
     :param headers: headers for the caller
+    :param cold_time: seconds for which the backend server stays cold, ``UNREADABLE`` for an invalid
+        value, ``None`` if it does not say
     """
 
     status: int
@@ -112,6 +114,7 @@
     headers: HeaderList
     is_leaving: bool = False
     quiet_time: float = 0.0
+    cold_time: float | None = None
 
     @property
     def is_rejection(self) -> bool:
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -344,6 +344,7 @@
         job.limit = response.limit
         if not response.wrong_server:
             self.limits.on_response(view.server, response.limit, job.sent_at)
+            self.limits.cold.on_response(view.server, response.cold_time)
 
     def _note_self_report(self, view: BackendView, response: BackendResponse) -> None:
         """Note that a backend server says that it leaves, or that it wants no requests."""
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -86,6 +86,7 @@
             self.funds.peers.notice,
             self.context.quarantine.summary,
             self.limits.summary,
+            self.limits.cold.summary,
             self.link_load.summary,
         ]
         self.http: HTTPServer | None = None
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -65,6 +65,9 @@
             "Estimated wait of a byte to be sent over the VM's network link",
             registry=registry,
         )
+        self.cold_servers = Gauge(
+            f"{PREFIX}_cold_servers", "Cold backend servers", ["zone"], registry=registry
+        )
         self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
 
     def render(self) -> bytes:
@@ -80,6 +83,10 @@
         self.backends.labels("leaving").set(sum(view.is_leaving for view in views))
         self.backends.labels("avoided").set(sum(view.ejected_until > now for view in views))
         self.backends.labels("all").set(len(views))
+        self.cold_servers.clear()
+        for view in views:
+            if view.is_cold:
+                self.cold_servers.labels(view.server.zone).inc()
         for customer, account in self.context.book.accounts.items():
             self.tokens.labels(customer, "held").set(account.held)
             self.tokens.labels(customer, "reserved").set(account.reserved)
--- a/src/bilberryshed/gateway/_server_limits.py
+++ b/src/bilberryshed/gateway/_server_limits.py
@@ -11,13 +11,22 @@
     PermitIssuer,
     limit_coordinator,
 )
+from bilberryshed.gateway._cold_limits import ColdLimits
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.protocol import LimitNotice, LimitSummary, PermitRequest, PermitResponse
+from bilberryshed.protocol import (
+    ColdPermitRequest,
+    LimitNotice,
+    LimitSummary,
+    PermitRequest,
+    PermitResponse,
+)
 from bilberryshed.state import BackendServer
 from bilberryshed.transport import Link, logger
 
 PERMIT_TIMEOUT = 0.15  # seconds for a coordinator to respond
 UNANSWERED_WAIT = 0.3  # seconds without requests to a server whose coordinator does not respond
+MAX_ASK_TIME = 0.3  # seconds after which a permit for a cold server is not used any more
+MIN_WAIT = 0.02  # seconds without requests to a cold server after a permit was not issued
 SUSPECT_TIME = 3.0  # seconds for which such a coordinator is not asked
 PRUNE_INTERVAL = 5.0  # seconds between removals of backend servers that are gone
 
@@ -27,6 +36,7 @@
 class ServerLimits:
     """The limits of the backend servers and the permits of this gateway.
 
+    :param cold: cold backend servers, which have a limit as well
     :param permits: permits that become valid soon, by incarnation of the backend server
     :param asking: requests for permits that await a response, by id
     :param suspected_until: monotonic time by gateway that did not respond as a coordinator
@@ -36,6 +46,7 @@
         self.context = context
         self.named = NamedLimits()
         self.issuer = PermitIssuer()
+        self.cold = ColdLimits(context, self.issuer, self.named.limit)
         self.permits: dict[str, Permit] = {}
         self.asking: dict[str, asyncio.Future[PermitDecision]] = {}
         self.suspected_until: dict[str, float] = {}
@@ -44,10 +55,12 @@
     def start(self) -> None:
         """Subscribe to timers."""
         self.context.timers.subscribe(PRUNE_INTERVAL, lambda now: self._prune())
+        self.cold.start()
 
     def handlers(self) -> dict[type, Handler]:
         """Return the message handlers by message class."""
         return {
+            **self.cold.handlers(),
             LimitNotice: lambda link, notice: self._on_notice(notice),
             LimitSummary: self._on_summary,
             PermitRequest: self._on_request,
@@ -84,10 +97,11 @@
 
         :returns: 0 if it may be sent, else the seconds for which none may be sent there
         """
-        limit = self.named.limit(server.incarnation)
+        limit, now = self.named.limit(server.incarnation), self.context.timers.now()
+        if self.cold.must_pace(now, server):
+            return await self._acquire_cold(server)
         if limit is None:
             return 0.0
-        now = self.context.timers.now()
         permit = self.permits.get(server.incarnation)
         if permit is not None and now < permit.valid_from:
             return permit.valid_from - now
@@ -107,10 +121,39 @@
         coordinator = limit_coordinator(server.incarnation, server.zone, candidates) or name
         if coordinator == name:
             return self.issuer.request(now, server.incarnation, limit, name)
-        ask = f"{self.context.boot}.p{self.next_id}"
+        request = PermitRequest(self._next_ask(), self._notice(server.incarnation))
+        return await self._ask_peer(server, coordinator, request)
+
+    async def _acquire_cold(self, server: BackendServer) -> float:
+        """Acquire the permit to send one request to a cold backend server.
+
+        Its permits are valid at once, so that none is left when another gateway issues them.
+        """
+        self.permits.pop(server.incarnation, None)
+        name, asked_at = self.context.settings.name, self.context.timers.now()
+        coordinator = self.cold.coordinator(server)
+        if coordinator is None:
+            return UNANSWERED_WAIT
+        if coordinator == name:
+            decision = self.cold.decide(asked_at, server, name)
+        else:
+            cold = self.cold.notice(asked_at, server.incarnation)
+            request = ColdPermitRequest(self._next_ask(), cold)
+            decision = await self._ask_peer(server, coordinator, request)
+        if self.context.timers.now() - asked_at > MAX_ASK_TIME:
+            return UNANSWERED_WAIT
+        return 0.0 if decision.granted else max(MIN_WAIT, decision.wait)
+
+    def _next_ask(self) -> str:
         self.next_id += 1
+        return f"{self.context.boot}.p{self.next_id - 1}"
+
+    async def _ask_peer(
+        self, server: BackendServer, coordinator: str, request: PermitRequest | ColdPermitRequest
+    ) -> PermitDecision:
+        """Ask another gateway for a permit."""
+        now, ask = self.context.timers.now(), request.ask
         response = self.asking[ask] = asyncio.get_running_loop().create_future()
-        request = PermitRequest(ask, self._notice(server.incarnation))
         self.context.peer_links[coordinator].send(request)
         try:
             async with asyncio.timeout(PERMIT_TIMEOUT):
--- a/src/bilberryshed/platform/_headers.py
+++ b/src/bilberryshed/platform/_headers.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from bilberryshed.coordination import parse_limit
+from bilberryshed.coordination.places import parse_cold_time
 from bilberryshed.gateway import (
     BackendResponse,
     CallerRequest,
@@ -31,6 +32,7 @@
 SIGNATURE = "x-response-signature"
 LEAVING = "server-leaving"  # "1" in all responses of a backend server that leaves
 RETRY_AFTER = "retry-after"
+COLD_MS = "x-cold-ms"  # for how long the backend server stays cold
 LIMIT = "server-limit"  # requests per second from all gateways together
 
 DEFAULT_TIMEOUT_MS = 30_000  # for requests without the header
@@ -161,6 +163,7 @@
             limit=parse_limit(head.get(LIMIT)),
             is_leaving=head.get(LEAVING).strip() == "1",
             quiet_time=_parse_quiet_time(head),
+            cold_time=parse_cold_time(head.get(COLD_MS)),
             headers=[(k, v) for k, v in head.headers if k not in HOP_BY_HOP],
         )
 
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -9,6 +9,7 @@
     register_message,
     registered_classes,
 )
+from bilberryshed.protocol._cold_messages import ColdNotice, ColdPermitRequest, ColdSummary
 from bilberryshed.protocol._limit_messages import (
     LimitNotice,
     LimitSummary,
@@ -99,6 +100,9 @@
     "Cancel",
     "Charge",
     "Chunk",
+    "ColdNotice",
+    "ColdPermitRequest",
+    "ColdSummary",
     "Completed",
     "CrashReport",
     "CrashedRun",
