--- a/features/gateway_support.py
+++ b/features/gateway_support.py
@@ -1,7 +1,7 @@
 """Runs gateways in this process against stand-ins for the users' platform."""
 
 import asyncio
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from functools import partial
 
 import h11
@@ -85,7 +85,10 @@
 
 @dataclass
 class GatewayHarness:
-    """Manages a store, backend servers and gateways, and sends requests to the gateways."""
+    """Manages a store, backend servers and gateways, and sends requests to the gateways.
+
+    :param overrides: settings of the gateways that replace the default ones
+    """
 
     store: RowStore = field(default_factory=RowStore)
     backends: dict = field(default_factory=dict)
@@ -94,6 +97,7 @@
     tasks: dict = field(default_factory=dict)
     store_port: int = 0
     next_id: int = 1
+    overrides: dict = field(default_factory=dict)
 
     async def start(self):
         """Start the store and write a config to it."""
@@ -167,6 +171,7 @@
             link_wait_ratio=0.25,
             pace=False,
         )
+        settings = replace(settings, **self.overrides)
         ports = gateway_ports(settings.store, settings.store_timeout)
         gateway = Gateway(settings, ports, asyncio.get_running_loop().time())
         stop_event = asyncio.Event()
--- a/src/bilberryshed/coordination/_permits.py
+++ b/src/bilberryshed/coordination/_permits.py
@@ -84,9 +84,10 @@
         :param server: incarnation of the backend server
         :param limit: its limit in requests per second
         :param asker: router that asks
-        :param ahead: whether permits may be issued that are not valid yet
+        :param ahead: whether permits may be issued that are not valid yet; without them, a new
+            coordinator takes over when those of its predecessor have expired, and needs no warm-up
         """
-        bucket = self._filled(now, server, limit)
+        bucket = self._filled(now, server, limit, ahead)
         bucket.asked_at[asker] = now
         wait, crowd = bucket.wait, self._crowd(now, bucket)
         longest = 0.0 if crowd > 1 or not ahead else max(MAX_WAIT, 1.0 / bucket.rate)
@@ -103,12 +104,12 @@
         """Take a permit, even if none is available yet."""
         self._filled(now, server, limit).permits -= 1.0
 
-    def _filled(self, now: float, server: str, limit: float) -> _Bucket:
+    def _filled(self, now: float, server: str, limit: float, warms_up: bool = True) -> _Bucket:
         """Return the bucket of a backend server with the permits that it has earned by now."""
         bucket = self.buckets.get(server)
         if bucket is None:
             bucket = self.buckets[server] = _Bucket(now, now)
-        is_new = now - bucket.started_at < WARM_UP_TIME
+        is_new = warms_up and now - bucket.started_at < WARM_UP_TIME
         bucket.rate = limit * WARM_UP_SHARE if is_new else limit
         earned = (now - bucket.updated_at) * bucket.rate
         bucket.permits = min(MAX_PERMITS, bucket.permits + earned)
