Replay of cold servers with the worst case of late permits

The replay missed a rate that ignores late permits, a takeover without delay and a deputy with the whole rate: permits are now used at the same instant, and the coordinator's side notices lost links last.

--- a/features/steps/cold_server_steps.py
+++ b/features/steps/cold_server_steps.py
@@ -1,6 +1,7 @@
 """Steps for backend servers that are cold."""
 
 import asyncio
+import math
 import random
 
 from behave import given, then, when
@@ -66,11 +67,11 @@
         self.broken, self.changes, self.sent = set(), [], []
 
     def cut(self, now, pairs):
-        """Break links; both ends notice it later."""
-        for one, other in pairs:
-            for a, b in ((one, other), (other, one)):
-                self.broken.add((a, b))
-                self.changes.append((now + self.rng.uniform(0, NOTICE_TIME), a, b, False))
+        """Break links; the first ends of them, on the coordinator's side, notice it last."""
+        for near, far in pairs:
+            self.broken |= {(near, far), (far, near)}
+            self.changes.append((now + NOTICE_TIME, near, far, False))
+            self.changes.append((now + self.rng.uniform(0, 1.0), far, near, False))
 
     def heal(self, now):
         """Establish all links again, one after another."""
@@ -83,7 +84,7 @@
         names = sorted(self.routers)
         first = limit_coordinator(ENTRY.incarnation, "quay", dict.fromkeys(names, "quay"))
         rest = dict.fromkeys([name for name in names if name != first], "quay")
-        half = names[: len(names) // 2]
+        half = [first, *sorted(rest)[: len(names) // 2 - 1]]
         if "killed" in event:
             self.cut(now, [(first, name) for name in rest])
             del self.routers[first]
@@ -113,7 +114,8 @@
         reachable = target is not None and (router.name, target.name) not in self.broken
         decision = target.decide(now, router.name) if reachable else None
         if decision is not None and decision.granted:
-            self.sent.append(now + self.rng.uniform(0, USE_TIME))
+            use_at = math.ceil(now / 2.0) * 2.0  # the worst case: many are used at the same time
+            self.sent.append(use_at if use_at - now < USE_TIME else now)
         else:
             router.limited_until = now + (decision.wait if decision else 0.3)
 
