--- a/src/bilberryshed/gateway/_evacuation_orders.py
+++ b/src/bilberryshed/gateway/_evacuation_orders.py
@@ -95,7 +95,9 @@
             links[self.asked % len(links)].send(self._notice())
 
     def _apply(self, before: frozenset[str], source: str) -> None:
-        zones = self.evacuations.zones
+        zones, now = self.evacuations.zones, self.context.timers.now()
+        for zone in before - zones:
+            self.context.cold_servers.on_zone_restored(now, zone)
         self.context.backends.evacuated = zones
         known = {view.server.zone for view in self.context.backends.views.values()}
         for zone in sorted(zones - before):
