A Content-Length of more than 18 digits is refused with 413

int() raises ValueError above 4,300 digits; raised from headers_received, it left the exchange in the limiter for ever. Such a length is now capped to 18 digits, which is over any limit. The limiter stores no unread request of size 0, and releases the requests of closed connections also when nothing is held for them. The new scenario read no response before the change and reads 413 after.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -62,6 +62,14 @@
     When a caller sends a whole body of 900000 bytes to the path without a route
     Then it reads a response with status 404 and Connection: close
 
+  Scenario Outline: A caller reads one response to <head>
+    When a caller sends <head> to the routed path
+    Then it reads only a response with status <status>
+
+    Examples:
+      | head                               | status |
+      | a length of 5000 digits            | 413    |
+
   Scenario: A single request of the largest size is served, also at a slow rate
     When a caller takes 4 s to send a whole body of 1000000 bytes to the routed path
     Then it reads a response with status 200
--- a/features/misbehaving_callers_support.py
+++ b/features/misbehaving_callers_support.py
@@ -98,6 +98,12 @@
 }
 
 
+_ATTEMPT = "X-Attempt-Id: 00000000000000aa"
+RAW_REQUESTS = {
+    "a length of 5000 digits": head("/look/1", _ATTEMPT, "Content-Length: " + "9" * 5000),
+}
+
+
 async def _misbehave(address, path, send, writers):
     with suppress(OSError, TimeoutError):
         # A small limit keeps the reader from buffering what the caller does not read.
--- a/features/steps/misbehaving_callers_steps.py
+++ b/features/steps/misbehaving_callers_steps.py
@@ -15,7 +15,7 @@
     write_settings,
 )
 from gateway_support import build_config, read_response
-from misbehaving_callers_support import head, memory_peak, send_crowd
+from misbehaving_callers_support import RAW_REQUESTS, head, memory_peak, send_crowd
 
 from bilberryshed.state import Address, GatewaySettings
 
@@ -113,6 +113,26 @@
     run(context, send())
 
 
+@when("a caller sends {raw} to the routed path")
+def when_raw(context, raw):
+    async def send():
+        listen = Address.parse(context.sections["vm"]["listen"])
+        reader, writer = await asyncio.open_connection(listen.host, listen.port)
+        writer.write(RAW_REQUESTS[raw])
+        writer.write_eof()
+        context.received = await asyncio.wait_for(reader.read(), 8)
+        writer.close()
+
+    run(context, send())
+
+
+@then("it reads only a response with status {status:d}")
+def then_only_status(context, status):
+    received = context.received
+    assert received.startswith(f"HTTP/1.1 {status} ".encode()), received
+    assert received.count(b"HTTP/1.1 ") == 1, received
+
+
 @then("it reads a response with status {status:d}")
 def then_status(context, status):
     assert context.response.status == status, context.response
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -16,7 +16,14 @@
 )
 
 from bilberryshed.coordination.admission import ByteCounter
-from bilberryshed.transport import CallerStream, EarlyRefusal, HeaderList, Phase, announces_body
+from bilberryshed.transport import (
+    CallerStream,
+    EarlyRefusal,
+    HeaderList,
+    Phase,
+    announces_body,
+    cap_length,
+)
 
 FIELD_BYTES = 256  # bytes that a parsed header field takes beside its text
 
@@ -114,6 +121,7 @@
         assert isinstance(start_line, RequestStartLine)
         self.method, self.target, self.headers = start_line.method, start_line.path, headers
         self.handler.byte_counter.on_received(len(start_line.path) + _size(headers.get_all()))
+        cap_length(headers)
         if announces_body(headers):
             length = headers.get("Content-Length", "0")
             self.length = int(length) if length.isdecimal() else 0
--- a/src/bilberryshed/gateway/_caller_limits.py
+++ b/src/bilberryshed/gateway/_caller_limits.py
@@ -84,7 +84,8 @@
         kind = HeldKind.WHOLE if exchange.is_read else HeldKind.PARTIAL
         factor = WHOLE_FACTOR if exchange.is_read else 1
         size = exchange.head_size + exchange.body_size * factor
-        self.exchanges[number] = exchange
+        if size > 0 or exchange.is_read:
+            self.exchanges[number] = exchange
         self.held.put(number, kind, size, self.context.timers.now(), exchange.has_key)
         self.make_room()
 
@@ -135,7 +136,7 @@
 
     def _release_closed(self, open_numbers: set[int]) -> None:
         """Release what is held for closed connections whose requests have ended."""
-        for number in tuple(self.held.holdings):
+        for number in {*self.held.holdings, *self.exchanges}:
             exchange = self.exchanges.get(number)
             is_running = exchange is not None and exchange.is_running
             if number not in open_numbers and not is_running:
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -15,7 +15,12 @@
     ResponseError,
     ResponseHead,
 )
-from bilberryshed.transport._early_refusal import BodylessServer, EarlyRefusal, announces_body
+from bilberryshed.transport._early_refusal import (
+    BodylessServer,
+    EarlyRefusal,
+    announces_body,
+    cap_length,
+)
 from bilberryshed.transport._http import (
     HttpError,
     describe_error,
@@ -55,6 +60,7 @@
     "EarlyRefusal",
     "Phase",
     "announces_body",
+    "cap_length",
     "Admittance",
     "QuarantineExchange",
     "QuarantinePorts",
--- a/src/bilberryshed/transport/_early_refusal.py
+++ b/src/bilberryshed/transport/_early_refusal.py
@@ -15,6 +15,7 @@
 from bilberryshed.transport._caller_streams import DRAIN_BYTES, CallerStream, Phase
 
 STATUS_TOO_LARGE = 413
+MAX_LENGTH_DIGITS = 18  # of a Content-Length; int() raises ValueError above 4,300 digits
 
 
 def announces_body(headers: HTTPHeaders) -> bool:
@@ -22,6 +23,13 @@
     return "Transfer-Encoding" in headers or headers.get("Content-Length", "0").strip("0") != ""
 
 
+def cap_length(headers: HTTPHeaders) -> None:
+    """Replace a Content-Length of more digits than a number takes; it stays over any limit."""
+    length = headers.get("Content-Length", "")
+    if length.isdecimal() and len(length) > MAX_LENGTH_DIGITS:
+        headers["Content-Length"] = "9" * MAX_LENGTH_DIGITS
+
+
 class EarlyRefusal:
     """A refusal after which the rest of the request is discarded and the connection closed.
 
@@ -82,6 +90,7 @@
         self.refusal: EarlyRefusal | None = None
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> Any:
+        cap_length(headers)
         if not announces_body(headers):
             return self.inner.headers_received(start_line, headers)
         self.refusal = EarlyRefusal(self.connection)
