An early refusal of HEAD has no body, and a failed eviction closes its own connection only

tornado raises HTTPOutputError for a body in a response to HEAD. Raised in make_room(), it left data_received of another caller, whose connection was closed without a response. The new scenario read nothing before the change and reads 413 after. Raw requests are no longer half-closed by the test: tornado may take the end of the stream for a closed connection before it responds.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -69,6 +69,7 @@
     Examples:
       | head                               | status |
       | a length of 5000 digits            | 413    |
+      | HEAD with a body over the limit    | 413    |
 
   Scenario: A single request of the largest size is served, also at a slow rate
     When a caller takes 4 s to send a whole body of 1000000 bytes to the routed path
--- a/features/misbehaving_callers_support.py
+++ b/features/misbehaving_callers_support.py
@@ -101,6 +101,9 @@
 _ATTEMPT = "X-Attempt-Id: 00000000000000aa"
 RAW_REQUESTS = {
     "a length of 5000 digits": head("/look/1", _ATTEMPT, "Content-Length: " + "9" * 5000),
+    "HEAD with a body over the limit": head(
+        "/look/1", _ATTEMPT, f"Content-Length: {2 * BODY}", method="HEAD"
+    ),
 }
 
 
--- a/features/steps/misbehaving_callers_steps.py
+++ b/features/steps/misbehaving_callers_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from contextlib import suppress
 from dataclasses import fields
 
 from behave import given, then, when
@@ -21,6 +22,8 @@
 
 PATHS = {"routed path": "/look/1", "path without a route": "/nothing/1", "readiness address": "/"}
 ORDINARY_TRIES = 3
+RESPONSE_TIME = 1.0  # seconds for which the responses to a raw request are collected
+READ_SIZE = 65_536  # bytes
 LIMITS = {"maxHeaderBytes": 16_384, "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000}
 
 
@@ -119,8 +122,11 @@
         listen = Address.parse(context.sections["vm"]["listen"])
         reader, writer = await asyncio.open_connection(listen.host, listen.port)
         writer.write(RAW_REQUESTS[raw])
-        writer.write_eof()
-        context.received = await asyncio.wait_for(reader.read(), 8)
+        context.received = b""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(RESPONSE_TIME):
+                while data := await reader.read(READ_SIZE):
+                    context.received += data
         writer.close()
 
     run(context, send())
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -234,7 +234,7 @@
         self.headers = fields = HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
-        self.early_refusal = EarlyRefusal(self.connection)
+        self.early_refusal = EarlyRefusal(self.connection, self.method)
         self.early_refusal.send(status, fields, body)
 
     def _send_head(self, status: int, headers: HeaderList, body: bytes) -> None:
--- a/src/bilberryshed/gateway/_caller_limits.py
+++ b/src/bilberryshed/gateway/_caller_limits.py
@@ -103,14 +103,22 @@
         for number in self.held.victims(self.context.timers.now()):
             exchange = self.exchanges.get(number)
             if exchange is not None:
-                self.evict(exchange)
-                self.release(exchange)
+                self._give_way(exchange)
                 continue
             self.held.release(number)
             for stream in self._streams():
                 if stream.number == number:
                     stream.cut("memory")
 
+    def _give_way(self, exchange: CallerExchange) -> None:
+        """Refuse a request; a failure must not reach the caller whose bytes made it give way."""
+        try:
+            self.evict(exchange)
+        except Exception:
+            logger().exception("eviction_failed", target=exchange.target)
+            exchange.stream.close()
+        self.release(exchange)
+
     def _hold_response(self, stream: CallerStream) -> None:
         if stream.number in self.exchanges:
             return
--- a/src/bilberryshed/transport/_early_refusal.py
+++ b/src/bilberryshed/transport/_early_refusal.py
@@ -36,14 +36,16 @@
     The connection is not closed at once: a reset, caused by bytes that were not read, could make
     the caller lose the response.
 
+    :param method: method of the request; a response to HEAD has no body
     :param discarded: bytes that arrived after the refusal
     """
 
-    __slots__ = ("connection", "discarded")
+    __slots__ = ("connection", "method", "discarded")
 
-    def __init__(self, connection: HTTPConnection) -> None:
+    def __init__(self, connection: HTTPConnection, method: str) -> None:
         assert isinstance(connection, HTTP1Connection)
         self.connection = connection
+        self.method = method
         self.discarded = 0
 
     @property
@@ -57,9 +59,10 @@
         """Send the response; the connection stays open for what the caller still sends."""
         headers["Connection"] = "close"
         headers["Content-Length"] = str(len(body))
+        content = None if self.method == "HEAD" else body
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         self.stream.enter(Phase.REFUSED)
-        self.connection.write_headers(line, headers, body).add_done_callback(_retrieve_exception)
+        self.connection.write_headers(line, headers, content).add_done_callback(_retrieve_exception)
 
     def discard(self, chunk: bytes) -> None:
         """Count bytes of the body; close the connection when they are too many."""
@@ -93,7 +96,7 @@
         cap_length(headers)
         if not announces_body(headers):
             return self.inner.headers_received(start_line, headers)
-        self.refusal = EarlyRefusal(self.connection)
+        self.refusal = EarlyRefusal(self.connection, start_line.method)
         self.refusal.stream.on_cut("page_body")
         self.refusal.send(STATUS_TOO_LARGE, HTTPHeaders(), b"this address takes no bodies\n")
         return None
