Connections that send a body give way at the bound on connections

Every byte of a body restarts its time limit, so 200 slow bodies filled the bound and shut ordinary callers out. Connections whose body has not arrived now give way after refused and idle ones, the oldest first, after 1 s. The new scenario fails before the change and passes after.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -62,6 +62,10 @@
     When a caller sends a whole body of 900000 bytes to the path without a route
     Then it reads a response with status 404 and Connection: close
 
+  Scenario: Slow bodies do not shut ordinary callers out at the bound on connections
+    When 200 callers send small bodies byte by byte to the routed path
+    Then an ordinary request is answered
+
   Scenario Outline: A caller reads one response to <head>
     When a caller sends <head> to the routed path
     Then it reads only a response with status <status>
--- a/features/misbehaving_callers_support.py
+++ b/features/misbehaving_callers_support.py
@@ -79,6 +79,13 @@
         await asyncio.sleep(0.1)
 
 
+async def _byte_by_byte(writer, path):
+    writer.write(_sized(path, SMALL))
+    for _ in range(30):
+        writer.write(b"x")
+        await asyncio.sleep(0.1)
+
+
 async def _half_head(writer, path):
     writer.write(f"GET {path} HTTP/1.1\r\nHost: ".encode())
     await writer.drain()
@@ -93,6 +100,7 @@
     "many short header fields": _many_fields,
     "many requests ahead": _ahead,
     "bodies slowly": _slowly,
+    "small bodies byte by byte": _byte_by_byte,
     "requests for responses read slowly": _ahead,
     "half a head": _half_head,
 }
--- a/src/bilberryshed/transport/_caller_streams.py
+++ b/src/bilberryshed/transport/_caller_streams.py
@@ -14,7 +14,7 @@
 READ_CHUNK = 32_768  # bytes read at once, and buffered for a connection that nobody reads
 MAX_BUFFER = 262_144  # bytes of the read buffer; above READ_CHUNK and the largest head together
 UNLIMITED_BODY = 1 << 62  # the listener leaves the limit of bodies to its delegate
-MIN_IDLE = 1.0  # seconds for which a connection without a whole head is not closed for another
+MIN_IDLE = 1.0  # seconds for which a connection without a whole request stays open at the bound
 DRAIN_TIME = 5.0  # seconds in which a caller that has been refused may still send
 DRAIN_BYTES = 8_388_608  # bytes that it may send; twice the largest body
 DEFAULT_FIELDS = 256  # header fields of a request, if the listener sets no other bound
@@ -36,6 +36,10 @@
     REFUSED = "refused"
 
 
+# Connections that give way at the bound, lowest first; a running request never does.
+CLOSE_ORDER = {Phase.REFUSED: 0, Phase.IDLE: 1, Phase.HEAD: 1, Phase.BODY: 2}
+
+
 class CallerStream(IOStream):
     """A connection of a caller.
 
@@ -172,17 +176,21 @@
         self.streams.discard(server_conn.stream)
 
     def _close_idle(self) -> bool:
-        """Close a connection without a running request: refused ones first, then by age."""
+        """Close a connection without a running request; returns whether there was one.
+
+        Refused ones give way first, bodies that have not arrived last, otherwise the oldest. Time
+        limits do not free the places of slow bodies, as a byte now and then keeps them open.
+        """
         latest = time.monotonic() - MIN_IDLE
         idle = [
             stream
             for stream in self.streams
             if stream.phase is Phase.REFUSED
-            or (stream.phase in (Phase.IDLE, Phase.HEAD) and stream.since < latest)
+            or (stream.phase in CLOSE_ORDER and stream.since < latest)
         ]
         if not idle:
             return False
-        oldest = min(idle, key=lambda stream: (stream.phase is not Phase.REFUSED, stream.since))
+        oldest = min(idle, key=lambda stream: (CLOSE_ORDER[stream.phase], stream.since))
         oldest.cut("connections")
         self.streams.discard(oldest)
         return True
