The readiness and metrics addresses close the oldest connection at their bound

32 connections opened within a second shut the readiness probe out. Pages have no long requests, so any connection to them may give way, running ones last. The new scenario read no response before the change and passes after; the scenarios at the readiness address pass.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -66,6 +66,10 @@
     When 200 callers send small bodies byte by byte to the routed path
     Then an ordinary request is answered
 
+  Scenario: Fresh connections do not shut the readiness probe out
+    When 32 connections to the readiness address have just been opened
+    Then the readiness probe is answered
+
   Scenario Outline: A caller reads one response to <head>
     When a caller sends <head> to the routed path
     Then it reads only a response with status <status>
--- a/features/steps/misbehaving_callers_steps.py
+++ b/features/steps/misbehaving_callers_steps.py
@@ -116,6 +116,34 @@
     run(context, send())
 
 
+@when("{count:d} connections to the readiness address have just been opened")
+def when_opened(context, count):
+    address = Address.parse(context.sections["vm"]["ready_listen"])
+
+    async def connect():
+        return (await asyncio.open_connection(address.host, address.port))[1]
+
+    async def connect_all():
+        return [await connect() for _ in range(count)]
+
+    context.writers = run(context, connect_all())
+    context.add_cleanup(close_writers, context)
+
+
+@then("the readiness probe is answered")
+def then_probe(context):
+    async def probe():
+        address = Address.parse(context.sections["vm"]["ready_listen"])
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(head("/", method="GET"))
+        response = await read_response(reader)
+        writer.close()
+        return response
+
+    response = run(context, probe())
+    assert response.status in (200, 503), response
+
+
 @when("a caller sends {raw} to the routed path")
 def when_raw(context, raw):
     async def send():
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -258,6 +258,7 @@
             BodylessServer(application),
             max_connections=PAGE_CONNECTIONS,
             on_cut=self.limiter.on_cut,
+            closes_oldest=True,
             max_header_size=limits.header_bytes,
             idle_connection_timeout=limits.idle_timeout,
         )
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -117,7 +117,10 @@
             return None
         application = Application([(r"/.*", MetricsHandler, {"metrics": self})])
         server = CallerListener(
-            BodylessServer(application), max_connections=max_connections, on_cut=on_cut
+            BodylessServer(application),
+            max_connections=max_connections,
+            on_cut=on_cut,
+            closes_oldest=True,
         )
         try:
             server.listen(address.port, address.host)
--- a/src/bilberryshed/transport/_caller_streams.py
+++ b/src/bilberryshed/transport/_caller_streams.py
@@ -36,8 +36,9 @@
     REFUSED = "refused"
 
 
-# Connections that give way at the bound, lowest first; a running request never does.
+# Connections that give way at the bound, lowest first; a running request does for pages only.
 CLOSE_ORDER = {Phase.REFUSED: 0, Phase.IDLE: 1, Phase.HEAD: 1, Phase.BODY: 2}
+RUNNING_ORDER = 3
 
 
 class CallerStream(IOStream):
@@ -134,6 +135,7 @@
     :param max_fields: bound on the header fields of a request
     :param refusal_fields: header lines of the refusal of a request with more
     :param on_cut: called with the cause whenever a limit closes a connection
+    :param closes_oldest: whether any connection gives way at the bound, also a running or new one
     """
 
     def initialize(  # type: ignore[override]
@@ -143,6 +145,7 @@
         on_cut: Callable[[str], None],
         max_fields: int = DEFAULT_FIELDS,
         refusal_fields: bytes = b"",
+        closes_oldest: bool = False,
         **kw: Any,
     ) -> None:
         """Create a listener; further arguments are those of the HTTP server."""
@@ -158,6 +161,7 @@
         self.max_fields = max_fields
         self.refusal_fields = refusal_fields
         self.on_cut = on_cut
+        self.closes_oldest = closes_oldest
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a new connection, or close it if the bound is reached and none is idle."""
@@ -176,7 +180,7 @@
         self.streams.discard(server_conn.stream)
 
     def _close_idle(self) -> bool:
-        """Close a connection without a running request; returns whether there was one.
+        """Close a connection that may give way; returns whether there was one.
 
         Refused ones give way first, bodies that have not arrived last, otherwise the oldest. Time
         limits do not free the places of slow bodies, as a byte now and then keeps them open.
@@ -185,12 +189,15 @@
         idle = [
             stream
             for stream in self.streams
-            if stream.phase is Phase.REFUSED
+            if self.closes_oldest
+            or stream.phase is Phase.REFUSED
             or (stream.phase in CLOSE_ORDER and stream.since < latest)
         ]
         if not idle:
             return False
-        oldest = min(idle, key=lambda stream: (CLOSE_ORDER[stream.phase], stream.since))
+        oldest = min(
+            idle, key=lambda stream: (CLOSE_ORDER.get(stream.phase, RUNNING_ORDER), stream.since)
+        )
         oldest.cut("connections")
         self.streams.discard(oldest)
         return True
