The end of a request releases its own place in the account only

release() went by the number of the connection, so the end of a request could release a later one on the same connection. The new scenario held 0 bytes before the change and over 4,000 after.

--- a/features/held_memory.feature
+++ b/features/held_memory.feature
@@ -25,3 +25,10 @@
     Given a limiter of callers
     When request A with 10 header fields and no body arrives
     Then at least 4000 bytes are held
+
+  Scenario: The end of a request does not release a later one on its connection
+    Given a limiter of callers
+    When request A with 10 header fields and no body arrives
+    And request B with 10 header fields and no body arrives
+    And request A is released
+    Then at least 4000 bytes are held
--- a/features/steps/held_memory_steps.py
+++ b/features/steps/held_memory_steps.py
@@ -95,6 +95,11 @@
     context.limiter.hold(exchange)
 
 
+@when("request {name:w} is released")
+def when_released(context, name):
+    context.limiter.release(context.requests[name])
+
+
 @then("at least {size:d} bytes are held")
 def then_held(context, size):
     assert context.limiter.held.held >= size, context.limiter.held.held
--- a/src/bilberryshed/gateway/_caller_limits.py
+++ b/src/bilberryshed/gateway/_caller_limits.py
@@ -92,7 +92,9 @@
     def release(self, exchange: CallerExchange) -> None:
         """Remove a request from the account; a response that its caller has not read stays."""
         stream = exchange.stream
-        self.exchanges.pop(stream.number, None)
+        if self.exchanges.get(stream.number) is not exchange:
+            return
+        del self.exchanges[stream.number]
         self.held.release(stream.number)
         self._hold_response(stream)
 
