The bound on callers' connections leaves descriptors for backend servers

Each running request needs a backend server's connection, too, so only half of the descriptors beside the reserved ones are for callers; an unlimited number no longer counts as -1. A socket that cannot be created is a ConnectError instead of an internal error. Of the new scenarios, two bounds (1000 for 500, 64 for 1220) and the error fail before the change and pass after.

--- a/features/held_memory.feature
+++ b/features/held_memory.feature
@@ -32,3 +32,16 @@
     And request B with 10 header fields and no body arrives
     And request A is released
     Then at least 4000 bytes are held
+
+  Scenario Outline: With <descriptors> descriptors, callers may open <connections> connections
+    Given a limiter of callers
+    Then with <descriptors> descriptors, callers may open <connections> connections
+
+    Examples:
+      | descriptors | connections |
+      | 1256        | 500         |
+      | 256         | 64          |
+      | unlimited   | 1220        |
+
+  Scenario: Without a free descriptor, a connection to a backend server counts as not opened
+    Then opening a connection to a backend server without a free descriptor is a ConnectError
--- a/features/steps/held_memory_steps.py
+++ b/features/steps/held_memory_steps.py
@@ -1,6 +1,9 @@
 """Steps for the account of bytes held for callers."""
 
+import errno
+import resource
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
 from hypothesis import given as given_any
@@ -11,6 +14,8 @@
 from bilberryshed.coordination.memory import HeldBytes, HeldKind
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._caller_limits import CallerLimiter
+from bilberryshed.state import Address
+from bilberryshed.transport._connections import ConnectError, ConnectionPool
 
 CHANGES = st.lists(
     st.tuples(
@@ -78,7 +83,7 @@
 
 @given("a limiter of callers")
 def given_limiter(context):
-    settings = SimpleNamespace(memory=1, held_share=0.5, header_fields=10)
+    settings = SimpleNamespace(memory=80, held_share=0.5, connections=0, header_fields=10)
     timers = SimpleNamespace(now=lambda: NOW)
     gateway = SimpleNamespace(index=None, settings=settings, timers=timers)
     context.limiter = CallerLimiter(gateway, None, None)
@@ -103,3 +108,22 @@
 @then("at least {size:d} bytes are held")
 def then_held(context, size):
     assert context.limiter.held.held >= size, context.limiter.held.held
+
+
+@then("with {descriptors} descriptors, callers may open {connections:d} connections")
+def then_connections(context, descriptors, connections):
+    limit = resource.RLIM_INFINITY if descriptors == "unlimited" else int(descriptors)
+    with patch("resource.getrlimit", return_value=(limit, limit)):
+        assert context.limiter.max_connections() == connections, context.limiter.max_connections()
+
+
+@then("opening a connection to a backend server without a free descriptor is a ConnectError")
+def then_connect_error(context):
+    error = OSError(errno.EMFILE, "Too many open files")
+    with patch("socket.socket", side_effect=error):
+        opening = ConnectionPool().open("a", Address("127.0.0.1", 1), 1.0)
+        try:
+            opening.send(None)
+        except ConnectError:
+            return
+    raise AssertionError("no error")
--- a/src/bilberryshed/gateway/_caller_limits.py
+++ b/src/bilberryshed/gateway/_caller_limits.py
@@ -14,7 +14,8 @@
 MEGABYTE = 1_000_000
 CONNECTION_BYTES = 32_768  # bytes of an open connection: objects, read buffer
 WHOLE_FACTOR = 2  # a whole request is copied once while it is sent to a backend server
-RESERVED_DESCRIPTORS = 256  # for backend servers, other gateways, the store and the log
+RESERVED_DESCRIPTORS = 256  # for other gateways, the store, the log and idle connections
+REQUEST_DESCRIPTORS = 2  # a running request needs its caller's and a backend server's connection
 FALLBACK_CONNECTIONS = 64  # callers' connections if hardly any descriptors are left
 PAGE_CONNECTIONS = 32  # connections of the readiness or the metrics address
 
@@ -64,9 +65,11 @@
         settings = self.context.settings
         if settings.connections:
             return settings.connections
-        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0] - RESERVED_DESCRIPTORS
-        by_memory = int(settings.memory * MEGABYTE * settings.held_share) // CONNECTION_BYTES
-        return max(FALLBACK_CONNECTIONS, min(descriptors, by_memory))
+        bound = int(settings.memory * MEGABYTE * settings.held_share) // CONNECTION_BYTES
+        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if descriptors != resource.RLIM_INFINITY:
+            bound = min(bound, (descriptors - RESERVED_DESCRIPTORS) // REQUEST_DESCRIPTORS)
+        return max(FALLBACK_CONNECTIONS, bound)
 
     def on_cut(self, cause: str) -> None:
         """Count and log a connection that a limit closed."""
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -286,7 +286,10 @@
         :raises ConnectError: if the connection cannot be opened
         :raises ConnectTimeoutError: if it is not opened in time
         """
-        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # no free descriptor
+            raise ConnectError(str(error)) from error
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         stream = IOStream(raw)
