Nothing follows the response of an early refusal

tornado sent 100 (Continue) after an early refusal of a request with Expect, and 400 after a malformed chunk. Expect is now removed from the refused request, and a stream that has been given its last response takes no further data, so that tornado closes the connection. The two new scenarios read two responses before the change and one after.

--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -78,6 +78,8 @@
       | head                               | status |
       | a length of 5000 digits            | 413    |
       | HEAD with a body over the limit    | 413    |
+      | Expect with a body over the limit  | 413    |
+      | a malformed chunk without a route  | 404    |
 
   Scenario: A single request of the largest size is served, also at a slow rate
     When a caller takes 4 s to send a whole body of 1000000 bytes to the routed path
--- a/features/misbehaving_callers_support.py
+++ b/features/misbehaving_callers_support.py
@@ -109,6 +109,10 @@
 _ATTEMPT = "X-Attempt-Id: 00000000000000aa"
 RAW_REQUESTS = {
     "a length of 5000 digits": head("/look/1", _ATTEMPT, "Content-Length: " + "9" * 5000),
+    "Expect with a body over the limit": head(
+        "/look/1", _ATTEMPT, f"Content-Length: {2 * BODY}", "Expect: 100-continue"
+    ),
+    "a malformed chunk without a route": _chunked("/nothing/1") + b"no size\r\nx",
     "HEAD with a body over the limit": head(
         "/look/1", _ATTEMPT, f"Content-Length: {2 * BODY}", method="HEAD"
     ),
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -233,10 +233,10 @@
     def _respond_early(self, status: int, headers: HeaderList, body: bytes) -> None:
         self.started = self.ended = True
         self.body = bytearray()
+        self.early_refusal = EarlyRefusal(self.connection, self.method, self.headers)
         self.headers = fields = HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
-        self.early_refusal = EarlyRefusal(self.connection, self.method)
         self.early_refusal.send(status, fields, body)
 
     def _send_head(self, status: int, headers: HeaderList, body: bytes) -> None:
--- a/src/bilberryshed/transport/_caller_streams.py
+++ b/src/bilberryshed/transport/_caller_streams.py
@@ -49,6 +49,7 @@
     :param received_at: monotonic time at which bytes last arrived
     :param sent_at: monotonic time at which bytes last left, or began to wait
     :param unsent: bytes that wait for the caller to read
+    :param is_answered: whether the last response has been queued, so that nothing may follow it
     """
 
     def __init__(self, listener: "CallerListener", connection: Any) -> None:
@@ -59,6 +60,7 @@
         self.phase = Phase.IDLE
         self.since = self.received_at = self.sent_at = time.monotonic()
         self.unsent = 0
+        self.is_answered = False
 
     def enter(self, phase: Phase) -> None:
         """Change the phase."""
@@ -84,7 +86,13 @@
         return size
 
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
-        """Queue data for the caller."""
+        """Queue data for the caller.
+
+        :raises StreamClosedError: after the last response; tornado then closes the connection
+            without a response to a malformed body
+        """
+        if self.is_answered:
+            raise StreamClosedError()
         if not self.unsent:
             self.sent_at = time.monotonic()
         self.unsent += len(data)
--- a/src/bilberryshed/transport/_early_refusal.py
+++ b/src/bilberryshed/transport/_early_refusal.py
@@ -37,13 +37,18 @@
     the caller lose the response.
 
     :param method: method of the request; a response to HEAD has no body
+    :param request_headers: headers of the request, of which Expect is removed, as tornado would
+        send another response to it
     :param discarded: bytes that arrived after the refusal
     """
 
     __slots__ = ("connection", "method", "discarded")
 
-    def __init__(self, connection: HTTPConnection, method: str) -> None:
+    def __init__(
+        self, connection: HTTPConnection, method: str, request_headers: HTTPHeaders
+    ) -> None:
         assert isinstance(connection, HTTP1Connection)
+        request_headers.pop("Expect", None)
         self.connection = connection
         self.method = method
         self.discarded = 0
@@ -63,6 +68,7 @@
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         self.stream.enter(Phase.REFUSED)
         self.connection.write_headers(line, headers, content).add_done_callback(_retrieve_exception)
+        self.stream.is_answered = True
 
     def discard(self, chunk: bytes) -> None:
         """Count bytes of the body; close the connection when they are too many."""
@@ -96,7 +102,7 @@
         cap_length(headers)
         if not announces_body(headers):
             return self.inner.headers_received(start_line, headers)
-        self.refusal = EarlyRefusal(self.connection, start_line.method)
+        self.refusal = EarlyRefusal(self.connection, start_line.method, headers)
         self.refusal.stream.on_cut("page_body")
         self.refusal.send(STATUS_TOO_LARGE, HTTPHeaders(), b"this address takes no bodies\n")
         return None
