--- a/features/steps/misbehaving_callers_steps.py
+++ b/features/steps/misbehaving_callers_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from contextlib import suppress
 from dataclasses import fields
 
 from behave import given, then, when
@@ -15,12 +16,14 @@
     write_settings,
 )
 from gateway_support import build_config, read_response
-from misbehaving_callers_support import head, memory_peak, send_crowd
+from misbehaving_callers_support import RAW_REQUESTS, head, memory_peak, send_crowd
 
 from bilberryshed.state import Address, GatewaySettings
 
 PATHS = {"routed path": "/look/1", "path without a route": "/nothing/1", "readiness address": "/"}
 ORDINARY_TRIES = 3
+RESPONSE_TIME = 1.0  # seconds for which the responses to a raw request are collected
+READ_SIZE = 65_536  # bytes
 LIMITS = {"maxHeaderBytes": 16_384, "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000}
 
 
@@ -113,6 +116,57 @@
     run(context, send())
 
 
+@when("{count:d} connections to the readiness address have just been opened")
+def when_opened(context, count):
+    address = Address.parse(context.sections["vm"]["ready_listen"])
+
+    async def connect():
+        return (await asyncio.open_connection(address.host, address.port))[1]
+
+    async def connect_all():
+        return [await connect() for _ in range(count)]
+
+    context.writers = run(context, connect_all())
+    context.add_cleanup(close_writers, context)
+
+
+@then("the readiness probe is answered")
+def then_probe(context):
+    async def probe():
+        address = Address.parse(context.sections["vm"]["ready_listen"])
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(head("/", method="GET"))
+        response = await read_response(reader)
+        writer.close()
+        return response
+
+    response = run(context, probe())
+    assert response.status in (200, 503), response
+
+
+@when("a caller sends {raw} to the routed path")
+def when_raw(context, raw):
+    async def send():
+        listen = Address.parse(context.sections["vm"]["listen"])
+        reader, writer = await asyncio.open_connection(listen.host, listen.port)
+        writer.write(RAW_REQUESTS[raw])
+        context.received = b""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(RESPONSE_TIME):
+                while data := await reader.read(READ_SIZE):
+                    context.received += data
+        writer.close()
+
+    run(context, send())
+
+
+@then("it reads only a response with status {status:d}")
+def then_only_status(context, status):
+    received = context.received
+    assert received.startswith(f"HTTP/1.1 {status} ".encode()), received
+    assert received.count(b"HTTP/1.1 ") == 1, received
+
+
 @then("it reads a response with status {status:d}")
 def then_status(context, status):
     assert context.response.status == status, context.response
--- a/src/bilberryshed/gateway/_caller_limits.py
+++ b/src/bilberryshed/gateway/_caller_limits.py
@@ -14,7 +14,8 @@
 MEGABYTE = 1_000_000
 CONNECTION_BYTES = 32_768  # bytes of an open connection: objects, read buffer
 WHOLE_FACTOR = 2  # a whole request is copied once while it is sent to a backend server
-RESERVED_DESCRIPTORS = 256  # for backend servers, other gateways, the store and the log
+RESERVED_DESCRIPTORS = 256  # for other gateways, the store, the log and idle connections
+REQUEST_DESCRIPTORS = 2  # a running request needs its caller's and a backend server's connection
 FALLBACK_CONNECTIONS = 64  # callers' connections if hardly any descriptors are left
 PAGE_CONNECTIONS = 32  # connections of the readiness or the metrics address
 
@@ -64,9 +65,11 @@
         settings = self.context.settings
         if settings.connections:
             return settings.connections
-        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0] - RESERVED_DESCRIPTORS
-        by_memory = int(settings.memory * MEGABYTE * settings.held_share) // CONNECTION_BYTES
-        return max(FALLBACK_CONNECTIONS, min(descriptors, by_memory))
+        bound = int(settings.memory * MEGABYTE * settings.held_share) // CONNECTION_BYTES
+        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if descriptors != resource.RLIM_INFINITY:
+            bound = min(bound, (descriptors - RESERVED_DESCRIPTORS) // REQUEST_DESCRIPTORS)
+        return max(FALLBACK_CONNECTIONS, bound)
 
     def on_cut(self, cause: str) -> None:
         """Count and log a connection that a limit closed."""
@@ -84,14 +87,17 @@
         kind = HeldKind.WHOLE if exchange.is_read else HeldKind.PARTIAL
         factor = WHOLE_FACTOR if exchange.is_read else 1
         size = exchange.head_size + exchange.body_size * factor
-        self.exchanges[number] = exchange
+        if size > 0 or exchange.is_read:
+            self.exchanges[number] = exchange
         self.held.put(number, kind, size, self.context.timers.now(), exchange.has_key)
         self.make_room()
 
     def release(self, exchange: CallerExchange) -> None:
         """Remove a request from the account; a response that its caller has not read stays."""
         stream = exchange.stream
-        self.exchanges.pop(stream.number, None)
+        if self.exchanges.get(stream.number) is not exchange:
+            return
+        del self.exchanges[stream.number]
         self.held.release(stream.number)
         self._hold_response(stream)
 
@@ -102,14 +108,22 @@
         for number in self.held.victims(self.context.timers.now()):
             exchange = self.exchanges.get(number)
             if exchange is not None:
-                self.evict(exchange)
-                self.release(exchange)
+                self._give_way(exchange)
                 continue
             self.held.release(number)
             for stream in self._streams():
                 if stream.number == number:
                     stream.cut("memory")
 
+    def _give_way(self, exchange: CallerExchange) -> None:
+        """Refuse a request; a failure must not reach the caller whose bytes made it give way."""
+        try:
+            self.evict(exchange)
+        except Exception:
+            logger().exception("eviction_failed", target=exchange.target)
+            exchange.stream.close()
+        self.release(exchange)
+
     def _hold_response(self, stream: CallerStream) -> None:
         if stream.number in self.exchanges:
             return
@@ -135,7 +149,7 @@
 
     def _release_closed(self, open_numbers: set[int]) -> None:
         """Release what is held for closed connections whose requests have ended."""
-        for number in tuple(self.held.holdings):
+        for number in {*self.held.holdings, *self.exchanges}:
             exchange = self.exchanges.get(number)
             is_running = exchange is not None and exchange.is_running
             if number not in open_numbers and not is_running:
--- a/src/bilberryshed/transport/_caller_streams.py
+++ b/src/bilberryshed/transport/_caller_streams.py
@@ -14,7 +14,7 @@
 READ_CHUNK = 32_768  # bytes read at once, and buffered for a connection that nobody reads
 MAX_BUFFER = 262_144  # bytes of the read buffer; above READ_CHUNK and the largest head together
 UNLIMITED_BODY = 1 << 62  # the listener leaves the limit of bodies to its delegate
-MIN_IDLE = 1.0  # seconds for which a connection without a whole head is not closed for another
+MIN_IDLE = 1.0  # seconds for which a connection without a whole request stays open at the bound
 DRAIN_TIME = 5.0  # seconds in which a caller that has been refused may still send
 DRAIN_BYTES = 8_388_608  # bytes that it may send; twice the largest body
 DEFAULT_FIELDS = 256  # header fields of a request, if the listener sets no other bound
@@ -36,6 +36,11 @@
     REFUSED = "refused"
 
 
+# Connections that give way at the bound, lowest first; a running request does for pages only.
+CLOSE_ORDER = {Phase.REFUSED: 0, Phase.IDLE: 1, Phase.HEAD: 1, Phase.BODY: 2}
+RUNNING_ORDER = 3
+
+
 class CallerStream(IOStream):
     """A connection of a caller.
 
@@ -44,6 +49,7 @@
     :param received_at: monotonic time at which bytes last arrived
     :param sent_at: monotonic time at which bytes last left, or began to wait
     :param unsent: bytes that wait for the caller to read
+    :param is_answered: whether the last response has been queued, so that nothing may follow it
     """
 
     def __init__(self, listener: "CallerListener", connection: Any) -> None:
@@ -54,6 +60,7 @@
         self.phase = Phase.IDLE
         self.since = self.received_at = self.sent_at = time.monotonic()
         self.unsent = 0
+        self.is_answered = False
 
     def enter(self, phase: Phase) -> None:
         """Change the phase."""
@@ -79,7 +86,13 @@
         return size
 
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
-        """Queue data for the caller."""
+        """Queue data for the caller.
+
+        :raises StreamClosedError: after the last response; tornado then closes the connection
+            without a response to a malformed body
+        """
+        if self.is_answered:
+            raise StreamClosedError()
         if not self.unsent:
             self.sent_at = time.monotonic()
         self.unsent += len(data)
@@ -130,6 +143,7 @@
     :param max_fields: bound on the header fields of a request
     :param refusal_fields: header lines of the refusal of a request with more
     :param on_cut: called with the cause whenever a limit closes a connection
+    :param closes_oldest: whether any connection gives way at the bound, also a running or new one
     """
 
     def initialize(  # type: ignore[override]
@@ -139,6 +153,7 @@
         on_cut: Callable[[str], None],
         max_fields: int = DEFAULT_FIELDS,
         refusal_fields: bytes = b"",
+        closes_oldest: bool = False,
         **kw: Any,
     ) -> None:
         """Create a listener; further arguments are those of the HTTP server."""
@@ -154,6 +169,7 @@
         self.max_fields = max_fields
         self.refusal_fields = refusal_fields
         self.on_cut = on_cut
+        self.closes_oldest = closes_oldest
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a new connection, or close it if the bound is reached and none is idle."""
@@ -172,17 +188,24 @@
         self.streams.discard(server_conn.stream)
 
     def _close_idle(self) -> bool:
-        """Close a connection without a running request: refused ones first, then by age."""
+        """Close a connection that may give way; returns whether there was one.
+
+        Refused ones give way first, bodies that have not arrived last, otherwise the oldest. Time
+        limits do not free the places of slow bodies, as a byte now and then keeps them open.
+        """
         latest = time.monotonic() - MIN_IDLE
         idle = [
             stream
             for stream in self.streams
-            if stream.phase is Phase.REFUSED
-            or (stream.phase in (Phase.IDLE, Phase.HEAD) and stream.since < latest)
+            if self.closes_oldest
+            or stream.phase is Phase.REFUSED
+            or (stream.phase in CLOSE_ORDER and stream.since < latest)
         ]
         if not idle:
             return False
-        oldest = min(idle, key=lambda stream: (stream.phase is not Phase.REFUSED, stream.since))
+        oldest = min(
+            idle, key=lambda stream: (CLOSE_ORDER.get(stream.phase, RUNNING_ORDER), stream.since)
+        )
         oldest.cut("connections")
         self.streams.discard(oldest)
         return True
--- a/src/bilberryshed/transport/_early_refusal.py
+++ b/src/bilberryshed/transport/_early_refusal.py
@@ -15,6 +15,7 @@
 from bilberryshed.transport._caller_streams import DRAIN_BYTES, CallerStream, Phase
 
 STATUS_TOO_LARGE = 413
+MAX_LENGTH_DIGITS = 18  # of a Content-Length; int() raises ValueError above 4,300 digits
 
 
 def announces_body(headers: HTTPHeaders) -> bool:
@@ -22,20 +23,34 @@
     return "Transfer-Encoding" in headers or headers.get("Content-Length", "0").strip("0") != ""
 
 
+def cap_length(headers: HTTPHeaders) -> None:
+    """Replace a Content-Length of more digits than a number takes; it stays over any limit."""
+    length = headers.get("Content-Length", "")
+    if length.isdecimal() and len(length) > MAX_LENGTH_DIGITS:
+        headers["Content-Length"] = "9" * MAX_LENGTH_DIGITS
+
+
 class EarlyRefusal:
     """A refusal after which the rest of the request is discarded and the connection closed.
 
     The connection is not closed at once: a reset, caused by bytes that were not read, could make
     the caller lose the response.
 
+    :param method: method of the request; a response to HEAD has no body
+    :param request_headers: headers of the request, of which Expect is removed, as tornado would
+        send another response to it
     :param discarded: bytes that arrived after the refusal
     """
 
-    __slots__ = ("connection", "discarded")
+    __slots__ = ("connection", "method", "discarded")
 
-    def __init__(self, connection: HTTPConnection) -> None:
+    def __init__(
+        self, connection: HTTPConnection, method: str, request_headers: HTTPHeaders
+    ) -> None:
         assert isinstance(connection, HTTP1Connection)
+        request_headers.pop("Expect", None)
         self.connection = connection
+        self.method = method
         self.discarded = 0
 
     @property
@@ -49,9 +64,11 @@
         """Send the response; the connection stays open for what the caller still sends."""
         headers["Connection"] = "close"
         headers["Content-Length"] = str(len(body))
+        content = None if self.method == "HEAD" else body
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         self.stream.enter(Phase.REFUSED)
-        self.connection.write_headers(line, headers, body).add_done_callback(_retrieve_exception)
+        self.connection.write_headers(line, headers, content).add_done_callback(_retrieve_exception)
+        self.stream.is_answered = True
 
     def discard(self, chunk: bytes) -> None:
         """Count bytes of the body; close the connection when they are too many."""
@@ -82,9 +99,10 @@
         self.refusal: EarlyRefusal | None = None
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> Any:
+        cap_length(headers)
         if not announces_body(headers):
             return self.inner.headers_received(start_line, headers)
-        self.refusal = EarlyRefusal(self.connection)
+        self.refusal = EarlyRefusal(self.connection, start_line.method, headers)
         self.refusal.stream.on_cut("page_body")
         self.refusal.send(STATUS_TOO_LARGE, HTTPHeaders(), b"this address takes no bodies\n")
         return None
