--- a/features/misbehaving_callers.feature
+++ b/features/misbehaving_callers.feature
@@ -62,6 +62,25 @@
     When a caller sends a whole body of 900000 bytes to the path without a route
     Then it reads a response with status 404 and Connection: close
 
+  Scenario: Slow bodies do not shut ordinary callers out at the bound on connections
+    When 200 callers send small bodies byte by byte to the routed path
+    Then an ordinary request is answered
+
+  Scenario: Fresh connections do not shut the readiness probe out
+    When 32 connections to the readiness address have just been opened
+    Then the readiness probe is answered
+
+  Scenario Outline: A caller reads one response to <head>
+    When a caller sends <head> to the routed path
+    Then it reads only a response with status <status>
+
+    Examples:
+      | head                               | status |
+      | a length of 5000 digits            | 413    |
+      | HEAD with a body over the limit    | 413    |
+      | Expect with a body over the limit  | 413    |
+      | a malformed chunk without a route  | 404    |
+
   Scenario: A single request of the largest size is served, also at a slow rate
     When a caller takes 4 s to send a whole body of 1000000 bytes to the routed path
     Then it reads a response with status 200
--- a/features/misbehaving_callers_support.py
+++ b/features/misbehaving_callers_support.py
@@ -79,6 +79,13 @@
         await asyncio.sleep(0.1)
 
 
+async def _byte_by_byte(writer, path):
+    writer.write(_sized(path, SMALL))
+    for _ in range(30):
+        writer.write(b"x")
+        await asyncio.sleep(0.1)
+
+
 async def _half_head(writer, path):
     writer.write(f"GET {path} HTTP/1.1\r\nHost: ".encode())
     await writer.drain()
@@ -93,11 +100,25 @@
     "many short header fields": _many_fields,
     "many requests ahead": _ahead,
     "bodies slowly": _slowly,
+    "small bodies byte by byte": _byte_by_byte,
     "requests for responses read slowly": _ahead,
     "half a head": _half_head,
 }
 
 
+_ATTEMPT = "X-Attempt-Id: 00000000000000aa"
+RAW_REQUESTS = {
+    "a length of 5000 digits": head("/look/1", _ATTEMPT, "Content-Length: " + "9" * 5000),
+    "Expect with a body over the limit": head(
+        "/look/1", _ATTEMPT, f"Content-Length: {2 * BODY}", "Expect: 100-continue"
+    ),
+    "a malformed chunk without a route": _chunked("/nothing/1") + b"no size\r\nx",
+    "HEAD with a body over the limit": head(
+        "/look/1", _ATTEMPT, f"Content-Length: {2 * BODY}", method="HEAD"
+    ),
+}
+
+
 async def _misbehave(address, path, send, writers):
     with suppress(OSError, TimeoutError):
         # A small limit keeps the reader from buffering what the caller does not read.
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -7,9 +7,10 @@
 """
 
 import asyncio
+import math
 
-from bilberryshed.coordination import BackendView
-from bilberryshed.coordination.places import home_regions, is_at_home
+from bilberryshed.coordination import PERMIT_TIME, BackendView
+from bilberryshed.coordination.places import home_regions, is_allowed
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._crash_reports import BrokenRun, CrashReports
 from bilberryshed.gateway._dialect import BackendResponse, Dispatch
@@ -92,7 +93,7 @@
         now = self.context.timers.now()
         if job.deadline - now < MIN_TIME_LEFT or job.refused > MAX_REFUSED_CONNECTIONS:
             return False
-        if not self.link_load.may_dispatch():
+        if not job.exchange.started and not self._may_dispatch(job):
             return False
         if result is AttemptOutcome.TIMEOUT or (
             result is not AttemptOutcome.NOT_RUN and not job.route.retryable
@@ -140,10 +141,15 @@
             view = self.pool.choose(now, job.service.name, job.demand, excluded)
             if view is not None:
                 wait = await self.limits.acquire(view.server)
+                job.send_by = now + PERMIT_TIME if view.is_cold else math.inf
                 if wait > 0:
                     view.limited_until = now + wait
                 elif self.pool.may_receive(view) and view.admits_at <= self.context.timers.now():
                     return view
+                elif now + CHOICE_RETRY_INTERVAL > until:
+                    return None
+                else:
+                    await asyncio.sleep(CHOICE_RETRY_INTERVAL)
                 continue
             job.admitted_at = self.pool.next_admission(now, job.service.name, excluded)
             if job.admitted_at is not None and job.admitted_at > until:
@@ -182,7 +188,7 @@
             return set()
         regions = self.context.settings.regions
         views = self.pool.views.items()
-        return {id_ for id_, v in views if not is_at_home(v.server.zone, homes, regions)}
+        return {id_ for id_, v in views if not is_allowed(v.server.zone, homes, regions)}
 
     # One attempt ----------------------------------------------------------------------------
 
@@ -234,6 +240,7 @@
 
     async def _acquire_connection(self, job: Job, view: BackendView) -> BackendConnection | None:
         """Return a connection, ``None`` if there is none or the own link is too full to use it."""
+        job.is_link_full = False
         if not self._may_dispatch(job):
             return None
         now = self.context.timers.now()
@@ -260,7 +267,10 @@
             return None
 
     def _may_dispatch(self, job: Job) -> bool:
-        """Whether a request leaves the own link soon enough to be sent."""
+        """Whether a request leaves the own link soon enough to be sent, and has a valid permit."""
+        if self.context.timers.now() >= job.send_by:
+            job.last_failure = "the permit for the backend server has expired"
+            return False
         if self.link_load.may_dispatch():
             return True
         job.is_link_full = True
@@ -361,6 +371,7 @@
         job.limit = response.limit
         if not response.wrong_server:
             self.limits.on_response(view.server, response.limit, job.sent_at)
+            self.limits.cold.on_response(view.server, response.cold_time)
 
     def _note_self_report(self, view: BackendView, response: BackendResponse) -> None:
         """Note that a backend server says that it leaves, or that it wants no requests."""
@@ -410,9 +421,10 @@
         if job.is_stream and 200 <= response.status < 300:
             await self.stream_relay.relay(job, connection, response)
         else:
-            body = await self._read_body(job, connection)
-            if job.run is not None:
+            # The time of an error says nothing of how fast a backend server works.
+            if job.run is not None and 200 <= response.status < 300:
                 self.pool.on_first_event(self.context.timers.now(), job.run, job.sent_at)
+            body = await self._read_body(job, connection)
             if response.status >= 500 and self._is_error_retryable(job):
                 job.failed_response = (response, body)
                 job.excluded.add(view.server.id)
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -89,6 +89,7 @@
             self.funds.peers.notice,
             self.context.quarantine.summary,
             self.limits.summary,
+            self.limits.cold.summary,
             self.link_load.summary,
             self.evacuations.notice,
         ]
@@ -258,6 +259,7 @@
             BodylessServer(application),
             max_connections=PAGE_CONNECTIONS,
             on_cut=self.limiter.on_cut,
+            closes_oldest=True,
             max_header_size=limits.header_bytes,
             idle_connection_timeout=limits.idle_timeout,
         )
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -79,6 +79,9 @@
         self.caller_connections = Gauge(
             f"{PREFIX}_caller_connections", "Open connections of callers", registry=registry
         )
+        self.cold_servers = Gauge(
+            f"{PREFIX}_cold_servers", "Cold backend servers", ["zone"], registry=registry
+        )
         self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
 
     def render(self) -> bytes:
@@ -97,6 +100,10 @@
         self.evacuated.clear()
         for zone in self.context.backends.evacuated:
             self.evacuated.labels(zone).set(1)
+        self.cold_servers.clear()
+        for view in views:
+            if view.is_cold:
+                self.cold_servers.labels(view.server.zone).inc()
         for customer, account in self.context.book.accounts.items():
             self.tokens.labels(customer, "held").set(account.held)
             self.tokens.labels(customer, "reserved").set(account.reserved)
@@ -117,7 +124,10 @@
             return None
         application = Application([(r"/.*", MetricsHandler, {"metrics": self})])
         server = CallerListener(
-            BodylessServer(application), max_connections=max_connections, on_cut=on_cut
+            BodylessServer(application),
+            max_connections=max_connections,
+            on_cut=on_cut,
+            closes_oldest=True,
         )
         try:
             server.listen(address.port, address.host)
