Read-through: retries after a cold server, one hook for the end of an evacuation, priority in one place

A retry was refused once the permit of the attempt before had expired; it acquires a permit of its own, so only the link is asked there. The end of an evacuation goes through ColdLimits, which marks the servers at once. The finding of unknown homes named its fault twice. Removed: a method that nobody called. Comments give reasons in place of trials.

--- a/src/bilberryshed/coordination/distribution/_table_fetch.py
+++ b/src/bilberryshed/coordination/distribution/_table_fetch.py
@@ -37,10 +37,6 @@
         elif gateway in self.asked:
             self.asked.remove(gateway)
 
-    def remove(self, gateway: str) -> None:
-        """Forget a gateway whose link is closed."""
-        self.announced.pop(gateway, None)
-
     def next_gateway(
         self, now: float, active: int, hub: str, linked: Collection[str]
     ) -> str | None:
--- a/src/bilberryshed/coordination/memory/_held_bytes.py
+++ b/src/bilberryshed/coordination/memory/_held_bytes.py
@@ -19,7 +19,7 @@
     :param kind: what the bytes are held for
     :param size: bytes, with what the objects around them take
     :param since: monotonic time in seconds from which they are held
-    :param has_key: whether the request has a valid key, or needs none
+    :param has_key: whether the request has a valid key; one that needs none counts as without
     """
 
     kind: HeldKind
--- a/src/bilberryshed/coordination/pacing/_server_pace.py
+++ b/src/bilberryshed/coordination/pacing/_server_pace.py
@@ -7,7 +7,7 @@
 import math
 from dataclasses import dataclass
 
-START_WINDOW = 1.0  # requests of all gateways; 1.5 had more late answers in a crash on return
+START_WINDOW = 1.0  # requests of all gateways; a server that crashes on return loses no more
 MIN_ROUND = 0.2  # seconds; load reports of other gateways take up to 0.1 s
 ROUND_FACTOR = 1.5  # times to the first event in a round without a good answer
 RAISE = 0.5  # of the window added in a round after the first bad answer, if that is more
@@ -98,7 +98,7 @@
         A gateway that got no answer in the round follows the load that the others report: they
         had requests there, and the window is not full, so these requests end. If they have more
         there than the window, it rises to that load: without this a gateway that may send nothing
-        learns nothing, and still paces after 10 s. Requests that hang raise it no further.
+        learns nothing and never stops pacing. Requests that hang raise it no further.
 
         :param running: requests of all gateways that run there
         :param target: requests that run at the servers of its service, on average
--- a/src/bilberryshed/coordination/placement/_estimate.py
+++ b/src/bilberryshed/coordination/placement/_estimate.py
@@ -11,7 +11,7 @@
 MIN_ERROR = 0.05  # of the mean; the tokens queued ahead of a prompt are known no better
 CONFIDENCE = 3.0  # standard errors that a server's pace must be off the mean to count
 ESTIMATE_LIFETIME = 30.0  # seconds; a server found slow is sent little, and may have recovered
-MAX_FACTOR = 2.0  # limit both ways; with 3, bursts at speeds 0.7 and 1.7 had more late answers
+MAX_FACTOR = 2.0  # limit both ways, so that a fast server is not flooded by a burst
 
 
 @dataclass(slots=True)
--- a/src/bilberryshed/coordination/places/_homes.py
+++ b/src/bilberryshed/coordination/places/_homes.py
@@ -29,7 +29,7 @@
     known = set(regions.values())
     for route in table.routes:
         if route.regions is not None and not route.regions & known:
-            yield f"route {route.name}: no known region"
+            yield f"route {route.name}"
     for customer in table.customers.values():
         if customer.regions is not None and not customer.regions & known:
-            yield f"customer {customer.name}: no known region"
+            yield f"customer {customer.name}"
--- a/src/bilberryshed/gateway/_admission.py
+++ b/src/bilberryshed/gateway/_admission.py
@@ -307,10 +307,7 @@
 
 def _link_demand(job: Job) -> LinkDemand:
     """Return what a new request needs of the gateway's network link."""
-    priority = job.customer.priority if job.customer else None
-    if priority is None:
-        priority = job.route.priority
-    is_urgent = priority == 0 or bool(job.request.last_event_id)
+    is_urgent = job.priority == 0 or bool(job.request.last_event_id)
     return LinkDemand(job.route.latency_target, job.deadline - job.started_at, is_urgent)
 
 
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -25,8 +25,7 @@
     cap_length,
 )
 
-# Bytes that a parsed header field takes beside its text, in the headers and two lists made of them;
-# 350 to 400 measured with distinct names.
+# Bytes that a parsed header field takes beside its text, in the headers and two lists made of them.
 FIELD_BYTES = 420
 
 SEPARATOR_BYTES = 4  # bytes after the name and after the value of a header
--- a/src/bilberryshed/gateway/_cold_limits.py
+++ b/src/bilberryshed/gateway/_cold_limits.py
@@ -38,7 +38,7 @@
         self.context = context
         self.issuer = issuer
         self.named_limit = named_limit
-        self.servers: ColdServers = context.cold_servers
+        self.servers = ColdServers()
         self.history = CoordinatorHistory(context.settings.name)
 
     def start(self) -> None:
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -22,7 +22,6 @@
 )
 from bilberryshed.coordination.admission import ByteCounter, LinkMeter
 from bilberryshed.coordination.pacing import Pacing
-from bilberryshed.coordination.places import ColdServers
 from bilberryshed.gateway._dialect import Dialect
 from bilberryshed.gateway._epoch_recovery import EpochRecovery
 from bilberryshed.protocol import Finding, encode
@@ -102,7 +101,6 @@
         self.link_meter = LinkMeter(self.byte_counter, settings.bandwidth)
         self.backends = BackendPool(settings.zone, settings.name)
         self.backends.pacing = Pacing(settings.name) if settings.pace else None
-        self.cold_servers = ColdServers()
         self.connections = ConnectionPool(self.byte_counter)
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_window, settings.retry_slack
--- a/src/bilberryshed/gateway/_evacuation_orders.py
+++ b/src/bilberryshed/gateway/_evacuation_orders.py
@@ -18,15 +18,26 @@
     While the store does not respond, or is not read, one linked gateway after another is sent the
     own set; it responds if it knows a later one.
 
+    :param on_zone_restored: called with the time and a zone whose evacuation has ended
     :param store_up: whether the store responded to the last read of the orders
     :param relies_on_peers: whether the store is not read for now, as peers send what is new
     :param asked: number of notices sent to single peers
     """
 
-    __slots__ = ("context", "evacuations", "store_up", "relies_on_peers", "asked")
-
-    def __init__(self, context: GatewayContext) -> None:
+    __slots__ = (
+        "context",
+        "on_zone_restored",
+        "evacuations",
+        "store_up",
+        "relies_on_peers",
+        "asked",
+    )
+
+    def __init__(
+        self, context: GatewayContext, on_zone_restored: Callable[[float, str], None]
+    ) -> None:
         self.context = context
+        self.on_zone_restored = on_zone_restored
         self.evacuations = Evacuations()
         self.store_up = True
         self.relies_on_peers = False
@@ -97,7 +108,7 @@
     def _apply(self, before: frozenset[str], source: str) -> None:
         zones, now = self.evacuations.zones, self.context.timers.now()
         for zone in before - zones:
-            self.context.cold_servers.on_zone_restored(now, zone)
+            self.on_zone_restored(now, zone)
         self.context.backends.evacuated = zones
         known = {view.server.zone for view in self.context.backends.views.values()}
         for zone in sorted(zones - before):
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -93,7 +93,8 @@
         now = self.context.timers.now()
         if job.deadline - now < MIN_TIME_LEFT or job.refused > MAX_REFUSED_CONNECTIONS:
             return False
-        if not job.exchange.started and not self._may_dispatch(job):
+        if not job.exchange.started and not self.link_load.may_dispatch():
+            job.is_link_full = True
             return False
         if result is AttemptOutcome.TIMEOUT or (
             result is not AttemptOutcome.NOT_RUN and not job.route.retryable
@@ -167,11 +168,11 @@
         These are the ones that were tried, those outside the home regions, and for a stream that
         has begun those of other versions.
         """
-        away = self._away(job)
+        outside = self._outside_homes(job)
         if not job.is_resumable:
-            return frozenset(job.excluded | away)
+            return frozenset(job.excluded | outside)
         origin, streams = job.origin, self.streams
-        usable = [v for v in self.pool.usable(job.service.name) if v.server.id not in away]
+        usable = [v for v in self.pool.usable(job.service.name) if v.server.id not in outside]
         if origin is None:
             other = {view.server.id for view in usable if not streams.may_begin(view)}
             if len(other) == len(usable):
@@ -179,9 +180,9 @@
         else:
             since = job.broken_at
             other = {v.server.id for v in usable if not streams.may_resume(v, origin, since)}
-        return frozenset(job.excluded | other | away)
+        return frozenset(job.excluded | other | outside)
 
-    def _away(self, job: Job) -> set[str]:
+    def _outside_homes(self, job: Job) -> set[str]:
         """Return the ids of the backend servers outside the home regions of a request."""
         homes = home_regions(job.route, job.customer)
         if homes is None:
@@ -318,11 +319,8 @@
 
     def _send(self, job: Job, view: BackendView, connection: BackendConnection) -> None:
         left = job.deadline - self.context.timers.now()
-        priority = job.customer.priority if job.customer else None
-        if priority is None:
-            priority = job.route.priority
         last_event_id = job.event_splitter.last_id
-        dispatch = Dispatch(view.server.id, job.customer, left, last_event_id, priority)
+        dispatch = Dispatch(view.server.id, job.customer, left, last_event_id, job.priority)
         headers = self.context.dialect.dispatch_headers(job.request, dispatch)
         connection.send(job.request.method, job.request.target, headers, job.request.body)
 
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -73,12 +73,12 @@
         self.recorder = BoundsRecorder(self.context)
         self.funds = PrepaidFunds(self.context, self.recorder)
         self.predecessor_cleanup = PredecessorCleanup(self.context, self.funds.pool_sync)
-        self.evacuations = EvacuationOrders(self.context)
+        self.limits = ServerLimits(self.context)
+        self.evacuations = EvacuationOrders(self.context, self.limits.cold.on_zone_restored)
         self.route_table_updater = RouteTableUpdater(self.context, self._on_table, self.evacuations)
         self.backend_updater = BackendUpdater(self.context)
         self.load_sharing = LoadSharing(self.context)
         self.context.on_load_change = self.load_sharing.on_change
-        self.limits = ServerLimits(self.context)
         self.link_load = LinkLoad(self.context)
         self.streams = StreamDirectory(self.context, self.backend_updater.refresh)
         self.context.on_server_restart = self.streams.on_restart
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -105,6 +105,13 @@
     is_probe: bool = False
     is_cleared: bool = False
 
+    @property
+    def priority(self) -> int:
+        """Priority of the customer, or else of the route; 0 is the highest."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
     @property
     def is_stream(self) -> bool:
         """Whether the response is an event stream."""
