--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -586,8 +586,9 @@
         sys.exit(2)
     for text in broken:
         record("BROKEN", text)
-        print(f"broken: {text}")
-    record("result", "broken" if broken else "held", f"TROUBLE={int(has_trouble())}")
+    record("result", "broken" if broken else "held", f"TROUBLE={os.environ.get('TROUBLE', '1')}")
     record.write()
+    for text in broken:
+        print(f"broken: {text}")
     print("broken" if broken else "held")
     sys.exit(1 if broken else 0)
