ORDER: a gateway that does not respond may have begun a stream

Cause: a stream that nobody said to know was taken for one of a gateway that has ended, and its version derived from what was in service then. Silence of a hub within 0.15 s, and of members, which were not asked at all, counted as a denial. Ruled out: the list of servers and versions (read anew for each take-up, named v2); the link state (a frozen gateway stays linked for 3 s).

Change: one rule, coordination/_origin_proofs.py, says what proves an origin and what makes each proof void. Before the last proof every linked gateway is asked, one round for all take-ups that wait, and must answer. A gateway that has forgotten a stream because its server's entry changed says that it doubts it. The time of the last end is monotonic.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -12,11 +12,13 @@
 
 from bilberryshed.coordination import (
     Origin,
+    OriginEvidence,
     RouteHistory,
     RouteIndex,
     ServedVersions,
     StreamOrigins,
     VersionSpan,
+    prove_origin,
     split_point,
 )
 from bilberryshed.state import Route, RouteKind, RouteTable, ServiceShare
@@ -226,13 +228,106 @@
     run(context, asyncio.sleep(ENTRY_TIME))
 
 
+@given("{count:d} gateways that are linked")
+def given_linked_gateways(context, count):
+    async def add():
+        harness = context.harness
+        for number in range(2, count + 1):
+            await harness.add_gateway(f"gate-{number}")
+        gateways = harness.gateways.values()
+        await harness.wait_until(
+            lambda: all(len(g.context.peer_links) == count - 1 for g in gateways)
+        )
+        await asyncio.sleep(1.0)  # seconds in which all agree who the hubs are
+
+    run(context, add())
+
+
+@given("{count:d} gateways that are linked, and were all restarted")
+def given_restarted_gateways(context, count):
+    given_linked_gateways(context, count)
+    when_all_restart(context)
+    run(context, asyncio.sleep(1.0))  # seconds in which all agree who the hubs are
+
+
+@when("{count:d} engines of version {version} join")
+def when_engines_join(context, count, version):
+    async def join():
+        harness = context.harness
+        for number in range(1, count + 1):
+            await add_engine(harness, f"i-new-{number}", version)
+        gateways = harness.gateways.values()
+        await harness.wait_until(
+            lambda: all(g.streams.records.is_stored("model", version) for g in gateways)
+        )
+
+    run(context, join())
+
+
+def named_gateway(context, role):
+    """Return the gateway that a scenario calls a hub, a member, another one or all but one."""
+    gateways = context.harness.gateways
+    others = [name for name in sorted(gateways) if name != getattr(context, "silent", "")]
+    hubs = gateways["gate-1"].context.hubs.names
+    choices = {
+        "a hub": [name for name in others if name in hubs],
+        "a member": [name for name in others if name not in hubs],
+        "another member": [name for name in others if name not in hubs],
+        "another gateway": others,
+    }
+    return choices[role][0]
+
+
+def stop_reports(context, role):
+    """Have a gateway begin the next streams, and report none of them."""
+    context.silent = named_gateway(context, role)
+    streams = context.harness.gateways[context.silent].streams
+    streams._is_mixed = lambda: False
+    return streams
+
+
+@when("{role} reports no streams")
+def when_not_reported(context, role):
+    stop_reports(context, role)
+
+
+@when("{role} neither responds to the others nor reports its streams")
+def when_silent(context, role):
+    streams = stop_reports(context, role)
+    dispatcher = context.harness.gateways[context.silent].peers.handlers.on_message.__self__
+    for message_class in streams.handlers():
+        dispatcher.handlers[message_class] = lambda link, message: None
+
+
+@when("another gateway does not reach the store")
+def when_other_turned_away(context):
+    name = named_gateway(context, "another gateway")
+    context.harness.gateways[name].context.ports.tables.base_url = "http://127.0.0.1:1"
+
+
+@when("it begins {count:d} streams that break off after 2 events")
+def when_silent_begins(context, count):
+    begin_streams(context, count, context.silent)
+
+
 @when("the first gateway begins {count:d} streams that break off after 2 events")
 def when_streams_begin(context, count):
+    begin_streams(context, count, "gate-1")
+
+
+def begin_streams(context, count, gateway, avoided=None):
+    """Have callers of a gateway begin streams that break off after two events.
+
+    :param avoided: view of a server that must not begin them
+    """
     context.streams = []
+    if avoided is not None:
+        avoided.limited_until = asyncio.get_event_loop().time() + 60
     for number in range(count):
         id_ = context.harness.request_id()
         set_faults(context, ["cut 2"])
-        answer = run(context, send_prompt(context.harness, stream_path(context), number, id=id_))
+        call = send_prompt(context.harness, stream_path(context), number, gateway, id=id_)
+        answer = run(context, call)
         assert answer.status == 200 and not answer.complete, answer
         context.streams.append(BrokenStream(id_, "2", [answer]))
     set_faults(context, [])
@@ -336,6 +431,25 @@
     when_all_restart(context)
 
 
+@when("the first engine has started again as version {version}, which its entry does not show yet")
+def when_engine_restarted_unseen(context, version):
+    context.harness.backends["i-model-1"].software = version
+
+
+@when(
+    "the first gateway begins {count:d} streams at the first engine that break off after 2 events"
+)
+def when_streams_begin_at_first(context, count):
+    other = context.harness.gateways["gate-1"].context.backends.views["i-model-2"]
+    begin_streams(context, count, "gate-1", avoided=other)
+
+
+@when("its entry shows version {version}")
+def when_entry_shows(context, version):
+    context.harness.register("i-model-1", "model", version=version, born=2)
+    run(context, asyncio.sleep(ENTRY_TIME))
+
+
 @when("the engine starts again as version {version}")
 def when_engine_restarts(context, version):
     context.harness.backends["i-model-1"].software = version
@@ -361,7 +475,7 @@
         "the second gateway": ("gate-2",),
         "both gateways": ("gate-1", "gate-2"),
     }
-    take_up(context, gateways[where])
+    take_up(context, gateways.get(where) or (named_gateway(context, where),))
 
 
 @when("their callers take them up again without naming these requests")
@@ -422,6 +536,26 @@
     assert context.served.possible(SERVICE, float(until)) == set(listed.split(", "))
 
 
+EVIDENCE = {
+    "a row lists v2": {"known": Origin(SERVICE, "v2")},
+    "a hub knows v1 and the store does not respond": {
+        "known": Origin(SERVICE, "v1"),
+        "is_fresh": False,
+    },
+    "all others deny it and a gateway ended at 99 s": {"ended_at": 99.0},
+    "all others deny it and a gateway ended at 101 s": {"ended_at": 101.0},
+    "one gateway is silent and a gateway ended at 99 s": {},
+    "all others deny it and the store does not respond": {"is_fresh": False, "ended_at": 99.0},
+}
+
+
+@then("a stream that is taken up at {clock:d} s is of {version}, if {evidence}")
+def then_proved(context, clock, version, evidence):
+    defaults = {"services": (SERVICE,), "known": None, "is_fresh": True, "clock": float(clock)}
+    found = prove_origin(context.served, OriginEvidence(**{**defaults, **EVIDENCE[evidence]}))
+    assert (found.version if found else "unknown") == version, found
+
+
 @given("a server that began a stream {first:d} s ago and one {second:d} s ago")
 def given_two_streams(context, first, second):
     context.origins = StreamOrigins()
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -64,6 +64,58 @@
     Then no stream has events of two versions
     And at least 12 of the take-ups go on
 
+  Scenario Outline: Engines of another version join, and then <a gateway> does not respond
+    Guards against: a gateway that did not respond counted as one that does not know the stream.
+
+    Given a platform with model engines of the versions v1, v1
+    And <count> gateways that are linked, and were all restarted
+    When 2 engines of version v2 join
+    And <a gateway> neither responds to the others nor reports its streams
+    And it begins 16 streams that break off after 2 events
+    And their callers take them up again at <where>
+    Then no stream has events of two versions
+
+    Examples: gateways of a zone are their own hubs up to three of them
+      | a gateway | count | where                 |
+      | a hub     | 2     | another gateway       |
+      | a hub     | 3     | another gateway       |
+      | a member  | 6     | another member        |
+      | a member  | 6     | a hub                 |
+      | a hub     | 6     | a member              |
+
+  Scenario: A gateway that does not reach the store asks a hub, while the one that began streams is silent
+    Given a platform with model engines of the versions v1, v1
+    And 3 gateways that are linked, and were all restarted
+    When 2 engines of version v2 join
+    And a hub neither responds to the others nor reports its streams
+    And it begins 16 streams that break off after 2 events
+    And another gateway does not reach the store
+    And their callers take them up again at another gateway
+    Then no stream has events of two versions
+
+  Scenario: A member that responds has not reported its streams to its hub yet
+    Guards against: only hubs were asked, so that a stream which its gateway knew was not taken up.
+
+    Given a platform with model engines of the versions v1, v1
+    And 6 gateways that are linked, and were all restarted
+    When 2 engines of version v2 join
+    And a member reports no streams
+    And it begins 16 streams that break off after 2 events
+    And their callers take them up again at another member
+    Then no stream has events of two versions
+    And at least 16 of the take-ups go on
+
+  Scenario: Streams of one version before all gateways were killed go on beside a later version
+    Given a platform with model engines of the versions v1, v1
+    And 2 gateways that are linked
+    When the first gateway begins 16 streams that break off after 2 events
+    And all gateways are killed and return
+    And 1.5 s passes
+    And 2 engines of version v2 join
+    And their callers take them up again at both gateways
+    Then no stream has events of two versions
+    And at least 16 of the take-ups go on
+
   Scenario: An engine starts again under its id with another version, and a stream breaks off elsewhere
     Given a platform with model engines of the versions v1, v1
     When the gateway reads no servers for 3 s
@@ -178,6 +230,30 @@
       | a list             |
       | null               |
 
+  Scenario: Streams that may be of a version that their gateway recorded wrongly are not taken up elsewhere
+    Guards against: a gateway that had forgotten a doubtful stream counted as one that never knew it.
+
+    Given a platform with model engines of the versions v1, v1
+    And 2 gateways that are linked, and were all restarted
+    When the first engine has started again as version v2, which its entry does not show yet
+    And the first gateway begins 8 streams at the first engine that break off after 2 events
+    And its entry shows version v2
+    And their callers take them up again at the second gateway
+    Then no stream has events of two versions
+
+  Scenario Outline: What proves the origin of a stream: <evidence>
+    Given a service that had version v1 from 1 s to 300 s, and has v2 since 100 s
+    Then a stream that is taken up at 110 s is of <version>, if <evidence>
+
+    Examples:
+      | evidence                                              | version |
+      | a row lists v2                                        | v2      |
+      | a hub knows v1 and the store does not respond         | v1      |
+      | all others deny it and a gateway ended at 99 s        | v1      |
+      | all others deny it and a gateway ended at 101 s       | unknown |
+      | one gateway is silent and a gateway ended at 99 s     | unknown |
+      | all others deny it and the store does not respond     | unknown |
+
   Scenario: A take-up that names two requests is refused
     Given a platform with model engines of the versions v1
     When a caller takes a stream up and names two requests
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -55,6 +55,7 @@
     PlannedOrder,
     plan_orders,
 )
+from bilberryshed.coordination._origin_proofs import OriginEvidence, prove_origin
 from bilberryshed.coordination._permits import (
     PERMIT_TIME,
     Permit,
@@ -133,6 +134,8 @@
     "Departures",
     "ORIGIN_TIME",
     "Origin",
+    "OriginEvidence",
+    "prove_origin",
     "ServedVersions",
     "StreamOrigins",
     "VersionSpan",
--- a/src/bilberryshed/coordination/_stream_origins.py
+++ b/src/bilberryshed/coordination/_stream_origins.py
@@ -40,13 +40,16 @@
 
     :param records: by key of the stream, oldest first
     :param unreported: keys of the streams that were not reported to others
+    :param doubtful: keys of streams that may have been begun at another version than was recorded,
+        and the time until which this is remembered
     """
 
-    __slots__ = ("records", "unreported")
+    __slots__ = ("records", "unreported", "doubtful")
 
     def __init__(self) -> None:
         self.records: dict[int, _Record] = {}
         self.unreported: set[int] = set()
+        self.doubtful: dict[int, float] = {}
 
     def remember(self, now: float, key: int, origin: Origin, server: str) -> None:
         """Remember a stream that this router has begun to relay.
@@ -75,13 +78,12 @@
         began = now - RESTART_TIME
         for key in [k for k, r in self.records.items() if r.server == server and r.at >= began]:
             del self.records[key]
+            self.doubtful[key] = now + ORIGIN_TIME
         self.unreported &= self.records.keys()
 
     def take_unreported(self) -> dict[Origin, list[int]]:
         """Return and clear the streams that were not reported, by origin."""
-        found: dict[Origin, list[int]] = {}
-        for key in sorted(self.unreported & self.records.keys()):
-            found.setdefault(self.records[key].origin, []).append(key)
+        found = self.grouped(sorted(self.unreported))
         self.unreported.clear()
         return found
 
@@ -93,6 +95,15 @@
                 break
             del self.records[key]
             self.unreported.discard(key)
+        self.doubtful = {key: until for key, until in self.doubtful.items() if until > now}
+
+    def grouped(self, keys: Iterable[int]) -> dict[Origin, list[int]]:
+        """Return those streams whose origin is known, by origin."""
+        found: dict[Origin, list[int]] = {}
+        for key in keys:
+            if key in self.records:
+                found.setdefault(self.records[key].origin, []).append(key)
+        return found
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/src/bilberryshed/gateway/_origin_queries.py
@@ -0,0 +1,204 @@
+"""Asks other gateways which software version began a stream, and answers them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Collection, Iterable
+from typing import Any
+
+from bilberryshed.coordination import Origin, StreamOrigins
+from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.protocol import (
+    KnownStreamsRequest,
+    KnownStreamsResponse,
+    OriginRequest,
+    OriginResponse,
+    OriginSearch,
+    StreamGroup,
+)
+from bilberryshed.transport import Link, logger
+
+HUB_TIMEOUT = 0.15  # seconds that hubs have to respond
+ROUND_TIMEOUT = 0.35  # seconds that all gateways have to respond
+
+Question = Callable[[str], OriginRequest | OriginSearch]  # takes the id of the request
+
+
+class QueryRound:
+    """One question to all linked gateways about all streams that were looked for meanwhile.
+
+    :param unreachable: known gateways that were not linked
+    :param silent: linked gateways that have not responded
+    :param doubtful: keys of streams whose version is not certain at the gateway that began them
+    :param done: set when all linked gateways have responded
+    """
+
+    __slots__ = ("keys", "unreachable", "silent", "doubtful", "done")
+
+    def __init__(self) -> None:
+        self.keys: set[int] = set()
+        self.unreachable: set[str] = set()
+        self.silent: set[str] = set()
+        self.doubtful: set[int] = set()
+        self.done = asyncio.Event()
+
+    def on_response(self, name: str, doubtful: Iterable[int]) -> None:
+        """Record the response of a gateway."""
+        self.doubtful.update(doubtful)
+        self.silent.discard(name)
+        if not self.silent:
+            self.done.set()
+
+    def denies(self, key: int) -> bool:
+        """Whether every known gateway has responded, and none of them began a stream."""
+        return not self.silent and not self.unreachable and key not in self.doubtful
+
+
+class OriginQueries:
+    """Questions about streams, to hubs or to all gateways.
+
+    :param search: looks a stream up for a gateway that does not reach the store
+    :param pending: futures of the responses of hubs, by request id
+    :param rounds: rounds that wait for responses, by request id
+    :param next_round: the round that has not begun
+    """
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        origins: StreamOrigins,
+        search: Callable[[tuple[str, ...], int], Awaitable[Origin | None]],
+    ) -> None:
+        self.context = context
+        self.origins = origins
+        self.search = search
+        self.pending: dict[str, asyncio.Future[OriginResponse]] = {}
+        self.rounds: dict[str, QueryRound] = {}
+        self.next_round: tuple[QueryRound, asyncio.Future[None]] | None = None
+        self.round_lock = asyncio.Lock()
+        self.next_id = 1
+
+    def handlers(self) -> dict[type, Callable[[Link, Any], None]]:
+        """Return the message handlers by message class."""
+        return {
+            OriginRequest: self._on_request,
+            OriginSearch: self._on_search,
+            OriginResponse: self._on_response,
+            KnownStreamsRequest: self._on_known_streams_request,
+            KnownStreamsResponse: self._on_known_streams_response,
+        }
+
+    def _new_id(self) -> str:
+        self.next_id += 1
+        return f"{self.context.boot}.o{self.next_id}"
+
+    # Hubs -----------------------------------------------------------------------------------
+
+    async def ask_hubs(
+        self,
+        key: int,
+        question: Question,
+        among: Collection[str] | None = None,
+        timeout: float = HUB_TIMEOUT,
+    ) -> Origin | None:
+        """Ask hubs for the origin of a stream.
+
+        :param question: returns the message with a request id
+        :param among: names of the hubs to ask, all by default
+        :param timeout: seconds that a hub has to respond
+        :returns: as soon as one knows it; ``None`` if none does that responds in time
+        """
+        names = self.context.hubs.names & self.context.peer_links.keys()
+        asked = sorted(name for name in names if among is None or name in among)
+        answers = [asyncio.ensure_future(self._ask(name, question, timeout)) for name in asked]
+        try:
+            for answer in asyncio.as_completed(answers):
+                response = await answer
+                if response is not None and response.version is not None:
+                    origin = Origin(response.service, response.version)
+                    self.origins.learn(self.context.timers.now(), (key,), origin)
+                    return origin
+            return None
+        finally:
+            for unfinished in answers:
+                unfinished.cancel()
+
+    async def _ask(self, name: str, question: Question, timeout: float) -> OriginResponse | None:
+        ask = self._new_id()
+        future = self.pending[ask] = asyncio.get_running_loop().create_future()
+        self.context.peer_links[name].send(question(ask))
+        try:
+            return await asyncio.wait_for(future, timeout)
+        except TimeoutError:
+            return None
+        finally:
+            del self.pending[ask]
+
+    def _on_request(self, link: Link, request: OriginRequest) -> None:
+        """Answer from memory: what this gateway's list of servers implies may be out of date."""
+        self._answer(link, request.ask, self.origins.get(request.key))
+
+    def _on_search(self, link: Link, request: OriginSearch) -> None:
+        """Answer a gateway that does not reach the store."""
+        self.context.spawn(self._search_for(link, request))
+
+    async def _search_for(self, link: Link, request: OriginSearch) -> None:
+        self._answer(link, request.ask, await self.search(request.services, request.key))
+
+    def _answer(self, link: Link, ask: str, found: Origin | None) -> None:
+        if found is None:
+            link.send(OriginResponse(ask, "", None))
+        else:
+            link.send(OriginResponse(ask, found.service, found.version))
+
+    def _on_response(self, link: Link, response: OriginResponse) -> None:
+        future = self.pending.get(response.ask)
+        if future is not None and not future.done():
+            future.set_result(response)
+
+    # All gateways ---------------------------------------------------------------------------
+
+    async def ask_all(self, key: int) -> bool:
+        """Ask all gateways for a stream, and learn its origin if one knows it.
+
+        Calls that come while a round is under way share the next one.
+
+        :returns: whether every known gateway has denied that it began the stream
+        """
+        if self.next_round is None:
+            query = QueryRound()
+            self.next_round = query, self.context.spawn(self._run(query))
+        query, ended = self.next_round
+        query.keys.add(key)
+        await asyncio.wait({ended})
+        return query.denies(key) and key not in self.origins.doubtful
+
+    async def _run(self, query: QueryRound) -> None:
+        async with self.round_lock:
+            self.next_round = None
+            query.silent = set(self.context.peer_links)
+            query.unreachable = self.context.known_gateways - query.silent
+            query.unreachable.discard(self.context.settings.name)
+            if not query.silent:
+                return
+            ask = self._new_id()
+            self.rounds[ask] = query
+            self.context.broadcast(KnownStreamsRequest(ask, tuple(sorted(query.keys))))
+            try:
+                await asyncio.wait_for(query.done.wait(), ROUND_TIMEOUT)
+            except TimeoutError:
+                logger().info("origin_round_incomplete", silent=sorted(query.silent))
+            finally:
+                del self.rounds[ask]
+
+    def _on_known_streams_request(self, link: Link, request: KnownStreamsRequest) -> None:
+        known = self.origins.grouped(request.keys)
+        groups = (StreamGroup(o.service, o.version, tuple(keys)) for o, keys in known.items())
+        doubtful = tuple(key for key in request.keys if key in self.origins.doubtful)
+        link.send(KnownStreamsResponse(request.ask, tuple(groups), doubtful))
+
+    def _on_known_streams_response(self, link: Link, response: KnownStreamsResponse) -> None:
+        now = self.context.timers.now()
+        for group in response.groups:
+            self.origins.learn(now, group.keys, Origin(group.service, group.version))
+        query = self.rounds.get(response.ask)
+        if query is not None:
+            query.on_response(link.peer.name, response.doubtful)
--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -5,26 +5,28 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from bilberryshed.coordination import BackendView, Origin, StreamOrigins, stream_key
+from bilberryshed.coordination import (
+    BackendView,
+    Origin,
+    OriginEvidence,
+    StreamOrigins,
+    prove_origin,
+    stream_key,
+)
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._origin_queries import OriginQueries
 from bilberryshed.gateway._stream_records import RECORD_INTERVAL, StreamRecords
-from bilberryshed.protocol import (
-    OriginRequest,
-    OriginResponse,
-    OriginSearch,
-    StreamGroup,
-    StreamsNotice,
-)
+from bilberryshed.protocol import OriginRequest, OriginSearch, StreamGroup, StreamsNotice
 from bilberryshed.transport import Link, logger
 
 OBSERVE_INTERVAL = 0.1  # seconds between looks at the listed versions
 UNSTORED_TIME = 1.0  # seconds after which a version that cannot be stored is used all the same
 STORE_WAIT_TIMEOUT = 0.35  # seconds; longest wait of a take-up for the store
-PEER_TIMEOUT = 0.15  # seconds that hubs have to respond
-SEARCH_TIMEOUT = 0.6  # seconds that a hub has to respond that asks the store first
+SEARCH_TIMEOUT = 1.0  # seconds that a hub has to respond that asks the store and all gateways first
+CLOCK_MARGIN = 1.0  # seconds by which the latest response of the store may be old
 DOUBT_TIME = 10.0  # seconds before an outage in which a failure may have been a restart
 
 
@@ -35,11 +37,11 @@
     :param records: what the store lists
     :param first_listed_at: monotonic time at which each version was listed first
     :param boots: boot ids of the linked gateways
-    :param changed_at: clock of the store at the last start or end of any gateway, in seconds
+    :param changed_at: monotonic time at which a gateway was last seen to have started or ended
     :param storing: whether the listed versions are being stored
     :param read_servers: reads the backend servers anew; returns whether the store responded
     :param refreshing: the next refresh, which has not begun
-    :param pending: futures of the responses of hubs, by request id
+    :param queries: questions to other gateways
     """
 
     def __init__(
@@ -53,10 +55,9 @@
         self.records = StreamRecords(context, self.origins)
         self.first_listed_at: dict[Origin, float] = {}
         self.boots: dict[str, str] = {}
-        self.changed_at = 0.0
+        self.changed_at = context.started_at
         self.storing = False
-        self.pending: dict[str, asyncio.Future[OriginResponse]] = {}
-        self.next_id = 1
+        self.queries = OriginQueries(context, self.origins, self.find_here)
 
     def start(self) -> None:
         """Subscribe to timers."""
@@ -67,9 +68,7 @@
         """Return the message handlers by message class."""
         return {
             StreamsNotice: self._on_notice,
-            OriginRequest: self._on_request,
-            OriginSearch: self._on_search,
-            OriginResponse: self._on_response,
+            **self.queries.handlers(),
         }
 
     # Versions in service --------------------------------------------------------------------
@@ -83,16 +82,10 @@
 
     def _observe(self, now: float) -> None:
         """Note versions that came or went, and gateways that started or ended."""
+        self._note_members(now)
         clock = self.context.ports.tables.clock
         if not clock:
             return
-        if not self.changed_at:
-            self.changed_at = clock - (now - self.context.started_at)
-        boots = {name: link.peer.boot for name, link in self.context.peer_links.items()}
-        known = self.boots.keys() & boots.keys()
-        if any(boots[name] != self.boots[name] for name in known) or self.boots.keys() - boots:
-            self.changed_at = clock
-        self.boots |= boots
         listed = self._listed()
         for service, versions in listed.items():
             for version in versions:
@@ -102,6 +95,14 @@
             self.storing = True
             self.context.spawn(self._store(listed))
 
+    def _note_members(self, now: float) -> None:
+        """Note when a gateway was seen to have started or ended."""
+        boots = {name: link.peer.boot for name, link in self.context.peer_links.items()}
+        known = self.boots.keys() & boots.keys()
+        if any(boots[name] != self.boots[name] for name in known) or self.boots.keys() - boots:
+            self.changed_at = now
+        self.boots |= boots
+
     async def _store(self, listed: dict[str, set[str]]) -> None:
         try:
             if self.context.recovery.current is None:
@@ -186,11 +187,10 @@
         """
         key = stream_key(request) if request else None
         is_fresh = await self.refresh()
-        found = self.origins.get(key) if key is not None else None
-        if found is None and is_fresh:
-            found = self._only(services, self.context.ports.tables.clock)
+        found = self._prove(services, key, is_fresh)
         if found is None and key is not None:
-            found = await self._ask_hubs(key, lambda ask: OriginRequest(ask, key, services))
+            question = lambda ask: OriginRequest(ask, key, services)  # noqa: E731
+            found = await self.queries.ask_hubs(key, question)
         if found is None and key is not None:
             found = await self._search(services, key, is_fresh)
         if found is None:
@@ -203,9 +203,11 @@
         """Look a stream up that no hub knows, in the store or through a hub that reaches it."""
         if is_fresh:
             return await self._find_stored(services, key)
-        with_store = self.context.peers_with_store
-        return await self._ask_hubs(
-            key, lambda ask: OriginSearch(ask, key, services), with_store, SEARCH_TIMEOUT
+        return await self.queries.ask_hubs(
+            key,
+            lambda ask: OriginSearch(ask, key, services),
+            self.context.peers_with_store,
+            SEARCH_TIMEOUT,
         )
 
     async def _within(self, call: "asyncio.Future[bool]") -> bool:
@@ -213,26 +215,42 @@
         done, _ = await asyncio.wait({call}, timeout=STORE_WAIT_TIMEOUT)
         return call in done and bool(call.result())
 
+    async def find_here(self, services: tuple[str, ...], key: int) -> Origin | None:
+        """Return the origin of a stream for a gateway that does not reach the store."""
+        found = self.origins.get(key)
+        if found is not None or not await self.refresh():
+            return found
+        return self._prove(services, key, True) or await self._find_stored(services, key)
+
     async def _find_stored(self, services: tuple[str, ...], key: int) -> Origin | None:
-        """Return the origin by what the store lists; the servers have just been read."""
+        """Return the origin by what the store lists, or what all other gateways deny.
+
+        The servers and versions have just been read.
+        """
         if not await self._within(self.context.spawn(self.records.read())):
             return None
-        return self.origins.get(key) or self._derive(services)
+        if key in self.origins.records:
+            return self.origins.get(key)
+        return self._prove(services, key, True, await self.queries.ask_all(key))
 
-    def _only(self, services: tuple[str, ...], until: float) -> Origin | None:
-        """Return the only version that can have begun a stream until a time of the store."""
-        served = self.records.served
-        possible = [Origin(s, version) for s in services for version in served.possible(s, until)]
-        return possible[0] if len(possible) == 1 else None
-
-    def _derive(self, services: tuple[str, ...]) -> Origin | None:
-        """Return the origin of a stream that no running gateway relays.
+    def _prove(
+        self, services: tuple[str, ...], key: int | None, is_fresh: bool, is_denied: bool = False
+    ) -> Origin | None:
+        """Return the origin of a stream by what has been found out.
 
-        It was begun before the last gateway ended, so at a version that was in service then.
+        :param is_denied: whether no row lists it, and every other gateway has denied it
         """
-        linked = self.context.peer_links.keys() | {self.context.settings.name}
-        all_linked = self.context.known_gateways <= linked
-        return self._only(services, self.changed_at) if all_linked else None
+        now = self._now()
+        self._note_members(now)
+        clock = self.context.ports.tables.clock
+        evidence = OriginEvidence(
+            services,
+            self.origins.get(key) if key is not None else None,
+            is_fresh,
+            clock,
+            clock - (now - self.changed_at) + CLOCK_MARGIN if is_denied else None,
+        )
+        return prove_origin(self.records.served, evidence)
 
     # Other gateways -------------------------------------------------------------------------
 
@@ -272,66 +290,3 @@
             origin = Origin(group.service, group.version)
             for key in group.keys:
                 self.origins.remember(now, key, origin, "")
-
-    async def _ask_hubs(
-        self,
-        key: int,
-        question: Callable[[str], OriginRequest | OriginSearch],
-        among: Collection[str] | None = None,
-        timeout: float = PEER_TIMEOUT,
-    ) -> Origin | None:
-        """Ask hubs for the origin of a stream.
-
-        :param question: returns the message with a request id
-        :param among: names of the hubs to ask, all by default
-        :param timeout: seconds that a hub has to respond
-        """
-        names = self.context.hubs.names & self.context.peer_links.keys()
-        asked = sorted(name for name in names if among is None or name in among)
-        answers = [self._ask(name, question, timeout) for name in asked]
-        for response in await asyncio.gather(*answers):
-            if response is not None and response.version is not None:
-                origin = Origin(response.service, response.version)
-                self.origins.learn(self._now(), (key,), origin)
-                return origin
-        return None
-
-    async def _ask(
-        self, name: str, question: Callable[[str], OriginRequest | OriginSearch], timeout: float
-    ) -> OriginResponse | None:
-        ask = f"{self.context.boot}.o{self.next_id}"
-        self.next_id += 1
-        future = self.pending[ask] = asyncio.get_running_loop().create_future()
-        self.context.peer_links[name].send(question(ask))
-        try:
-            return await asyncio.wait_for(future, timeout)
-        except TimeoutError:
-            return None
-        finally:
-            del self.pending[ask]
-
-    def _on_request(self, link: Link, request: OriginRequest) -> None:
-        """Answer from memory: what this gateway's list of servers implies may be out of date."""
-        self._answer(link, request.ask, self.origins.get(request.key))
-
-    def _on_search(self, link: Link, request: OriginSearch) -> None:
-        """Answer a gateway that does not reach the store."""
-        self.context.spawn(self._search_for(link, request))
-
-    async def _search_for(self, link: Link, request: OriginSearch) -> None:
-        found = self.origins.get(request.key)
-        if found is None and await self.refresh():
-            found = self._only(request.services, self.context.ports.tables.clock)
-            found = found or await self._find_stored(request.services, request.key)
-        self._answer(link, request.ask, found)
-
-    def _answer(self, link: Link, ask: str, found: Origin | None) -> None:
-        if found is None:
-            link.send(OriginResponse(ask, "", None))
-        else:
-            link.send(OriginResponse(ask, found.service, found.version))
-
-    def _on_response(self, link: Link, response: OriginResponse) -> None:
-        future = self.pending.get(response.ask)
-        if future is not None and not future.done():
-            future.set_result(response)
--- a/src/bilberryshed/protocol/__init__.py
+++ b/src/bilberryshed/protocol/__init__.py
@@ -79,6 +79,8 @@
     QuarantineSummary,
 )
 from bilberryshed.protocol._stream_messages import (
+    KnownStreamsRequest,
+    KnownStreamsResponse,
     OriginRequest,
     OriginResponse,
     OriginSearch,
@@ -91,6 +93,8 @@
     "OriginRequest",
     "OriginResponse",
     "OriginSearch",
+    "KnownStreamsRequest",
+    "KnownStreamsResponse",
     "StreamGroup",
     "StreamsNotice",
     "AttemptQuery",
--- a/src/bilberryshed/protocol/_stream_messages.py
+++ b/src/bilberryshed/protocol/_stream_messages.py
@@ -67,3 +67,30 @@
     ask: str
     service: str
     version: str | None
+
+
+@register_message(111)
+@dataclass(slots=True, frozen=True)
+class KnownStreamsRequest:
+    """Question to every linked gateway which of some streams it knows.
+
+    :param ask: id of this request
+    :param keys: keys of the streams
+    """
+
+    ask: str
+    keys: tuple[int, ...]
+
+
+@register_message(112)
+@dataclass(slots=True, frozen=True)
+class KnownStreamsResponse:
+    """Response to :class:`KnownStreamsRequest`; the streams that it does not name are not known.
+
+    :param groups: streams whose origin is known
+    :param doubtful: keys of streams that this gateway began, and whose version is not certain
+    """
+
+    ask: str
+    groups: tuple[StreamGroup, ...]
+    doubtful: tuple[int, ...]
