ORDER: versions that a copy of the store lacks may have begun streams

Cause: new processes took a version that the row of the copy does not list for one that came into service when they listed it. The row is complete only within an epoch.

Change: the row names its epoch and from when on it is complete; in another epoch spans are widened, and a version listed in the first seconds of an epoch may be an old one. Only a list of the same epoch confirms the row. One version in all remains a proof.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -26,6 +26,7 @@
 VERSION = re.compile(rb"of (v\d+)")
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 ENTRY_TIME = 1.0  # seconds in which a gateway reads a changed entry
+AWAY_TIME = 0.7  # seconds for which the store is away in a drill
 
 
 @dataclass
@@ -70,6 +71,18 @@
     backend.software = version
 
 
+@given("a customer that does not pay in advance")
+def given_unpaid(context):
+    store = context.harness.store
+    config = store.value("op", "config")
+    tenants = [
+        {name: value for name, value in tenant.items() if name != "prepaid"}
+        for tenant in config["tenants"]
+    ]
+    store.put("op", "config", {**config, "version": config["version"] + 1, "tenants": tenants})
+    run(context, asyncio.sleep(ENTRY_TIME))
+
+
 @given("a second gateway that is linked to the first")
 def given_second_gateway(context):
     async def add():
@@ -409,6 +422,46 @@
         context.answers.append(run(context, send_prompt(harness, "/chat/1", number)))
 
 
+@when("a copy of the store is made")
+def when_copied(context):
+    context.copy = context.harness.store.copy()
+
+
+KILLED = {
+    "all gateways": ("gate-1", "gate-2"),
+    "the first gateway": ("gate-1",),
+    "no gateway": (),
+}
+
+
+@when("the store comes back from the copy, with {who} killed meanwhile")
+def when_restored_with_kills(context, who):
+    async def drill():
+        harness = context.harness
+        harness.store.fault = "busy"
+        for name in KILLED[who]:
+            await harness.kill_gateway(name)
+        await asyncio.sleep(AWAY_TIME)
+        harness.store.restore(context.copy)
+        harness.store.fault = "ok"
+        for name in KILLED[who]:
+            await harness.add_gateway(name)
+        await harness.wait_until(
+            lambda: all(g.context.peer_links for g in harness.gateways.values())
+        )
+
+    run(context, drill())
+
+
+@when("the engines of version {version} leave but for one")
+def when_some_leave(context, version):
+    harness = context.harness
+    for id_ in [i for i, b in sorted(harness.backends.items()) if b.software == version][1:]:
+        harness.store.remove("servers", id_)
+        harness.backends.pop(id_).stop()
+    run(context, asyncio.sleep(ENTRY_TIME))
+
+
 @when("all gateways are killed and return")
 def when_all_killed(context):
     run(context, asyncio.sleep(0.5))
@@ -523,12 +576,18 @@
 )
 def given_spans(context, since, until, start):
     spans = {"v1": VersionSpan(float(since), float(until)), "v2": VersionSpan(float(start))}
-    context.served = ServedVersions({SERVICE: spans})
+    context.served = ServedVersions({SERVICE: spans}, epoch=1)
+
+
+@when("the store comes back in another epoch at {clock:d} s, and v3 is listed")
+def when_other_epoch(context, clock):
+    context.served.follow_epoch(2, float(clock))
+    context.served.observe(clock + 1.0, {SERVICE: {"v2", "v3"}})
 
 
 @when("another gateway has seen v1 from {since:d} s on, and no v2")
 def when_merged(context, since):
-    context.served.merge(ServedVersions({SERVICE: {"v1": VersionSpan(float(since))}}))
+    context.served.merge(ServedVersions({SERVICE: {"v1": VersionSpan(float(since))}}, epoch=1))
 
 
 @then("the versions that can have begun a stream up to {until:d} s are {listed}")
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -105,6 +105,71 @@
     Then no stream has events of two versions
     And at least 16 of the take-ups go on
 
+  Scenario Outline: The store loses rows in a drill after engines of another version joined, <who> killed
+    Guards against: versions that a new process listed counted as not in service before it started.
+
+    Given a platform with model engines of the versions v1, v1
+    And a customer that does not pay in advance
+    And 2 gateways that are linked, and were all restarted
+    When a copy of the store is made
+    And 2 engines of version v2 join
+    And the first gateway begins 16 streams that break off after 2 events
+    And the store comes back from the copy, with <who> killed meanwhile
+    And their callers take them up again at <where>
+    Then no stream has events of two versions
+
+    Examples:
+      | who                   | where              |
+      | all gateways          | both gateways      |
+      | the first gateway     | the second gateway |
+
+  Scenario: The store loses rows in a drill after a version has come back, and all gateways are killed
+    Given a platform with model engines of the versions v2, v2
+    And a customer that does not pay in advance
+    And 2 gateways that are linked, and were all restarted
+    When a copy of the store is made
+    And 2 engines of version v1 join
+    And the first gateway begins 16 streams that break off after 2 events
+    And the engines of version v2 leave but for one
+    And the store comes back from the copy, with all gateways killed meanwhile
+    And their callers take them up again at both gateways
+    Then no stream has events of two versions
+
+  Scenario Outline: All engines are of one version in a drill of the store, <who> killed
+    Given a platform with model engines of the versions v1, v1
+    And a customer that does not pay in advance
+    And 2 gateways that are linked, and were all restarted
+    When a copy of the store is made
+    And the first gateway begins 16 streams that break off after 2 events
+    And the store comes back from the copy, with <who> killed meanwhile
+    And 1.5 s passes
+    And their callers take them up again at <where>
+    Then at least 16 of the take-ups go on
+
+    Examples:
+      | who                   | where              |
+      | all gateways          | both gateways      |
+      | the first gateway     | the second gateway |
+      | no gateway            | both gateways      |
+
+  Scenario Outline: Streams that the copy lists go on after a drill, <who> killed
+    Given a platform with model engines of the versions v1, v1
+    And a customer that does not pay in advance
+    And 2 gateways that are linked, and were all restarted
+    When 2 engines of version v2 join
+    And the first gateway begins 16 streams that break off after 2 events
+    And 0.5 s passes
+    And a copy of the store is made
+    And the store comes back from the copy, with <who> killed meanwhile
+    And their callers take them up again at <where>
+    Then no stream has events of two versions
+    And at least 16 of the take-ups go on
+
+    Examples:
+      | who                   | where              |
+      | all gateways          | both gateways      |
+      | the first gateway     | the second gateway |
+
   Scenario: Streams of one version before all gateways were killed go on beside a later version
     Given a platform with model engines of the versions v1, v1
     And 2 gateways that are linked
@@ -171,6 +236,19 @@
       | 90    | v1, v2   |
       | 91    | v2       |
 
+  Scenario Outline: Versions that can have begun a stream up to <until> s, after rows were lost
+    Guards against: a version that the copy did not list counted as new.
+
+    Given a service that had version v1 from 1 s to 50 s, and has v2 since 48 s
+    When the store comes back in another epoch at 60 s, and v3 is listed
+    Then the versions that can have begun a stream up to <until> s are <versions>
+
+    Examples: v1 may have been listed again in the time that was lost
+      | until | versions   |
+      | 40    | v1, v2, v3 |
+      | 90    | v1, v2, v3 |
+      | 101   | v2, v3     |
+
   Scenario: Streams that a server began just before its entry showed a restart are forgotten
     Given a server that began a stream 5 s ago and one 2 s ago
     When its entry shows another version
--- a/src/bilberryshed/coordination/_stream_origins.py
+++ b/src/bilberryshed/coordination/_stream_origins.py
@@ -10,6 +10,8 @@
 
 import xxhash
 
+from bilberryshed.coordination._backend_registry import REREGISTRATION_TIME
+
 ORIGIN_TIME = 40.0  # seconds after its first event for which a stream may be taken up
 RESTART_TIME = 3.0  # seconds by which an entry may be older than the process of its server
 KEY_SHIFT = 16  # bits of a hash that a key lacks
@@ -126,15 +128,35 @@
         gone_at = None if None in ends else max(end for end in ends if end is not None)
         return VersionSpan(min(self.since, other.since), gone_at)
 
+    def widened(self, clock: float) -> "VersionSpan":
+        """Return the longest span that this one can be on the clock of a later epoch.
+
+        :param clock: clock of the store at any time of that epoch, in seconds
+        """
+        return VersionSpan(UNKNOWN_SINCE, None if self.gone_at is None else clock)
+
 
 Spans = dict[str, dict[str, VersionSpan]]  # by service and version
+UNKNOWN_SINCE = 0.0  # start of a span of which only the end is known, in seconds
+NO_EPOCH = -1  # of spans that were not observed in any epoch of the store
 
 
 @dataclass(slots=True)
 class ServedVersions:
-    """The versions that each service has now or had a short time ago."""
+    """The versions that each service has now or had a short time ago.
+
+    Within an epoch of the store they are complete: a version is written there before it begins a
+    stream. The copy from which an epoch begins may lack versions that began streams until then, and
+    times of different epochs cannot be compared. Entries of backend servers that the copy lacks
+    come back in the first seconds of an epoch, so a version that is listed then may be an old one.
+
+    :param epoch: epoch of the store in which the spans were observed
+    :param complete_from: clock of the store from which a version that is not among them is new
+    """
 
     spans: Spans = field(default_factory=dict)
+    epoch: int = NO_EPOCH
+    complete_from: float = 0.0
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "ServedVersions":
@@ -146,7 +168,8 @@
             }
             for service, versions in value.get("services", {}).items()
         }
-        return cls(spans)
+        epoch = int(value.get("epoch", NO_EPOCH))
+        return cls(spans, epoch, float(value.get("complete_from", 0.0)))
 
     def to_value(self) -> dict[str, Any]:
         """Return the columns of a row."""
@@ -154,7 +177,22 @@
             service: {version: [span.since, span.gone_at] for version, span in versions.items()}
             for service, versions in self.spans.items()
         }
-        return {"services": services}
+        return {
+            "services": services,
+            "epoch": self.epoch,
+            "complete_from": self.complete_from,
+        }
+
+    def follow_epoch(self, epoch: int, clock: float) -> None:
+        """Widen the spans if they were observed in another epoch.
+
+        :param clock: clock of the store, in seconds
+        """
+        if epoch == self.epoch:
+            return
+        self.epoch, self.complete_from = epoch, clock + REREGISTRATION_TIME
+        for versions in self.spans.values():
+            versions.update({name: span.widened(clock) for name, span in versions.items()})
 
     def observe(self, clock: float, listed: Mapping[str, set[str]]) -> None:
         """Update the spans from the versions that are listed now.
@@ -162,10 +200,11 @@
         :param clock: clock of the store, in seconds
         :param listed: versions by service
         """
+        start = clock if clock >= self.complete_from else UNKNOWN_SINCE
         for service in listed.keys() | self.spans.keys():
             known = self.spans.setdefault(service, {})
             for version in listed.get(service, set()):
-                known[version] = VersionSpan(known[version].since if version in known else clock)
+                known[version] = VersionSpan(known[version].since if version in known else start)
             for version, span in list(known.items()):
                 if version not in listed.get(service, set()) and span.gone_at is None:
                     known[version] = VersionSpan(span.since, clock)
@@ -173,7 +212,8 @@
                     del known[version]
 
     def merge(self, other: "ServedVersions") -> None:
-        """Add the spans that another router has observed."""
+        """Add the spans that the store lists, which were observed in the same epoch."""
+        self.complete_from = other.complete_from
         for service, versions in other.spans.items():
             known = self.spans.setdefault(service, {})
             for version, span in versions.items():
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -80,7 +80,8 @@
 
     ``peers_with_store`` are the gateways that last reported that they reach the store and are not
     draining. ``listed`` is whether the store has delivered the list of gateways, ``listed_at`` the
-    monotonic time at which the last read of the backend servers began that the store answered.
+    monotonic time at which the last read of the backend servers began that the store answered, and
+    ``listed_epoch`` the epoch of the store then.
     ``on_server_restart`` is called with the id of a backend server that has started again with
     another version. ``draining`` is set on SIGTERM, ``closing`` when new requests start to be
     refused. ``on_load_change`` is called after each change of this gateway's load at backend
@@ -119,6 +120,7 @@
         self.known_gateways: set[str] = set()
         self.listed = False
         self.listed_at = float("-inf")
+        self.listed_epoch = -1
         self.on_server_restart: Callable[[str], None] = lambda server: None
         self.draining = False
         self.closing = False
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -373,7 +373,7 @@
             logger().warning("store_restored", epoch=changes.epoch, entries=len(changes.rows))
             self.registry.on_restored(now)
         self.snapshot_received, self.epoch = True, changes.epoch
-        self.context.listed_at = self.follower.begun_at
+        self.context.listed_at, self.context.listed_epoch = self.follower.begun_at, changes.epoch
         self.registry.on_reachable(now)
         for row in changes.rows:
             if row.data is None:
--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -90,7 +90,7 @@
         for service, versions in listed.items():
             for version in versions:
                 self.first_listed_at.setdefault(Origin(service, version), now)
-        self.records.served.observe(clock, listed)
+        self.records.observe(listed)
         if not self.storing and not self.records.is_current():
             self.storing = True
             self.context.spawn(self._store(listed))
@@ -242,15 +242,16 @@
         """
         now = self._now()
         self._note_members(now)
-        clock = self.context.ports.tables.clock
+        tables, served = self.context.ports.tables, self.records.served
+        clock = tables.clock
         evidence = OriginEvidence(
             services,
             self.origins.get(key) if key is not None else None,
-            is_fresh,
+            is_fresh and served.epoch == tables.epoch,
             clock,
             clock - (now - self.changed_at) + CLOCK_MARGIN if is_denied else None,
         )
-        return prove_origin(self.records.served, evidence)
+        return prove_origin(served, evidence)
 
     # Other gateways -------------------------------------------------------------------------
 
--- a/src/bilberryshed/gateway/_stream_records.py
+++ b/src/bilberryshed/gateway/_stream_records.py
@@ -58,9 +58,19 @@
         return self.epoch == self.tables.epoch and version in self.stored.get(service, ())
 
     def is_current(self) -> bool:
-        """Whether the store lists all spans as this gateway knows them."""
+        """Whether the store lists in its current epoch what this gateway knows to be in service."""
         return self.epoch == self.tables.epoch and self.stored == self._serving()
 
+    def observe(self, listed: Mapping[str, set[str]]) -> None:
+        """Note the listed versions, once those are known that the store listed before.
+
+        What a process lists first tells nothing of the time before.
+
+        :param listed: versions by service
+        """
+        if self.served.epoch == self.tables.epoch:
+            self.served.observe(self.tables.clock, listed)
+
     def _serving(self) -> dict[str, set[str]]:
         return {
             service: {version for version, span in versions.items() if span.gone_at is None}
@@ -70,6 +80,8 @@
     async def store_versions(self, listed: Mapping[str, set[str]]) -> bool:
         """Merge the observed versions with those that the store lists.
 
+        Servers that were listed in another epoch of the store tell nothing of the current one.
+
         :param listed: versions by service
         :returns: whether the store lists them
         """
@@ -84,9 +96,14 @@
         rows = await self.tables.read((VERSIONS_REF,))
         if isinstance(rows, Failure):
             return False
-        row, epoch = rows.unwrap()[0], self.tables.epoch
-        self.served.merge(ServedVersions.from_value(row.value))
-        self.served.observe(self.tables.clock, listed)
+        row, epoch, clock = rows.unwrap()[0], self.tables.epoch, self.tables.clock
+        if self.context.listed_epoch != epoch:
+            return False
+        stored = ServedVersions.from_value(row.value)
+        stored.follow_epoch(epoch, clock)
+        self.served.follow_epoch(epoch, clock)
+        self.served.merge(stored)
+        self.served.observe(clock, listed)
         value = self.served.to_value()
         if value != row.value:
             written = await self.tables.write((Put(VERSIONS_REF, row.version, value),))
