LOST: a gateway that starts again goes on after its predecessor's rows

Callers got 503 for the take-up of streams that the store had listed: each process wrote the keys of its streams from row 0 of its ring, over those that its predecessor, dead a moment ago, had written last.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -422,6 +422,14 @@
         context.answers.append(run(context, send_prompt(harness, "/chat/1", number)))
 
 
+@when("the first gateway begins {count:d} other streams, one row each")
+def when_rows_written(context, count):
+    records = context.harness.gateways["gate-1"].streams.records
+    origin = Origin(SERVICE, "v1")
+    for key in range(count):
+        assert run(context, records.write({origin: [key]}))
+
+
 @when("a copy of the store is made")
 def when_copied(context):
     context.copy = context.harness.store.copy()
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -170,6 +170,21 @@
       | all gateways          | both gateways      |
       | the first gateway     | the second gateway |
 
+  Scenario: A gateway that starts again keeps the rows of the streams that its predecessor stored last
+    Guards against: a new process wrote its rows over those that its predecessor had just written.
+
+    Given a platform with model engines of the versions v1, v1
+    And a customer that does not pay in advance
+    And 2 gateways that are linked, and were all restarted
+    When 2 engines of version v2 join
+    And the first gateway begins 16 streams that break off after 2 events
+    And 0.5 s passes
+    And all gateways are killed and return
+    And the first gateway begins 40 other streams, one row each
+    And their callers take them up again at the second gateway
+    Then no stream has events of two versions
+    And at least 16 of the take-ups go on
+
   Scenario: Streams of one version before all gateways were killed go on beside a later version
     Given a platform with model engines of the versions v1, v1
     And 2 gateways that are linked
--- a/src/bilberryshed/gateway/_stream_records.py
+++ b/src/bilberryshed/gateway/_stream_records.py
@@ -20,6 +20,7 @@
 RECORD_INTERVAL = 0.1  # seconds between writes of keys; a death loses those of the last ones
 RECORD_TIME = 30.0  # seconds for which a row is kept
 RING_ROWS = int(RECORD_TIME / RECORD_INTERVAL)  # rows after which the oldest is replaced
+SLOT_DIGITS = 3  # digits of a row's number in its key
 KEY_DIGITS = 12  # hexadecimal digits of a key
 MAX_KEYS = 4_000  # keys in one row, so that it fits the store's limit
 MAX_ROWS = 20_000  # rows read at most
@@ -137,7 +138,8 @@
                 return False
             self.row_versions = {row.ref.key: row.version for row in rows.unwrap()}
             self.rows_epoch = self.tables.epoch
-        key = f"{self._vm()}/{self.slot:03d}"
+            self.slot = _next_slot(rows.unwrap())
+        key = f"{self._vm()}/{self.slot:0{SLOT_DIGITS}d}"
         self.slot = (self.slot + 1) % RING_ROWS
         value = {"clock": self.tables.clock, "groups": groups}
         put = Put(RowRef(STREAM_TABLE, key), self.row_versions.get(key, 0), value)
@@ -185,6 +187,17 @@
             self.origins.learn(now, keys, origin)
 
 
+def _next_slot(rows: Iterable[Row]) -> int:
+    """Return the number of the row after the latest of a ring, which may be a predecessor's."""
+    clocks = {
+        int(row.ref.key[-SLOT_DIGITS:]): row.value.get("clock")
+        for row in rows
+        if row.ref.key[-SLOT_DIGITS:].isdecimal()
+    }
+    written = {slot: clock for slot, clock in clocks.items() if isinstance(clock, int | float)}
+    return (max(written, key=written.__getitem__) + 1) % RING_ROWS if written else 0
+
+
 def _pack_keys(keys: Iterable[int]) -> str:
     return "".join(f"{key:0{KEY_DIGITS}x}" for key in keys)
 
