LOST: gateways that live through a drill report their streams again

Callers got 503 for the take-up of streams that living gateways had known for seconds after a drill: a stream was reported once, and its row was lost with the store's.

--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -170,6 +170,23 @@
       | all gateways          | both gateways      |
       | the first gateway     | the second gateway |
 
+  Scenario: Gateways that live through a drill write again which versions began their streams
+    Guards against: what living gateways knew was written once, and lost with the store's rows.
+
+    Given a platform with model engines of the versions v1, v1
+    And a customer that does not pay in advance
+    And 2 gateways that are linked, and were all restarted
+    When a copy of the store is made
+    And 2 engines of version v2 join
+    And the first gateway begins 16 streams that break off after 2 events
+    And 0.5 s passes
+    And the store comes back from the copy, with no gateway killed meanwhile
+    And 1.5 s passes
+    And all gateways are killed and return
+    And their callers take them up again at both gateways
+    Then no stream has events of two versions
+    And at least 16 of the take-ups go on
+
   Scenario: A gateway that starts again keeps the rows of the streams that its predecessor stored last
     Guards against: a new process wrote its rows over those that its predecessor had just written.
 
--- a/src/bilberryshed/coordination/_stream_origins.py
+++ b/src/bilberryshed/coordination/_stream_origins.py
@@ -83,11 +83,18 @@
             self.doubtful[key] = now + ORIGIN_TIME
         self.unreported &= self.records.keys()
 
-    def take_unreported(self) -> dict[Origin, list[int]]:
-        """Return and clear the streams that were not reported, by origin."""
-        found = self.grouped(sorted(self.unreported))
-        self.unreported.clear()
-        return found
+    def report_again(self) -> None:
+        """Count all streams as not reported, as what was reported of them may be lost."""
+        self.unreported.update(self.records)
+
+    def take_unreported(self, most: int) -> dict[Origin, list[int]]:
+        """Return streams that were not reported, by origin, and count them as reported.
+
+        :param most: how many streams at most
+        """
+        taken = sorted(self.unreported)[:most]
+        self.unreported.difference_update(taken)
+        return self.grouped(taken)
 
     def prune(self, now: float) -> None:
         """Forget the streams that nobody takes up any more."""
--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -18,7 +18,7 @@
 )
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._origin_queries import OriginQueries
-from bilberryshed.gateway._stream_records import RECORD_INTERVAL, StreamRecords
+from bilberryshed.gateway._stream_records import MAX_KEYS, RECORD_INTERVAL, StreamRecords
 from bilberryshed.protocol import OriginRequest, OriginSearch, StreamGroup, StreamsNotice
 from bilberryshed.transport import Link, logger
 
@@ -41,6 +41,7 @@
     :param storing: whether the listed versions are being stored
     :param read_servers: reads the backend servers anew; returns whether the store responded
     :param refreshing: the next refresh, which has not begun
+    :param reported_epoch: epoch of the store whose rows list the streams that were reported
     :param queries: questions to other gateways
     """
 
@@ -57,6 +58,7 @@
         self.boots: dict[str, str] = {}
         self.changed_at = context.started_at
         self.storing = False
+        self.reported_epoch = context.ports.tables.epoch
         self.queries = OriginQueries(context, self.origins, self.find_here)
 
     def start(self) -> None:
@@ -258,11 +260,15 @@
     def _report(self, now: float) -> None:
         """Report new streams of services with several versions to the hub, or store them."""
         self.origins.prune(now)
+        epoch = self.context.ports.tables.epoch
+        if epoch != self.reported_epoch:
+            self.reported_epoch = epoch
+            self.origins.report_again()
         link = self.context.peer_links.get(self.context.hubs.own)
         is_busy = link is None and self.records.lock.locked()
         if is_busy or not self._is_mixed():
             return
-        groups = self.origins.take_unreported()
+        groups = self.origins.take_unreported(MAX_KEYS)
         if not groups:
             return
         if link is None:
