MIXED: a body that ends with its channel is a part if the request was still being sent

Cause: any end of the channel without an error ended such a body. Ruled out: resets, and a close with bytes unread (already 502).

Change: the stream notes at its close whether bytes were still to be sent or acknowledged.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -194,6 +194,33 @@
     Then the status is 413
     And 0 servers executed the request
 
+  Scenario Outline: A part of an answer to a long upload that is still being sent, with <framing>, then <end>
+    Guards against: an answer without a length was taken for whole, though its channel had ended before the upload had.
+
+    Given a platform with 1 model engines and 1 plain servers
+    And requests may have bodies of up to 4000000 bytes
+    And a caller has sent <earlier> requests to /book/1
+    And the next responses of the plain servers are: early part <framing> <end>
+    When a caller sends a body of 3900000 bytes to /book/1
+    Then the status is 502
+
+    Examples: on a new channel, and on one that has carried a request
+      | earlier | framing | end   |
+      | 0       | length  | reset |
+      | 0       | chunks  | reset |
+      | 0       | neither | reset |
+      | 0       | neither | close |
+      | 0       | neither | shut  |
+      | 1       | neither | reset |
+      | 1       | neither | close |
+      | 1       | neither | shut  |
+
+  Scenario: A long upload that was rejected early with a whole answer
+    Given requests may have bodies of up to 4000000 bytes
+    And the next responses of the plain servers are: early
+    When a caller sends a body of 3900000 bytes to /book/1
+    Then the status is 413
+
   Scenario: A caller that disconnects frees its engine
     Given the model engines send one event every 0.3 s
     When a caller streams /chat/1 and disconnects after the first event
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -293,6 +293,21 @@
     context.responses = run(context, calls())
 
 
+@given("requests may have bodies of up to {size:d} bytes")
+def given_body_limit(context, size):
+    limits = {"maxBodyBytes": size}
+    version = stored_config_version(context) + 1
+    context.harness.store.put("op", "config", build_config(version, limits=limits))
+    limiter = context.harness.gateways["gate-1"].limiter
+    run(context, context.harness.wait_until(lambda: limiter.limits.body_bytes == size))
+
+
+@given("a caller has sent {count:d} requests to {path}")
+def given_earlier_requests(context, count, path):
+    for _ in range(count):
+        assert run(context, context.harness.call(path)).status == 200
+
+
 @when("a caller sends a body of {size:d} bytes to {path}")
 def when_body_sent(context, size, path):
     context.responses = [run(context, context.harness.call(path, body=b"x" * size))]
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -9,7 +9,9 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import termios
 from collections import deque
 from dataclasses import dataclass
 from typing import Any
@@ -28,6 +30,8 @@
 MAX_PARTS_PER_TURN = 200  # parts of responses that one connection handles in a turn of the loop
 TCP_USER_TIMEOUT_MS = 4_000  # milliseconds until unacknowledged data closes a connection
 
+INT_SIZE = 4  # bytes of a C int
+
 HeaderList = list[tuple[str, str]]
 
 
@@ -55,6 +59,28 @@
         return next((value for key, value in self.headers if key == name), "")
 
 
+class _SendingStream(IOStream):
+    """Stream that tells whether the other side ended it before it had received everything.
+
+    Only a body without a length or chunks ends with its channel. If the request has not been
+    received by then, the channel was broken off, and the body may be a part of an answer.
+
+    :param was_sending: whether bytes were still to be sent or acknowledged when it was closed
+    """
+
+    was_sending = False
+
+    def close_fd(self) -> None:
+        self.was_sending = self.writing() or self._has_unacknowledged()
+        super().close_fd()
+
+    def _has_unacknowledged(self) -> bool:
+        try:
+            return any(fcntl.ioctl(self.fileno(), termios.TIOCOUTQ, bytes(INT_SIZE)))
+        except OSError:  # the system does not tell
+            return False
+
+
 class BackendConnection:
     """One open connection.
 
@@ -81,7 +107,7 @@
         "eof_received",
     )
 
-    def __init__(self, key: str, stream: IOStream, counter: ByteCounter) -> None:
+    def __init__(self, key: str, stream: _SendingStream, counter: ByteCounter) -> None:
         self.key = key
         self.stream = stream
         self.counter = counter
@@ -144,6 +170,8 @@
             raise end
         if not isinstance(end, h11.EndOfMessage):
             raise ResponseError("the channel ended within an answer")
+        if self.eof_received and self.stream.was_sending:
+            raise ResponseError("the channel ended while the request was still being sent")
         return b""
 
     def _buffered_data(self, first: bytes) -> tuple[bytes, h11.Event | ResponseError | None]:
@@ -292,7 +320,7 @@
             raise ConnectError(str(error)) from error
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-        stream = IOStream(raw)
+        stream = _SendingStream(raw)
         try:
             async with asyncio.timeout(timeout):
                 await stream.connect((address.host, address.port))
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -11,7 +11,9 @@
 length 0, ``no events`` a stream that ends well without any; ``error text N`` sends the text of a
 whole error response as a piece of the stream after N events;
 ``half head`` closes, and ``half head reset`` resets, the connection in the middle of a 200's head;
-``early`` responds before it has read the body;
+``early`` responds before it has read the body; ``early part FRAMING END`` sends a part of a 200
+then, with a ``length``, in ``chunks`` or with ``neither``, and ends the connection: ``reset``,
+``close``, or ``shut``, which ends its own direction and reads no further;
 ``shed SECONDS`` is a rejection with Retry-After; ``foreign`` sends the response of another request
 first; ``unnamed full`` is a rejection that names no request (``twice`` for a copy), and ``stray``
 sends such a one before the response;
@@ -42,6 +44,9 @@
 ENDLESS_INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_000
 ENDLESS_LIMIT = 64_000_000  # bytes after which the stand-in gives up
 ERROR_TEXT = b"HTTP/1.1 500 X\r\nContent-Length: 5\r\nX-Attempt-Id: 7\r\n\r\noops\n\n"
+EARLY_PART = b"part of an answer"
+EARLY_TIME = 0.02  # seconds from a part of an early answer to the reset
+SHUT_TIME = 1.0  # seconds for which a connection stays open after its server's direction has ended
 PARTIAL_EVENT_BYTES = 12  # bytes sent of an event at which a stream is cut
 BEGIN_TIME = 0.03  # seconds from the head of an answer to the crash that its prompt causes
 
@@ -175,7 +180,7 @@
             elif isinstance(event, h11.Request):
                 request = event
                 fault = self.script.popleft() if self.script else ""
-                if fault == "early":
+                if fault.startswith("early"):
                     break
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -228,6 +233,8 @@
         if fault == "reset":
             writer.transport.abort()
             return False
+        if fault.startswith("early part"):
+            return await self._send_early_part(id_, fault, writer)
         if fault.startswith("endless"):
             return await self._send_endless(id_, fault.removeprefix("endless "), writer)
         if fault == "garbage":
@@ -253,6 +260,26 @@
             return await self._send_stream(received, fault, reader, writer)
         return self._send_plain(id_, fault, writer)
 
+    async def _send_early_part(self, id_: str, fault: str, writer: asyncio.StreamWriter) -> bool:
+        """Send a part of an answer while the request still comes, and end the connection."""
+        framing, end = fault.removeprefix("early part ").split(" ")
+        fields = {
+            "length": "Content-Length: 1000",
+            "chunks": "Transfer-Encoding: chunked",
+            "neither": "Connection: close",
+        }
+        part = _chunk(EARLY_PART) if framing == "chunks" else EARLY_PART
+        raw: socket.socket = writer.get_extra_info("socket")
+        writer.write(_response_head(200, id_, fields[framing]) + part)
+        await writer.drain()
+        if end == "reset":
+            await asyncio.sleep(EARLY_TIME)
+            reset(writer)
+        elif end == "shut":
+            raw.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(SHUT_TIME)
+        return False
+
     async def _send_endless(self, id_: str, part: str, writer: asyncio.StreamWriter) -> bool:
         """Send a response without end in one of its parts until the client closes."""
         starts = {
