MIXED: an answer whose status does not exist is broken

Cause: the parsers take any three digits from 200 on for a final status. Change: over 599 the answer is broken, in the gateway and in the older programs.

Tests: "An answer whose status is ..." (2 of 6 examples fail before) and "A plain service's response with the status ..." (2 of 3 fail before) pass now.

--- a/features/backends.feature
+++ b/features/backends.feature
@@ -41,6 +41,17 @@
       | HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r       |
       | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n  |
 
+  # MIXED: a response whose status does not exist was a complete one.
+  Scenario Outline: A plain service's response with the status <status>
+    When a plain service sends a response that stops after "HTTP/1.1 <status> X\r\nContent-Length: 0\r\n\r\n" of its head
+    Then the attempt is interrupted
+
+    Examples:
+      | status |
+      | 000    |
+      | 600    |
+      | 999    |
+
   Scenario Outline: A plain service's response that stops after a complete head without a length: <text>
     When a plain service sends a response that stops after "<text>" of its head
     Then the attempt is completed
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -194,6 +194,22 @@
     Then the status is 413
     And 0 servers executed the request
 
+  Scenario Outline: An answer whose status is <status>
+    Guards against: an answer with a status that HTTP does not have reached the caller.
+
+    Given the next responses of the plain servers are: status <status>
+    When a caller sends POST /book/1 with its key
+    Then the status is 502
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 101    |
+      | 600    |
+      | 999    |
+      | 1000   |
+
   Scenario Outline: A part of an answer to a long upload that is still being sent, with <framing>, then <end>
     Guards against: an answer without a length was taken for whole, though its channel had ended before the upload had.
 
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -21,6 +21,7 @@
 
 from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.state import Address
+from bilberryshed.transport._http import MAX_STATUS
 
 READ_SIZE = 65_536  # bytes per read
 MAX_HEADER_BYTES = 65_536  # bytes of a response's headers
@@ -143,11 +144,13 @@
     async def read_head(self) -> ResponseHead:
         """Read the head of the next response; informational (1xx) responses are skipped.
 
-        :raises ResponseError: if the connection ends before a response
+        :raises ResponseError: if the connection ends before a response, or its status is none
         """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise ResponseError(f"answer with the status {event.status_code}")
                 headers = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers]
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
--- a/src/bilberryshed/transport/_http.py
+++ b/src/bilberryshed/transport/_http.py
@@ -11,6 +11,7 @@
 from bilberryshed.transport._logs import logger
 
 MAX_CLIENTS = 512  # concurrent requests of one process; further ones are queued
+MAX_STATUS = 599  # greatest status of a response
 NO_RESPONSE = 599  # status with which the client reports that it has no response
 MAX_LOGGED = 80  # characters of a value that cannot be read
 # Errors before a connection was open: nothing was sent.
@@ -65,12 +66,17 @@
             self.forward(line)
 
 
+class InvalidStatusError(Exception):
+    """A response has a status that does not exist; the request may have run."""
+
+
 async def fetch_response(client: AsyncHTTPClient, request: HTTPRequest) -> HTTPResponse:
     """Send a request and return its whole response, whatever the status.
 
     The client itself takes a head that breaks off for the head of a response without a body.
 
     :raises IncompleteHeadError: if the connection ends within the head
+    :raises InvalidStatusError: if the status does not exist
     :raises Exception: if there is no response or an incomplete one, see :func:`describe_error`
     """
     request.header_callback = watcher = _HeadWatcher(request.header_callback)
@@ -79,6 +85,8 @@
         response.rethrow()
     if not watcher.is_complete:
         raise IncompleteHeadError(f"the channel ended within the head of answer {response.code}")
+    if not 100 <= response.code <= MAX_STATUS:
+        raise InvalidStatusError(f"answer with the status {response.code}")
     return response
 
 
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -11,6 +11,7 @@
 length 0, ``no events`` a stream that ends well without any; ``error text N`` sends the text of a
 whole error response as a piece of the stream after N events;
 ``half head`` closes, and ``half head reset`` resets, the connection in the middle of a 200's head;
+``status N`` is a signed answer with any status;
 ``early`` responds before it has read the body; ``early part FRAMING END`` sends a part of a 200
 then, with a ``length``, in ``chunks`` or with ``neither``, and ends the connection: ``reset``,
 ``close``, or ``shut``, which ends its own direction and reads no further;
@@ -240,6 +241,10 @@
         if fault == "garbage":
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             return False
+        if fault.startswith("status "):
+            head = _response_head(200, id_, "Content-Length: 0")
+            writer.write(head.replace(b"200", fault.removeprefix("status ").encode(), 1))
+            return True
         if fault == "hang":
             await asyncio.sleep(60)
         if fault.startswith("slow "):
