--- a/src/bilberryshed/coordination/memory/__init__.py
+++ b/src/bilberryshed/coordination/memory/__init__.py
@@ -1,5 +1,6 @@
-"""Account of the memory that a gateway holds for its callers."""
+"""Accounts of the memory that a gateway holds for its callers, and for answers to them."""
 
+from bilberryshed.coordination.memory._answer_bytes import AnswerBytes
 from bilberryshed.coordination.memory._held_bytes import HeldBytes, HeldKind, Holding
 
-__all__ = ["HeldBytes", "HeldKind", "Holding"]
+__all__ = ["AnswerBytes", "HeldBytes", "HeldKind", "Holding"]
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -11,6 +11,7 @@
 
 from bilberryshed.coordination import PERMIT_TIME, BackendView
 from bilberryshed.coordination.places import home_regions, is_allowed
+from bilberryshed.gateway._answer_limits import AnswerCutError, AnswerLimiter
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._crash_reports import BrokenRun, CrashReports
 from bilberryshed.gateway._dialect import BackendResponse, Dispatch
@@ -50,6 +51,7 @@
         "link_load",
         "crash_reports",
         "read_limits",
+        "answer_limits",
         "stream_relay",
     )
 
@@ -68,7 +70,8 @@
         self.connections = context.connections
         self.crash_reports = CrashReports(context)
         self.read_limits = ReadLimits(context)
-        self.stream_relay = StreamRelay(context, streams, self.read_limits)
+        self.answer_limits = AnswerLimiter(context, MAX_BODY_BYTES)
+        self.stream_relay = StreamRelay(context, streams, self.read_limits, self.answer_limits)
 
     async def run(self, job: Job) -> AttemptOutcome:
         """Run a request until a response has been relayed or no retry is allowed.
@@ -78,6 +81,12 @@
         :returns: outcome of the last attempt; unless it is ``DONE``, the caller must be sent an
             error response
         """
+        try:
+            return await self._run(job)
+        finally:
+            self.answer_limits.release_failed(job)
+
+    async def _run(self, job: Job) -> AttemptOutcome:
         now = self.context.timers.now()
         self.context.retries.count_request(now, job.service.name)
         result = AttemptOutcome.NOT_RUN
@@ -311,7 +320,8 @@
             return AttemptOutcome.BROKEN
         except ResponseError as error:
             job.last_failure = str(error)
-            self._record_failure(job, view, crashed=not isinstance(error, InvalidStreamError))
+            is_crash = not isinstance(error, InvalidStreamError | AnswerCutError)
+            self._record_failure(job, view, crashed=is_crash)
             return AttemptOutcome.BROKEN
         finally:
             if not released:
@@ -425,6 +435,7 @@
             body = await self._read_body(job, connection)
             if response.status >= 500 and self._is_error_retryable(job):
                 job.failed_response = (response, body)
+                self.answer_limits.keep_failed(job, len(body))
                 job.excluded.add(view.server.id)
                 return AttemptOutcome.FAILED, True
             self._send_response(job, response, body)
@@ -450,17 +461,18 @@
     async def _read_body(self, job: Job, connection: BackendConnection) -> bytes:
         """Read a whole body.
 
-        :raises ResponseError: if it is longer than ``MAX_BODY_BYTES``
+        :raises ResponseError: if it is longer than ``MAX_BODY_BYTES``, or has to give way to others
         """
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         deadline = self.read_limits.silence_deadline(job, FIRST_BYTE_FACTOR)
-        while chunk := await self.read_limits.read_by(deadline, job, connection.read_body):
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
-        return b"".join(chunks)
+        with self.answer_limits.open(job, connection) as answer:
+            while chunk := await self.read_limits.read_by(deadline, job, connection.read_body):
+                body += chunk
+                if len(body) > MAX_BODY_BYTES:
+                    raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
+                answer.hold(len(body))
+            answer.hold(len(body))
+            return bytes(body)
 
     def _release_connection(self, connection: BackendConnection, response: BackendResponse) -> bool:
         if not connection.prepare_reuse(response.must_close):
--- a/src/bilberryshed/gateway/_job.py
+++ b/src/bilberryshed/gateway/_job.py
@@ -55,6 +55,7 @@
     :param refused: number of refused connections
     :param excluded: ids of backend servers that are not tried again
     :param failed_response: last 5xx response, returned to the caller if no retry succeeds
+    :param failed_answer: number of that response in the account of answers
     :param origin: version that began the stream, ``None`` before its first event
     :param broken_at: monotonic time by which the stream to be resumed had broken off
     :param admitted_at: monotonic time at which a backend server takes requests again by what it
@@ -89,6 +90,7 @@
     event_splitter: EventSplitter = field(default_factory=EventSplitter)
     last_failure: str = ""
     failed_response: tuple[BackendResponse, bytes] | None = None
+    failed_answer: int | None = None
     server: str = ""
     load: BackendLoad = BackendLoad()
     run: InFlightRequest | None = None
@@ -105,6 +107,10 @@
     is_probe: bool = False
     is_cleared: bool = False
 
+    def drop_failed_response(self) -> None:
+        """Forget the error response that would be sent if no retry brings a better one."""
+        self.failed_response = None
+
     @property
     def priority(self) -> int:
         """Priority of the customer, or else of the route; 0 is the highest."""
--- a/src/bilberryshed/gateway/_stream_relay.py
+++ b/src/bilberryshed/gateway/_stream_relay.py
@@ -1,5 +1,6 @@
 """Relays the events of a backend server's stream to the caller."""
 
+from bilberryshed.gateway._answer_limits import AnswerLimiter
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._dialect import BackendResponse
 from bilberryshed.gateway._job import Job
@@ -17,14 +18,19 @@
 class StreamRelay:
     """Relays complete events as they arrive."""
 
-    __slots__ = ("context", "streams", "limits")
+    __slots__ = ("context", "streams", "limits", "answer_limits")
 
     def __init__(
-        self, context: GatewayContext, streams: StreamDirectory, limits: ReadLimits
+        self,
+        context: GatewayContext,
+        streams: StreamDirectory,
+        limits: ReadLimits,
+        answer_limits: AnswerLimiter,
     ) -> None:
         self.context = context
         self.streams = streams
         self.limits = limits
+        self.answer_limits = answer_limits
 
     async def relay(
         self, job: Job, connection: BackendConnection, response: BackendResponse
@@ -35,7 +41,7 @@
 
         What the caller has received is not complete after any of these errors.
 
-        :raises ResponseError: if the stream ends early
+        :raises ResponseError: if the stream ends early, or has to give way to others
         :raises InvalidStreamError: if it holds anything but events, or none of the rest
         :raises TimeoutError: if no event arrives for too long
         """
@@ -44,15 +50,18 @@
         job.status = response.status
         events_before = event_splitter.events
         deadline = self.limits.silence_deadline(job, STALL_FACTOR)
-        while chunk := await self.limits.read_by(deadline, job, connection.read_body):
-            self._note_data(job)
-            events = event_splitter.feed(chunk)
-            if events:
-                deadline = self.limits.silence_deadline(job, STALL_FACTOR)
-                self._note_progress(job)
-                self._begin(job, response)
-                await exchange.write(events)
-            self._check(job)
+        with self.answer_limits.open(job, connection) as answer:
+            while chunk := await self.limits.read_by(deadline, job, connection.read_body):
+                self._note_data(job)
+                events = event_splitter.feed(chunk)
+                if events:
+                    deadline = self.limits.silence_deadline(job, STALL_FACTOR)
+                    self._note_progress(job)
+                    self._begin(job, response)
+                    await exchange.write(events)
+                self._check(job)
+                answer.hold(len(event_splitter.buffer))
+            answer.hold(len(event_splitter.buffer))
         if event_splitter.buffer:
             raise ResponseError("the stream ended within an event")
         if exchange.started and event_splitter.events == events_before:
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -19,8 +19,8 @@
 first; ``unnamed full`` is a rejection that names no request (``twice`` for a copy), and ``stray``
 sends such a one before the response;
 ``full cut`` is ``full`` with a body that breaks off; ``trickle`` sends a byte of the second event
-now and then; ``endless PART`` sends a status, head, size (of a chunk), body, pieces (small chunks
-of a body) or interim responses (1xx) without end.
+now and then; ``endless PART`` sends a status, head, size (of a chunk), body, event, pieces (small
+chunks of a body) or interim responses (1xx) without end, or a large body of a 500 (``failure``).
 
 Independently of the script, a prompt with the crashing part crashes the server once it has begun
 the answer: all connections are reset, and the server is back after its restart time as a new
@@ -43,7 +43,8 @@
 UNNAMED_REJECTION = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 ENDLESS_PIECES = b"8\r\nabcdefgh\r\n" * 5_000
 ENDLESS_INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_000
-ENDLESS_LIMIT = 64_000_000  # bytes after which the stand-in gives up
+LARGE_BODY = 7_500_000  # bytes of a response that is not without end, but large
+ENDLESS_LIMIT = 64_000_000  # bytes of one response after which the stand-in gives up
 ERROR_TEXT = b"HTTP/1.1 500 X\r\nContent-Length: 5\r\nX-Attempt-Id: 7\r\n\r\noops\n\n"
 EARLY_PART = b"part of an answer"
 EARLY_TIME = 0.02  # seconds from a part of an early answer to the reset
@@ -287,18 +288,24 @@
 
     async def _send_endless(self, id_: str, part: str, writer: asyncio.StreamWriter) -> bool:
         """Send a response without end in one of its parts until the client closes."""
+        if part == "failure":
+            self.endless_bytes += LARGE_BODY
+            self._write(writer, _complete_response(id_, b"7" * LARGE_BODY, 500))
+            await writer.drain()
+            return True
         starts = {
             "status": b"HTTP/1.1 200 ",
             "head": b"HTTP/1.1 200 X\r\nX-Padding: ",
             "size": _response_head(200, id_, "Transfer-Encoding: chunked"),
             "body": _response_head(200, id_, "Connection: close"),
+            "event": _response_head(200, id_, "Content-Type: text/event-stream"),
             "pieces": _response_head(200, id_, "Transfer-Encoding: chunked"),
             "interim": b"",
         }
         blocks = {"pieces": ENDLESS_PIECES, "interim": ENDLESS_INTERIM}
         block = blocks.get(part, ENDLESS_BLOCK)
         writer.write(starts[part])
-        while self.endless_bytes < ENDLESS_LIMIT:
+        for _ in range(ENDLESS_LIMIT // len(block)):
             writer.write(block)
             self.endless_bytes += len(block)
             await writer.drain()
