--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -210,6 +210,19 @@
       | 999    |
       | 1000   |
 
+  Scenario Outline: <count> interim responses (1xx) before an answer
+    Guards against: interim responses without end kept the loop from other requests.
+
+    Given the next responses of the plain servers are: interim <count>
+    When a caller sends POST /book/1 with its key
+    Then the status is <status>
+
+    Examples:
+      | count | status |
+      | 1     | 200    |
+      | 20    | 200    |
+      | 2000  | 502    |
+
   Scenario Outline: A part of an answer to a long upload that is still being sent, with <framing>, then <end>
     Guards against: an answer without a length was taken for whole, though its channel had ended before the upload had.
 
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -25,6 +25,7 @@
 
 READ_SIZE = 65_536  # bytes per read
 MAX_HEADER_BYTES = 65_536  # bytes of a response's headers
+MAX_INTERIM = 100  # informational (1xx) responses before a response
 DEFAULT_IDLE_TIMEOUT = 4.0  # seconds, if the backend server announces no timeout
 IDLE_TIMEOUT_MARGIN = 1.0  # seconds; reuse stops this long before the announced timeout
 MAX_IDLE_PER_SERVER = 32  # idle connections to one backend server
@@ -144,9 +145,10 @@
     async def read_head(self) -> ResponseHead:
         """Read the head of the next response; informational (1xx) responses are skipped.
 
-        :raises ResponseError: if the connection ends before a response, or its status is none
+        :raises ResponseError: if the connection ends before a response, there are more than
+            ``MAX_INTERIM`` informational ones before it, or its status does not exist
         """
-        while True:
+        for _ in range(MAX_INTERIM + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 if event.status_code > MAX_STATUS:
@@ -155,6 +157,7 @@
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise ResponseError("the channel ended before an answer")
+        raise ResponseError(f"more than {MAX_INTERIM} interim answers")
 
     async def read_body(self) -> bytes:
         """Read the next bytes of the body, all that are buffered; empty at its end.
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -11,7 +11,8 @@
 length 0, ``no events`` a stream that ends well without any; ``error text N`` sends the text of a
 whole error response as a piece of the stream after N events;
 ``half head`` closes, and ``half head reset`` resets, the connection in the middle of a 200's head;
-``status N`` is a signed answer with any status;
+``status N`` is a signed answer with any status; ``interim N`` sends
+N interim responses (1xx) before the answer;
 ``early`` responds before it has read the body; ``early part FRAMING END`` sends a part of a 200
 then, with a ``length``, in ``chunks`` or with ``neither``, and ends the connection: ``reset``,
 ``close``, or ``shut``, which ends its own direction and reads no further;
@@ -42,7 +43,8 @@
 ENDLESS_BLOCK = b"7" * 65_536  # repeated until the client closes the connection
 UNNAMED_REJECTION = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 ENDLESS_PIECES = b"8\r\nabcdefgh\r\n" * 5_000
-ENDLESS_INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_000
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+ENDLESS_INTERIM = INTERIM * 2_000
 LARGE_BODY = 7_500_000  # bytes of a response that is not without end, but large
 ENDLESS_LIMIT = 64_000_000  # bytes of one response after which the stand-in gives up
 ERROR_TEXT = b"HTTP/1.1 500 X\r\nContent-Length: 5\r\nX-Attempt-Id: 7\r\n\r\noops\n\n"
@@ -246,6 +248,8 @@
             head = _response_head(200, id_, "Content-Length: 0")
             writer.write(head.replace(b"200", fault.removeprefix("status ").encode(), 1))
             return True
+        if fault.startswith("interim "):
+            writer.write(INTERIM * int(fault.removeprefix("interim ")))
         if fault == "hang":
             await asyncio.sleep(60)
         if fault.startswith("slow "):
