MIXED, Fault (runtime): a plain service's response is read through the gateway's connection

The older programs' agents passed a part of an early answer on as a whole one (uploads of 0.6, 3.9 and 16 MB), and kept a response without an end (80 MB tried).

Cause: they read through curl, which counts any end of the channel as the end of a body without a length, stops an upload then, and has no bound for a body. Change: ServiceBackend uses BackendConnection, which the gateway uses, and a bound of 8 MB.

Tests: "A plain service's early part of a response, ..." (2 examples) and "A plain service's response without an end is not kept" fail on the code before and pass now.

--- a/features/backends.feature
+++ b/features/backends.feature
@@ -41,6 +41,22 @@
       | HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r       |
       | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n  |
 
+  # MIXED: a part of a response without a length was a complete one, though the request was still being sent.
+  Scenario Outline: A plain service's early part of a response, in the middle of an upload of <size> bytes
+    When a plain service sends a part of a response without a length and ends its direction, in an upload of <size> bytes
+    Then the attempt is interrupted
+
+    Examples: the smaller one fits into the connection's buffers, the other one does not
+      | size     |
+      | 6000000  |
+      | 16000000 |
+
+  # A response without an end was kept until the agent had no memory left.
+  Scenario: A plain service's response without an end is not kept
+    When a plain service sends 20 MB without a length
+    Then the attempt is interrupted
+    And the reason is "the answer has more than 8000000 bytes"
+
   # MIXED: a response whose status does not exist was a complete one.
   Scenario Outline: A plain service's response with the status <status>
     When a plain service sends a response that stops after "HTTP/1.1 <status> X\r\nContent-Length: 0\r\n\r\n" of its head
--- a/features/steps/backend_steps.py
+++ b/features/steps/backend_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 from behave import then, when
 from returns.result import Failure
@@ -110,6 +111,49 @@
     context.result = context.loop.run_until_complete(call_server_that_stops(text, attempt))
 
 
+UNFRAMED = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+
+def attempt_at(context, respond, **changes):
+    """Run an attempt at a plain service."""
+
+    async def attempt():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        backend = ServiceBackend(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+        result = await backend.run(replace(dispatch(), **changes), IgnoringSink())
+        server.close()
+        return result
+
+    context.result = context.loop.run_until_complete(attempt())
+
+
+@when(
+    "a plain service sends a part of a response without a length and ends its direction, in an "
+    "upload of {size:d} bytes"
+)
+def when_early_part(context, size):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(UNFRAMED + b"part")
+        writer.write_eof()
+        # It reads no further; the limit of its reader keeps the rest in the connection.
+
+    attempt_at(context, respond, method="POST", body=b"x" * size)
+
+
+@when("a plain service sends 20 MB without a length")
+def when_endless(context):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(UNFRAMED)
+        for _ in range(200):
+            writer.write(b"x" * 100_000)
+            await writer.drain()
+        writer.close()
+
+    attempt_at(context, respond)
+
+
 @when('an object is read, and the response stops after "{text}" of its head')
 def when_object_read(context, text):
     def read(address):
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -13,12 +13,17 @@
 from dataclasses import dataclass
 from typing import Any
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from bilberryshed.coordination import EventBuffer, parse_limit
 from bilberryshed.protocol import Dispatch
 from bilberryshed.state import Address
 from bilberryshed.transport import (
+    BackendConnection,
+    ConnectError,
+    ConnectionPool,
+    ResponseError,
+    ResponseHead,
     describe_error,
     fetch_response,
     http_client,
@@ -32,6 +37,9 @@
 QUIET_STATUS = "503"
 ORDER_TIMEOUT = 100.0  # seconds; includes the time to load a model
 MAX_EVENT_BYTES = 1_000_000  # bytes of one event of a stream
+MAX_BODY_BYTES = 8_000_000  # bytes of a plain service's response
+METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
+CONNECT_TIMEOUT = 1.0  # seconds
 CONTROL_TIMEOUT = 1.0  # seconds for control requests, such as load queries and cancellations
 
 
@@ -191,6 +199,13 @@
         if not line.strip():
             self.on_end(self.statement)
 
+    def read_head(self, head: ResponseHead) -> None:
+        """Process a whole head."""
+        self.status = str(head.status)
+        for name, value in head.headers:
+            self._read_field(name, value)
+        self.on_end(self.statement)
+
     def _read_field(self, name: str, value: str) -> None:
         if name == LIMIT_HEADER:
             self.statement.limit = parse_limit(value)
@@ -308,35 +323,65 @@
 
 @register_backend("service")
 class ServiceBackend(Backend):
-    """Client of a plain service that sends each response as a whole."""
+    """Client of a plain service that sends each response as a whole.
 
-    __slots__ = ()
+    :param connections: opens the connection of each attempt
+    """
+
+    __slots__ = ("address", "connections")
+
+    def __init__(self, address: Address) -> None:
+        super().__init__(address)
+        self.address = address
+        self.connections = ConnectionPool()
 
     async def run(self, dispatch: Dispatch, sink: ResponseSink) -> RunResult:
         """Run one attempt."""
-        request = HTTPRequest(
-            self.base_url + dispatch.path,
-            method=dispatch.method,
-            body=dispatch.body if dispatch.method in ("POST", "PUT", "PATCH") else None,
-            headers={"Idempotency-Key": dispatch.key, "X-Request-Id": dispatch.request},
-            request_timeout=dispatch.deadline,
-            allow_nonstandard_methods=True,
-            header_callback=self._header_reader(),
-            prepare_curl_callback=use_new_connection,
-        )
         try:
-            response = await fetch_response(self.client, request)
-        except Exception as error:
-            return _failed_result(error)
-        return _complete_response(response, sink)
-
-
-def _complete_response(response: HTTPResponse, sink: ResponseSink) -> RunResult:
-    content_type = response.headers.get("Content-Type", "application/octet-stream")
-    sink.started(response.code, content_type)
-    if response.body:
-        sink.data(response.body)
-    return RunCompleted(response.code, content_type, "stop", 0, 0)
+            connection = await self.connections.open("", self.address, CONNECT_TIMEOUT)
+        except ConnectError as error:
+            return RunNotStarted(str(error))
+        try:
+            async with asyncio.timeout(dispatch.deadline):
+                return await self._exchange(connection, dispatch, sink)
+        except (ResponseError, TimeoutError) as error:
+            return RunInterrupted(str(error) or "no response in time")
+        finally:
+            connection.abort()
+
+    async def _exchange(
+        self, connection: BackendConnection, dispatch: Dispatch, sink: ResponseSink
+    ) -> RunResult:
+        """Send the request and read the whole response.
+
+        :raises ResponseError: if it is incomplete, malformed or too long
+        """
+        read_statement = self._header_reader()
+        body = dispatch.body if dispatch.method in METHODS_WITH_BODY else b""
+        connection.send(dispatch.method, dispatch.path, self._headers(dispatch, body), body)
+        head = await connection.read_head()
+        read_statement.read_head(head)
+        content = bytearray()
+        while chunk := await connection.read_body():
+            content += chunk
+            if len(content) > MAX_BODY_BYTES:
+                raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
+        content_type = head.get("content-type") or "application/octet-stream"
+        sink.started(head.status, content_type)
+        if content:
+            sink.data(bytes(content))
+        return RunCompleted(head.status, content_type, "stop", 0, 0)
+
+    def _headers(self, dispatch: Dispatch, body: bytes) -> list[tuple[str, str]]:
+        headers = [
+            ("Host", str(self.address)),
+            ("Idempotency-Key", dispatch.key),
+            ("X-Request-Id", dispatch.request),
+            ("Connection", "close"),
+        ]
+        if dispatch.method in METHODS_WITH_BODY:
+            headers.append(("Content-Length", str(len(body))))
+        return headers
 
 
 def _failed_result(error: Exception) -> RunResult:
