--- a/features/held_memory.feature
+++ b/features/held_memory.feature
@@ -33,6 +33,9 @@
     And request A is released
     Then at least 4000 bytes are held
 
+  Scenario: A body that arrives in any pieces is returned whole, and then no longer held
+    Then for any pieces, a body buffer has their size, returns them in order, and is empty
+
   Scenario Outline: With <descriptors> descriptors, callers may open <connections> connections
     Given a limiter of callers
     Then with <descriptors> descriptors, callers may open <connections> connections
--- a/features/steps/held_memory_steps.py
+++ b/features/steps/held_memory_steps.py
@@ -15,6 +15,7 @@
 from bilberryshed.gateway._caller_exchange import CallerExchange
 from bilberryshed.gateway._caller_limits import CallerLimiter
 from bilberryshed.state import Address
+from bilberryshed.transport import BodyBuffer
 from bilberryshed.transport._connections import ConnectError, ConnectionPool
 
 CHANGES = st.lists(
@@ -127,3 +128,18 @@
         except ConnectError:
             return
     raise AssertionError("no error")
+
+
+@then("for any pieces, a body buffer has their size, returns them in order, and is empty")
+def then_buffer_exact(context):
+    @given_any(st.lists(st.integers(0, 150_000), max_size=6))
+    def check(sizes):
+        pieces = [bytes([number % 256]) * size for number, size in enumerate(sizes)]
+        buffer = BodyBuffer()
+        for piece in pieces:
+            buffer.append(piece)
+        assert len(buffer) == sum(sizes)
+        assert buffer.take() == b"".join(pieces)
+        assert len(buffer) == 0 and buffer.take() == b""
+
+    check()
--- a/src/bilberryshed/gateway/_caller_exchange.py
+++ b/src/bilberryshed/gateway/_caller_exchange.py
@@ -17,6 +17,7 @@
 
 from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.transport import (
+    BodyBuffer,
     CallerStream,
     EarlyRefusal,
     HeaderList,
@@ -100,7 +101,7 @@
         self.method = ""
         self.target = ""
         self.headers = HTTPHeaders()
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.body_size = 0
         self.length = 0
         self.head_size = 0
@@ -141,7 +142,7 @@
         if self.oversized:
             self.handler.judge(self)
             return
-        self.body += chunk
+        self.body.append(chunk)
         self.handler.hold(self)
 
     def finish(self) -> None:
@@ -157,7 +158,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request, as its caller has disconnected."""
-        self.body = bytearray()
+        self.body.clear()
         if not self.is_read:
             self.handler.hold(self)
         if self.task is not None and not self.ended:
@@ -184,9 +185,7 @@
 
     def take_body(self) -> bytes:
         """Return the body, which is then no longer held here."""
-        body = bytes(self.body)
-        self.body = bytearray()
-        return body
+        return self.body.take()
 
     def header_list(self) -> HeaderList:
         """Return the request's headers, names in lower case."""
@@ -231,7 +230,7 @@
 
     def _respond_early(self, status: int, headers: HeaderList, body: bytes) -> None:
         self.started = self.ended = True
-        self.body = bytearray()
+        self.body.clear()
         self.early_refusal = EarlyRefusal(self.connection, self.method, self.headers)
         self.headers = fields = HTTPHeaders()
         for name, value in headers:
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -24,6 +24,7 @@
 from bilberryshed.state import Address, RouteKind
 from bilberryshed.transport import (
     BackendConnection,
+    BodyBuffer,
     ConnectError,
     ConnectTimeoutError,
     ResponseError,
@@ -463,16 +464,16 @@
 
         :raises ResponseError: if it is longer than ``MAX_BODY_BYTES``, or has to give way to others
         """
-        body = bytearray()
+        body = BodyBuffer()
         deadline = self.read_limits.silence_deadline(job, FIRST_BYTE_FACTOR)
         with self.answer_limits.open(job, connection) as answer:
             while chunk := await self.read_limits.read_by(deadline, job, connection.read_body):
-                body += chunk
+                body.append(chunk)
                 if len(body) > MAX_BODY_BYTES:
                     raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
                 answer.hold(len(body))
             answer.hold(len(body))
-            return bytes(body)
+            return body.take()
 
     def _release_connection(self, connection: BackendConnection, response: BackendResponse) -> bool:
         if not connection.prepare_reuse(response.must_close):
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -20,6 +20,7 @@
 from bilberryshed.state import Address
 from bilberryshed.transport import (
     BackendConnection,
+    BodyBuffer,
     ConnectError,
     ConnectionPool,
     ResponseError,
@@ -361,15 +362,15 @@
         connection.send(dispatch.method, dispatch.path, self._headers(dispatch, body), body)
         head = await connection.read_head()
         read_statement.read_head(head)
-        content = bytearray()
+        content = BodyBuffer()
         while chunk := await connection.read_body():
-            content += chunk
+            content.append(chunk)
             if len(content) > MAX_BODY_BYTES:
                 raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
         content_type = head.get("content-type") or "application/octet-stream"
         sink.started(head.status, content_type)
         if content:
-            sink.data(bytes(content))
+            sink.data(content.take())
         return RunCompleted(head.status, content_type, "stop", 0, 0)
 
     def _headers(self, dispatch: Dispatch, body: bytes) -> list[tuple[str, str]]:
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -1,5 +1,6 @@
 """Timers, background tasks, logs, metrics, TLS, HTTP and links."""
 
+from bilberryshed.transport._body_buffer import BodyBuffer
 from bilberryshed.transport._caller_streams import (
     DRAIN_TIME,
     CallerListener,
@@ -68,6 +69,7 @@
     "ResponseError",
     "BackgroundTasks",
     "BackendConnection",
+    "BodyBuffer",
     "ConnectionPool",
     "ConnectError",
     "ConnectTimeoutError",
