ORDER: a doubt about a stream's version is told to those that were told the version

Streams that a restarted engine began as v2, while its entry still showed v1, went on at v1 at another gateway (8 of 8 in the test), though their own gateway had forgotten them: a hub or a row still listed v1.

Tests: "Streams that were reported with a version that their gateway then doubts" (3 examples) fail before and pass now. "Streams that are taken up a second time ..." passed before, too.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -26,6 +26,7 @@
 VERSION = re.compile(rb"of (v\d+)")
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 ENTRY_TIME = 1.0  # seconds in which a gateway reads a changed entry
+EVENTS = 5  # events of a complete stream
 AWAY_TIME = 0.7  # seconds for which the store is away in a drill
 
 
@@ -328,14 +329,15 @@
     begin_streams(context, count, "gate-1")
 
 
-def begin_streams(context, count, gateway, avoided=None):
+def begin_streams(context, count, gateway, server=None):
     """Have callers of a gateway begin streams that break off after two events.
 
-    :param avoided: view of a server that must not begin them
+    :param server: id of the only server that may begin them, any by default
     """
     context.streams = []
-    if avoided is not None:
-        avoided.limited_until = asyncio.get_event_loop().time() + 60
+    for id_, view in context.harness.gateways[gateway].context.backends.views.items():
+        if server is not None and id_ != server:
+            view.limited_until = context.loop.time() + ENTRY_TIME
     for number in range(count):
         id_ = context.harness.request_id()
         set_faults(context, ["cut 2"])
@@ -358,8 +360,7 @@
 
 @when("the first gateway is killed {delay:g} s later")
 def when_first_killed_after(context, delay):
-    run(context, asyncio.sleep(delay))
-    run(context, context.harness.kill_gateway("gate-1"))
+    when_killed_after(context, "gate-1", delay)
 
 
 @given("a third gateway")
@@ -501,8 +502,8 @@
     "the first gateway begins {count:d} streams at the first engine that break off after 2 events"
 )
 def when_streams_begin_at_first(context, count):
-    other = context.harness.gateways["gate-1"].context.backends.views["i-model-2"]
-    begin_streams(context, count, "gate-1", avoided=other)
+    context.silent = "gate-1"  # so that the streams are taken up elsewhere
+    begin_streams(context, count, "gate-1", server="i-model-1")
 
 
 @when("its entry shows version {version}")
@@ -529,6 +530,24 @@
         stream.answers.append(run(context, call))
 
 
+@when("their callers take them up again at {gateway}, and they break off after one event more")
+def when_taken_up_and_broken(context, gateway):
+    for number, stream in enumerate(context.streams):
+        set_faults(context, ["cut 1"])
+        headers = {"Last-Event-Id": stream.last_event_id, "Resumes": stream.id}
+        call = send_prompt(context.harness, stream_path(context), number, gateway, headers=headers)
+        answer = run(context, call)
+        stream.answers.append(answer)
+        stream.last_event_id = EVENT_ID.findall(answer.body)[-1].decode()
+    set_faults(context, [])
+
+
+@when("{gateway} is killed {delay:g} s later")
+def when_killed_after(context, gateway, delay):
+    run(context, asyncio.sleep(delay))
+    run(context, context.harness.kill_gateway(gateway))
+
+
 @when("their callers take them up again at {where}")
 def when_taken_up(context, where):
     gateways = {
@@ -536,7 +555,8 @@
         "the second gateway": ("gate-2",),
         "both gateways": ("gate-1", "gate-2"),
     }
-    take_up(context, gateways.get(where) or (named_gateway(context, where),))
+    named = (where,) if where in context.harness.gateways else gateways.get(where)
+    take_up(context, named or (named_gateway(context, where),))
 
 
 @when("their callers take them up again without naming these requests")
@@ -552,9 +572,12 @@
 
 def count_continued(context):
     """Return the number of streams whose take-up brought all the rest."""
-    rest = [b"3", b"4", b"5"]
-    last_answers = [stream.answers[-1] for stream in context.streams]
-    return sum(a.complete and EVENT_ID.findall(a.body) == rest for a in last_answers)
+    found = 0
+    for stream in context.streams:
+        rest = [b"%d" % number for number in range(int(stream.last_event_id) + 1, EVENTS + 1)]
+        answer = stream.answers[-1]
+        found += answer.complete and EVENT_ID.findall(answer.body) == rest
+    return found
 
 
 @then("at least {least:d} of the take-ups go on")
@@ -632,7 +655,7 @@
 
 @when("its entry shows another version")
 def when_restart_shown(context):
-    context.origins.forget_restarted(NOW, "i-1")
+    context.origins.doubt_restarted(NOW, "i-1")
 
 
 @then("the origin of the first stream is known, and that of the second is not")
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -351,6 +351,38 @@
     And their callers take them up again at the second gateway
     Then no stream has events of two versions
 
+  Scenario Outline: Streams that were reported with a version that their gateway then doubts, with <count> gateways
+    Guards against: a row or a hub still named the version that the gateway itself had forgotten.
+
+    Given a platform with model engines of the versions v1, v1
+    And <count> gateways that are linked, and were all restarted
+    When 2 engines of version v2 join
+    And the first engine has started again as version v2, which its entry does not show yet
+    And the first gateway begins 8 streams at the first engine that break off after 2 events
+    And 0.5 s passes
+    And its entry shows version v2
+    And 0.5 s passes
+    And their callers take them up again at <where>
+    Then no stream has events of two versions
+
+    Examples: with rows, and with a hub
+      | count | where           |
+      | 2     | another gateway |
+      | 6     | a hub           |
+      | 6     | another member  |
+
+  Scenario: Streams that are taken up a second time, after the gateway that took them up was killed
+    Given a platform with model engines of the versions v1, v1
+    And 3 gateways that are linked, and were all restarted
+    When 2 engines of version v2 join
+    And the first gateway begins 16 streams that break off after 2 events
+    And the first gateway is killed 0.5 s later
+    And their callers take them up again at gate-2, and they break off after one event more
+    And gate-2 is killed 0.5 s later
+    And their callers take them up again at gate-3
+    Then no stream has events of two versions
+    And at least 14 of the take-ups go on
+
   Scenario Outline: What proves the origin of a stream: <evidence>
     Given a service that had version v1 from 1 s to 300 s, and has v2 since 100 s
     Then a stream that is taken up at 110 s is of <version>, if <evidence>
--- a/src/bilberryshed/coordination/_stream_origins.py
+++ b/src/bilberryshed/coordination/_stream_origins.py
@@ -14,16 +14,25 @@
 
 ORIGIN_TIME = 40.0  # seconds after its first event for which a stream may be taken up
 RESTART_TIME = 3.0  # seconds by which an entry may be older than the process of its server
+DOUBTFUL = ""
 KEY_SHIFT = 16  # bits of a hash that a key lacks
 
 
 @dataclass(slots=True, frozen=True)
 class Origin:
-    """Service and software version of the backend server that began a stream."""
+    """Service and software version of the backend server that began a stream.
+
+    :param version: ``DOUBTFUL`` if the server may have had another one than its entry said
+    """
 
     service: str
     version: str
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether the version is not certain, whatever was reported before."""
+        return self.version == DOUBTFUL
+
 
 @dataclass(slots=True, frozen=True)
 class _Record:
@@ -42,16 +51,13 @@
 
     :param records: by key of the stream, oldest first
     :param unreported: keys of the streams that were not reported to others
-    :param doubtful: keys of streams that may have been begun at another version than was recorded,
-        and the time until which this is remembered
     """
 
-    __slots__ = ("records", "unreported", "doubtful")
+    __slots__ = ("records", "unreported")
 
     def __init__(self) -> None:
         self.records: dict[int, _Record] = {}
         self.unreported: set[int] = set()
-        self.doubtful: dict[int, float] = {}
 
     def remember(self, now: float, key: int, origin: Origin, server: str) -> None:
         """Remember a stream that this router has begun to relay.
@@ -62,26 +68,34 @@
         self.records[key] = _Record(origin, server, now)
         self.unreported.add(key)
 
+    def on_report(self, now: float, keys: Iterable[int], origin: Origin) -> None:
+        """Learn the origin of streams from a router that leaves it to this one to store it."""
+        self.learn(now, keys, origin)
+        self.unreported.update(keys)
+
     def learn(self, now: float, keys: Iterable[int], origin: Origin) -> None:
-        """Learn the origin of streams that other routers relay, unless it is known."""
+        """Learn the origin of streams that other routers relay; a known one can only be doubted."""
         for key in keys:
-            self.records.setdefault(key, _Record(origin, "", now))
+            if origin.is_doubtful or key not in self.records:
+                self.records[key] = _Record(origin, "", now)
 
     def get(self, key: int) -> Origin | None:
-        """Return the origin of a stream, ``None`` if it is not known."""
+        """Return the origin of a stream, ``None`` if it is not known for certain."""
         record = self.records.get(key)
-        return record.origin if record else None
+        return None if record is None or record.origin.is_doubtful else record.origin
 
-    def forget_restarted(self, now: float, server: str) -> None:
-        """Forget the streams that a server began just before its entry showed a restart.
+    def doubt_restarted(self, now: float, server: str) -> None:
+        """Doubt the streams that a server began just before its entry showed a restart.
 
-        They may have been begun by the new process, which has another version.
+        They may have been begun by the new process, which has another version. Others must hear of
+        it, as they may have been told the version of the entry.
         """
         began = now - RESTART_TIME
-        for key in [k for k, r in self.records.items() if r.server == server and r.at >= began]:
-            del self.records[key]
-            self.doubtful[key] = now + ORIGIN_TIME
-        self.unreported &= self.records.keys()
+        for key, record in list(self.records.items()):
+            if record.server == server and record.at >= began:
+                doubtful = Origin(record.origin.service, DOUBTFUL)
+                self.records[key] = _Record(doubtful, server, record.at)
+                self.unreported.add(key)
 
     def report_again(self) -> None:
         """Count all streams as not reported, as what was reported of them may be lost."""
@@ -104,10 +118,9 @@
                 break
             del self.records[key]
             self.unreported.discard(key)
-        self.doubtful = {key: until for key, until in self.doubtful.items() if until > now}
 
     def grouped(self, keys: Iterable[int]) -> dict[Origin, list[int]]:
-        """Return those streams whose origin is known, by origin."""
+        """Return those streams that are remembered, by origin."""
         found: dict[Origin, list[int]] = {}
         for key in keys:
             if key in self.records:
--- a/src/bilberryshed/gateway/_origin_queries.py
+++ b/src/bilberryshed/gateway/_origin_queries.py
@@ -1,7 +1,7 @@
 """Asks other gateways which software version began a stream, and answers them."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any
 
 from bilberryshed.coordination import Origin, StreamOrigins
@@ -27,29 +27,27 @@
 
     :param unreachable: known gateways that were not linked
     :param silent: linked gateways that have not responded
-    :param doubtful: keys of streams whose version is not certain at the gateway that began them
     :param done: set when all linked gateways have responded
     """
 
-    __slots__ = ("keys", "unreachable", "silent", "doubtful", "done")
+    __slots__ = ("keys", "unreachable", "silent", "done")
 
     def __init__(self) -> None:
         self.keys: set[int] = set()
         self.unreachable: set[str] = set()
         self.silent: set[str] = set()
-        self.doubtful: set[int] = set()
         self.done = asyncio.Event()
 
-    def on_response(self, name: str, doubtful: Iterable[int]) -> None:
+    def on_response(self, name: str) -> None:
         """Record the response of a gateway."""
-        self.doubtful.update(doubtful)
         self.silent.discard(name)
         if not self.silent:
             self.done.set()
 
-    def denies(self, key: int) -> bool:
-        """Whether every known gateway has responded, and none of them began a stream."""
-        return not self.silent and not self.unreachable and key not in self.doubtful
+    @property
+    def is_complete(self) -> bool:
+        """Whether every known gateway has responded."""
+        return not self.silent and not self.unreachable
 
 
 class OriginQueries:
@@ -161,7 +159,7 @@
 
         Calls that come while a round is under way share the next one.
 
-        :returns: whether every known gateway has denied that it began the stream
+        :returns: whether every known gateway has denied that it knows the stream
         """
         if self.next_round is None:
             query = QueryRound()
@@ -169,7 +167,7 @@
         query, ended = self.next_round
         query.keys.add(key)
         await asyncio.wait({ended})
-        return query.denies(key) and key not in self.origins.doubtful
+        return query.is_complete and key not in self.origins.records
 
     async def _run(self, query: QueryRound) -> None:
         async with self.round_lock:
@@ -192,8 +190,7 @@
     def _on_known_streams_request(self, link: Link, request: KnownStreamsRequest) -> None:
         known = self.origins.grouped(request.keys)
         groups = (StreamGroup(o.service, o.version, tuple(keys)) for o, keys in known.items())
-        doubtful = tuple(key for key in request.keys if key in self.origins.doubtful)
-        link.send(KnownStreamsResponse(request.ask, tuple(groups), doubtful))
+        link.send(KnownStreamsResponse(request.ask, tuple(groups)))
 
     def _on_known_streams_response(self, link: Link, response: KnownStreamsResponse) -> None:
         now = self.context.timers.now()
@@ -201,4 +198,4 @@
             self.origins.learn(now, group.keys, Origin(group.service, group.version))
         query = self.rounds.get(response.ask)
         if query is not None:
-            query.on_response(link.peer.name, response.doubtful)
+            query.on_response(link.peer.name)
--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -177,8 +177,8 @@
         return self.origins.get(stream_key(request))
 
     def on_restart(self, server: str) -> None:
-        """Forget streams that may have been begun by a process that has taken a server's id."""
-        self.origins.forget_restarted(self._now(), server)
+        """Doubt streams that may have been begun by a process that has taken a server's id."""
+        self.origins.doubt_restarted(self._now(), server)
 
     async def find(self, services: tuple[str, ...], request: str) -> Origin | None:
         """Return the origin of a stream.
@@ -295,5 +295,4 @@
         now = self._now()
         for group in notice.groups:
             origin = Origin(group.service, group.version)
-            for key in group.keys:
-                self.origins.remember(now, key, origin, "")
+            self.origins.on_report(now, group.keys, origin)
--- a/src/bilberryshed/protocol/_stream_messages.py
+++ b/src/bilberryshed/protocol/_stream_messages.py
@@ -10,6 +10,7 @@
 class StreamGroup:
     """Streams that servers of one version of a service began.
 
+    :param version: empty if it is not certain, whatever was reported before
     :param keys: keys of the streams
     """
 
@@ -87,10 +88,8 @@
 class KnownStreamsResponse:
     """Response to :class:`KnownStreamsRequest`; the streams that it does not name are not known.
 
-    :param groups: streams whose origin is known
-    :param doubtful: keys of streams that this gateway began, and whose version is not certain
+    :param groups: streams that are known
     """
 
     ask: str
     groups: tuple[StreamGroup, ...]
-    doubtful: tuple[int, ...]
