--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -108,6 +108,7 @@
 from bilberryshed.coordination._routing import AgentView, PolicyInputs, Routing, policies, policy
 from bilberryshed.coordination._row_actions import ReadRows, WriteRows
 from bilberryshed.coordination._self_reports import SelfReports, parse_seconds
+from bilberryshed.coordination._served_versions import ServedVersions, VersionSpan
 from bilberryshed.coordination._server_limiter import ServerLimiter
 from bilberryshed.coordination._sizing import Demand, GrantSizing
 from bilberryshed.coordination._slo import SloTally, TallyLine, burn_rates
@@ -115,9 +116,7 @@
 from bilberryshed.coordination._stream_origins import (
     ORIGIN_TIME,
     Origin,
-    ServedVersions,
     StreamOrigins,
-    VersionSpan,
     stream_key,
 )
 from bilberryshed.coordination._submission import (
--- a/src/bilberryshed/coordination/_origin_proofs.py
+++ b/src/bilberryshed/coordination/_origin_proofs.py
@@ -18,7 +18,8 @@
 
 from dataclasses import dataclass
 
-from bilberryshed.coordination._stream_origins import Origin, ServedVersions
+from bilberryshed.coordination._served_versions import ServedVersions
+from bilberryshed.coordination._stream_origins import Origin
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -17,27 +17,26 @@
 from bilberryshed.gateway._dialect import BackendResponse, Dispatch
 from bilberryshed.gateway._job import AttemptOutcome, BackendLoad, Job, milliseconds
 from bilberryshed.gateway._link_load import LinkLoad
-from bilberryshed.gateway._read_limits import FIRST_BYTE_FACTOR, ReadLimits
+from bilberryshed.gateway._read_limits import ReadLimits
+from bilberryshed.gateway._response_reader import MAX_BODY_BYTES, ResponseReader
 from bilberryshed.gateway._server_limits import ServerLimits
 from bilberryshed.gateway._stream_directory import StreamDirectory
 from bilberryshed.gateway._stream_relay import InvalidStreamError, StreamRelay
 from bilberryshed.state import Address, RouteKind
 from bilberryshed.transport import (
     BackendConnection,
-    BodyBuffer,
     ConnectError,
     ConnectTimeoutError,
     ResponseError,
     logger,
 )
 
-CONNECT_TIMEOUT = 0.3  # seconds; also limits draining the body of a not-run response
+CONNECT_TIMEOUT = 0.3  # seconds
 NON_RETRYABLE_IDLE_FRACTION = 0.5  # of the idle timeout; limit for requests that must not be resent
 CHOICE_RETRY_INTERVAL = 0.05  # seconds between attempts to choose a backend server
 CHOICE_WAIT_FRACTION = 0.25  # of the latency target; longest wait for a usable backend server
 MIN_TIME_LEFT = 0.02  # seconds; with less time left a request is not sent
 MAX_REFUSED_CONNECTIONS = 6  # refused connections that one request tolerates
-MAX_BODY_BYTES = 8_000_000  # bytes of a response that is not a stream; longer ones are broken off
 
 
 class Forwarder:
@@ -51,8 +50,8 @@
         "streams",
         "link_load",
         "crash_reports",
-        "read_limits",
         "answer_limits",
+        "responses",
         "stream_relay",
     )
 
@@ -70,9 +69,10 @@
         self.pool = context.backends
         self.connections = context.connections
         self.crash_reports = CrashReports(context)
-        self.read_limits = ReadLimits(context)
+        read_limits = ReadLimits(context)
         self.answer_limits = AnswerLimiter(context, MAX_BODY_BYTES)
-        self.stream_relay = StreamRelay(context, streams, self.read_limits, self.answer_limits)
+        self.responses = ResponseReader(context, read_limits, self.answer_limits)
+        self.stream_relay = StreamRelay(context, streams, read_limits, self.answer_limits)
 
     async def run(self, job: Job) -> AttemptOutcome:
         """Run a request until a response has been relayed or no retry is allowed.
@@ -299,12 +299,12 @@
             job.sent_at = self.context.timers.now()
             job.exchange.is_sent = True
             self._send(job, view, connection)
-            response = await self._read_response_head(job, view, connection)
+            response = await self.responses.read_head(job, view, connection)
             self._note_limit(job, view, response)
             self._note_self_report(view, response)
             if response.is_rejection:
                 job.runs -= 1
-                is_read = await self._discard_body(connection)
+                is_read = await self.responses.discard_body(connection)
                 names_request = response.request == job.request.id
                 can_reuse = is_read and names_request and not view.is_leaving
                 released = can_reuse and self._release_connection(connection, response)
@@ -335,46 +335,6 @@
         headers = self.context.dialect.dispatch_headers(job.request, dispatch)
         connection.send(job.request.method, job.request.target, headers, job.request.body)
 
-    async def _read_response_head(
-        self, job: Job, view: BackendView, connection: BackendConnection
-    ) -> BackendResponse:
-        """Read the response head of this request; skip responses to other requests."""
-        deadline = self.read_limits.silence_deadline(job, FIRST_BYTE_FACTOR)
-        while True:
-            head = await self.read_limits.read_by(deadline, job, connection.read_head)
-            response = self.context.dialect.parse_response(head)
-            if response.is_rejection and not response.request:
-                view.omits_ids = True
-            if self._is_response_to(job, connection, response):
-                break
-            logger().warning(
-                "mismatched_response",
-                request=job.request.id,
-                found=response.request,
-                status=response.status,
-                server=job.server,
-            )
-            async with asyncio.timeout_at(deadline):
-                await connection.skip_response()
-        if not response.request and not response.is_rejection:
-            raise ResponseError(f"answer {response.status} does not name its request")
-        if 200 <= response.status < 300 and not response.signed:
-            raise ResponseError(f"answer {response.status} is not signed")
-        return response
-
-    def _is_response_to(
-        self, job: Job, connection: BackendConnection, response: BackendResponse
-    ) -> bool:
-        """Whether a response may belong to this request.
-
-        A rejection that names no request may be a copy of an earlier one, unless the connection
-        carries its first request. It is then no proof that a request that must not be repeated did
-        not run.
-        """
-        if response.request:
-            return response.request == job.request.id
-        return not response.is_rejection or connection.is_first_use or job.route.retryable
-
     def _note_limit(self, job: Job, view: BackendView, response: BackendResponse) -> None:
         """Note the limit that a response names, or that it names none."""
         job.limit = response.limit
@@ -393,21 +353,6 @@
             self.context.metrics.count("server_quiet")
             logger().info("server_quiet", server=id_, seconds=response.quiet_time)
 
-    async def _discard_body(self, connection: BackendConnection) -> bool:
-        """Read the rest of a response that proves that the request was not run.
-
-        A broken body does not weaken the proof, which is in the head.
-
-        :returns: whether it was read completely
-        """
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                while await connection.read_body():
-                    pass
-        except (TimeoutError, ResponseError):
-            return False
-        return True
-
     def _on_not_run(self, job: Job, view: BackendView, response: BackendResponse) -> AttemptOutcome:
         now = self.context.timers.now()
         job.excluded.add(view.server.id)
@@ -433,7 +378,7 @@
             # The time of an error says nothing of how fast a backend server works.
             if job.run is not None and 200 <= response.status < 300:
                 self.pool.on_first_event(self.context.timers.now(), job.run, job.sent_at)
-            body = await self._read_body(job, connection)
+            body = await self.responses.read_body(job, connection)
             if response.status >= 500 and self._is_error_retryable(job):
                 job.failed_response = (response, body)
                 self.answer_limits.keep_failed(job, len(body))
@@ -459,22 +404,6 @@
         job.is_delivered = 200 <= response.status < 300
         job.exchange.respond(response.status, response.headers, body)
 
-    async def _read_body(self, job: Job, connection: BackendConnection) -> bytes:
-        """Read a whole body.
-
-        :raises ResponseError: if it is longer than ``MAX_BODY_BYTES``, or has to give way to others
-        """
-        body = BodyBuffer()
-        deadline = self.read_limits.silence_deadline(job, FIRST_BYTE_FACTOR)
-        with self.answer_limits.open(job, connection) as answer:
-            while chunk := await self.read_limits.read_by(deadline, job, connection.read_body):
-                body.append(chunk)
-                if len(body) > MAX_BODY_BYTES:
-                    raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
-                answer.hold(len(body))
-            answer.hold(len(body))
-            return body.take()
-
     def _release_connection(self, connection: BackendConnection, response: BackendResponse) -> bool:
         if not connection.prepare_reuse(response.must_close):
             return False
--- a/src/bilberryshed/gateway/_origin_queries.py
+++ b/src/bilberryshed/gateway/_origin_queries.py
@@ -28,15 +28,17 @@
     :param unreachable: known gateways that were not linked
     :param silent: linked gateways that have not responded
     :param done: set when all linked gateways have responded
+    :param is_complete: whether the round has ended, and every known gateway has responded
     """
 
-    __slots__ = ("keys", "unreachable", "silent", "done")
+    __slots__ = ("keys", "unreachable", "silent", "done", "is_complete")
 
     def __init__(self) -> None:
         self.keys: set[int] = set()
         self.unreachable: set[str] = set()
         self.silent: set[str] = set()
         self.done = asyncio.Event()
+        self.is_complete = False
 
     def on_response(self, name: str) -> None:
         """Record the response of a gateway."""
@@ -44,10 +46,9 @@
         if not self.silent:
             self.done.set()
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether every known gateway has responded."""
-        return not self.silent and not self.unreachable
+    def end(self) -> None:
+        """Note whether every known gateway has responded."""
+        self.is_complete = not self.silent and not self.unreachable
 
 
 class OriginQueries:
@@ -175,17 +176,21 @@
             query.silent = set(self.context.peer_links)
             query.unreachable = self.context.known_gateways - query.silent
             query.unreachable.discard(self.context.settings.name)
-            if not query.silent:
-                return
-            ask = self._new_id()
-            self.rounds[ask] = query
-            self.context.broadcast(KnownStreamsRequest(ask, tuple(sorted(query.keys))))
-            try:
-                await asyncio.wait_for(query.done.wait(), ROUND_TIMEOUT)
-            except TimeoutError:
-                logger().info("origin_round_incomplete", silent=sorted(query.silent))
-            finally:
-                del self.rounds[ask]
+            if query.silent:
+                await self._send(query)
+            query.end()
+
+    async def _send(self, query: QueryRound) -> None:
+        """Ask all linked gateways, and wait for their responses."""
+        ask = self._new_id()
+        self.rounds[ask] = query
+        self.context.broadcast(KnownStreamsRequest(ask, tuple(sorted(query.keys))))
+        try:
+            await asyncio.wait_for(query.done.wait(), ROUND_TIMEOUT)
+        except TimeoutError:
+            logger().info("origin_round_incomplete", silent=sorted(query.silent))
+        finally:
+            del self.rounds[ask]
 
     def _on_known_streams_request(self, link: Link, request: KnownStreamsRequest) -> None:
         known = self.origins.grouped(request.keys)
