--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -240,9 +240,9 @@
 
 
 def named_gateway(context, role):
-    """Return the gateway that a scenario calls a hub, a member, another one or all but one."""
+    """Return the first gateway with a role, other than the one that relays the streams."""
     gateways = context.harness.gateways
-    others = [name for name in sorted(gateways) if name != getattr(context, "silent", "")]
+    others = [name for name in sorted(gateways) if name != getattr(context, "relaying", "")]
     hubs = gateways["gate-1"].context.hubs.names
     choices = {
         "a hub": [name for name in others if name in hubs],
@@ -255,8 +255,8 @@
 
 def stop_reports(context, role):
     """Have a gateway begin the next streams, and report none of them."""
-    context.silent = named_gateway(context, role)
-    streams = context.harness.gateways[context.silent].streams
+    context.relaying = named_gateway(context, role)
+    streams = context.harness.gateways[context.relaying].streams
     streams._is_mixed = lambda: False
     return streams
 
@@ -269,20 +269,19 @@
 @when("{role} neither responds to the others nor reports its streams")
 def when_silent(context, role):
     streams = stop_reports(context, role)
-    dispatcher = context.harness.gateways[context.silent].peers.handlers.on_message.__self__
+    dispatcher = context.harness.gateways[context.relaying].peers.handlers.on_message.__self__
     for message_class in streams.handlers():
         dispatcher.handlers[message_class] = lambda link, message: None
 
 
 @when("another gateway does not reach the store")
 def when_other_turned_away(context):
-    name = named_gateway(context, "another gateway")
-    context.harness.gateways[name].context.ports.tables.base_url = "http://127.0.0.1:1"
+    turn_away(context, named_gateway(context, "another gateway"))
 
 
 @when("it begins {count:d} streams that break off after 2 events")
 def when_silent_begins(context, count):
-    begin_streams(context, count, context.silent)
+    begin_streams(context, count, context.relaying)
 
 
 @when("the first gateway begins {count:d} streams that break off after 2 events")
@@ -336,7 +335,12 @@
 
 @when("the second gateway does not reach the store")
 def when_second_turned_away(context):
-    context.harness.gateways["gate-2"].context.ports.tables.base_url = "http://127.0.0.1:1"
+    turn_away(context, "gate-2")
+
+
+def turn_away(context, name):
+    """Keep a gateway from reaching the store."""
+    context.harness.gateways[name].context.ports.tables.base_url = "http://127.0.0.1:1"
 
 
 @when("the second gateway reads no servers for {seconds:d} s")
@@ -463,7 +467,7 @@
     "the first gateway begins {count:d} streams at the first engine that break off after 2 events"
 )
 def when_streams_begin_at_first(context, count):
-    context.silent = "gate-1"  # so that the streams are taken up elsewhere
+    context.relaying = "gate-1"
     begin_streams(context, count, "gate-1", server="i-model-1")
 
 
--- a/src/bilberryshed/coordination/_stream_origins.py
+++ b/src/bilberryshed/coordination/_stream_origins.py
@@ -11,7 +11,7 @@
 
 ORIGIN_TIME = 40.0  # seconds after its first event for which a stream may be taken up
 RESTART_TIME = 3.0  # seconds by which an entry may be older than the process of its server
-DOUBTFUL = ""
+DOUBTFUL = ""  # version that is not certain, also in messages and rows
 KEY_SHIFT = 16  # bits of a hash that a key lacks
 
 
--- a/src/bilberryshed/coordination/memory/_answer_bytes.py
+++ b/src/bilberryshed/coordination/memory/_answer_bytes.py
@@ -16,11 +16,11 @@
 
 
 class AnswerBytes:
-    """Account of the bytes held of answers, by attempt.
+    """Account of the bytes held of answers, by number of the answer.
 
     :param total: bytes that may be held of all answers together
     :param held: bytes that are held
-    :param answers: what is held, by number of the attempt
+    :param answers: what is held, by number
     """
 
     __slots__ = ("total", "held", "answers")
@@ -30,20 +30,20 @@
         self.held = 0
         self.answers: dict[int, _HeldAnswer] = {}
 
-    def put(self, attempt: int, server: str, size: int) -> None:
+    def put(self, number: int, server: str, size: int) -> None:
         """Set the bytes held of an answer."""
-        self.release(attempt)
-        self.answers[attempt] = _HeldAnswer(server, size)
+        self.release(number)
+        self.answers[number] = _HeldAnswer(server, size)
         self.held += size
 
-    def release(self, attempt: int) -> None:
+    def release(self, number: int) -> None:
         """Remove what is held of an answer, if anything is."""
-        answer = self.answers.pop(attempt, None)
+        answer = self.answers.pop(number, None)
         if answer is not None:
             self.held -= answer.size
 
     def victims(self) -> list[int]:
-        """Return the attempts whose answers give way so that the rest is within the total.
+        """Return the numbers of the answers that give way so that the rest is within the total.
 
         They are the largest answers of the backend servers that send most, so that a faulty server
         costs its own requests. A single answer within the total never gives way.
@@ -55,16 +55,16 @@
         chosen: list[int] = []
         while excess > 0:
             server = max(sizes, key=lambda name: sum(size for size, _ in sizes[name]))
-            size, attempt = sizes[server].pop()
+            size, number = sizes[server].pop()
             excess -= size
-            chosen.append(attempt)
+            chosen.append(number)
         return chosen
 
     def _by_server(self) -> dict[str, list[tuple[int, int]]]:
-        """Return sizes and attempts by server, the smallest first."""
+        """Return sizes and numbers by server, the smallest first."""
         found: dict[str, list[tuple[int, int]]] = {}
-        for attempt, answer in self.answers.items():
-            found.setdefault(answer.server, []).append((answer.size, attempt))
+        for number, answer in self.answers.items():
+            found.setdefault(answer.server, []).append((answer.size, number))
         for sizes in found.values():
             sizes.sort()
         return found
