--- a/review/common-3/kit.py
+++ b/review/common-3/kit.py
@@ -460,7 +460,7 @@
             if body:
                 lines.append(f"Content-Length: {len(body)}")
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-            await _read_answer(reader, found, pace)
+            await read_answer(reader, found, pace)
     except TimeoutError:
         found["error"] = "no answer in time"
     except (ConnectionError, OSError, asyncio.IncompleteReadError, ValueError) as error:
@@ -474,7 +474,8 @@
     return found
 
 
-async def _read_answer(reader, found, pace):
+async def read_answer(reader, found, pace=None):
+    """Read a whole answer into ``found``, at most ``pace`` bytes a second."""
     head = await read_head(reader)
     if head is None:
         found["error"] = "the channel ended without an answer"
