--- /dev/null
+++ b/features/late_gateway.feature
@@ -0,0 +1,60 @@
+Feature: A gateway that is late, and backend servers that are silent for a while
+  A gateway judges backend servers by the time in which it was responsive itself, and gives a silent
+  attempt up only once another one has begun to respond.
+
+  Background:
+    Given a platform with 6 model engines and 2 plain servers
+    And model engines that send 60 events, one every 0.1 s
+    And a route to them with a target of 265 ms and a timeout of 15 s
+
+  @known_red
+  Scenario: Streams go on after their gateway stood still
+    Guards against: after 0.8 s in which the process was stopped, its streams counted as silent.
+
+    Given a gateway process whose retry budget is 4 a window
+    When 40 callers stream, and the process is stopped for 0.8 s after 1.5 s
+    Then every caller received events 1 to 60 once each, and a complete response
+    And no attempt was broken off or counted as silent
+
+  Scenario: Streams go on while a table of many routes is installed on a small machine
+    Guards against: the install of 1,400 routes held the event loop for longer than a stream may be silent.
+
+    Given a gateway process whose retry budget is 4 a window
+    When 40 callers stream, and a config with 1400 more routes comes while the process has 3 tenths of the time
+    Then every caller received events 1 to 60 once each, and a complete response
+
+  @known_red
+  Scenario Outline: A silent server ends no stream that cannot move on: <why>
+    Guards against: a silent attempt was given up before it was known whether another one may follow.
+
+    Given <engines> model engines, and a gateway process whose retry budget is <budget> a window
+    And the next responses of the model engines are: pause 1.2
+    When 4 callers stream
+    Then every caller received events 1 to 60 once each, and a complete response
+
+    Examples:
+      | why                      | engines | budget |
+      | the budget is used up    | 6       | 0      |
+      | there is no other server | 1       | 50     |
+
+  @known_red
+  Scenario: A slow server ends no request that cannot move on
+    Given a gateway process whose retry budget is 0 a window
+    And the next responses of the plain servers are: slow 1.2
+    When a caller sends GET /look/1 with its key
+    Then the status is 200
+    And 1 servers executed the request
+
+  Scenario: Streams move on from servers that are silent
+    Given a gateway process whose retry budget is 50 a window
+    And the next responses of the model engines are: pause 5, pause 5, pause 5
+    When 20 callers stream
+    Then every caller received events 1 to 60 once each, and a complete response
+    And 3 streams moved on, and no event came over 1.5 s after the one before
+
+  @known_red
+  Scenario: A stream stays where it is if the other server does not take it
+    Given a gateway process whose retry budget is 50 a window
+    And the next responses of the model engines are: pause 1.2, full, full, full, full, full
+    When 1 callers stream
+    Then every caller received events 1 to 60 once each, and a complete response
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -7,7 +7,8 @@
 omits the signature; ``garbage`` sends bytes that are not HTTP; ``unframed`` sends a body without
 length or chunks, which ends with its connection, ``unframed cut N`` after N events and a part of
 the next; ``unframed reset`` resets the connection within the body; ``error`` is a signed 500;
-``hang`` delays the response by a minute, ``slow SECONDS`` by some time; ``empty`` is a 200 of
+``hang`` delays the response by a minute, ``slow SECONDS`` by some time; ``pause SECONDS`` pauses
+once in the middle of a stream; ``empty`` is a 200 of
 length 0, ``no events`` a stream that ends well without any; ``error text N`` sends the text of a
 whole error response as a piece of the stream after N events;
 ``half head`` closes, and ``half head reset`` resets, the connection in the middle of a 200's head;
@@ -82,6 +83,7 @@
     :param script: faults of the next requests
     :param executed: ids of requests that it executed, in order
     :param disconnected: ids of requests whose client disconnected during the stream
+    :param events: events of a complete stream
     :param delay: seconds between events
     :param endless_bytes: bytes sent of responses without end
     :param crashing_part: id of the part of a prompt that crashes the server, empty for none
@@ -100,6 +102,7 @@
     received: list[ReceivedRequest] = field(default_factory=list)
     executed: list[str] = field(default_factory=list)
     disconnected: list[str] = field(default_factory=list)
+    events: int = EVENTS
     delay: float = 0.0
     endless_bytes: int = 0
     crashing_part: str = ""
@@ -352,9 +355,9 @@
         is_framed = not fault.startswith("unframed")
         kind, _, count = fault.removeprefix("unframed ").partition(" ")
         first = int(received.headers.get("last-event-id", "0")) + 1
-        last = first + int(count or 0) - 1 if kind == "cut" else EVENTS
+        last = first + int(count) - 1 if kind == "cut" else self.events
         if kind == "no":
-            first = EVENTS + 1
+            first = self.events + 1
         if kind == "error":
             last = first + int(count.split()[-1]) - 1
         will_crash = self.crashing_part in received.shared_parts
@@ -363,13 +366,15 @@
         framing = "Transfer-Encoding: chunked" if is_framed else "Connection: close"
         head = "Content-Type: text/event-stream\r\n" + framing
         self._write(writer, _response_head(200, id_, head, kind != "unsigned", self.limit))
-        for number in range(first, min(last, EVENTS) + 1):
+        for number in range(first, min(last, self.events) + 1):
             source = f" of {self.software}" if self.software else ""
             event = f"id: {number}\ndata: piece {number}{source}\n\n".encode()
             writer.write(_chunk(event) if is_framed else event)
             await writer.drain()
             if self.delay:
                 await self._wait_between_events(id_, reader)
+            if kind == "pause" and number == self.events // 2:
+                await asyncio.sleep(float(count))
             if kind == "trickle":
                 await self._trickle(id_, number + 1, reader, writer)
         if will_crash:
