The gateway's own lag does not count as a backend server's silence

What callers saw: after a pause of the gateway's event loop (0.8 s in the test, 0.3 to 1.0 s for a config of 1,400 routes on a small VM) all its streams counted as silent at the same moment, though their events lay in its sockets; servers were ejected for it.

Cause: timeouts that judge others ran on the own monotonic clock. An overdue timer fires in the same turn of the loop in which the sockets are found readable, before the data reaches its reader.

LoopLag measures the lag of the own loop by ticks. Responsive time stands still while a tick is overdue and until the loop has gone through what waited; a timeout whose timer fires late is confirmed first. So a pause is nobody's silence, wherever it falls. event_loop_lag in log and metrics tells a late gateway from silent servers.

--- a/features/late_gateway.feature
+++ b/features/late_gateway.feature
@@ -7,7 +7,6 @@
     And model engines that send 60 events, one every 0.1 s
     And a route to them with a target of 265 ms and a timeout of 15 s
 
-  @known_red
   Scenario: Streams go on after their gateway stood still
     Guards against: after 0.8 s in which the process was stopped, its streams counted as silent.
 
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -45,6 +45,7 @@
 from bilberryshed.coordination._lease import Lease, LeaseRow
 from bilberryshed.coordination._ledger import GetSegment, PutSegment, Segment, ShardWriter
 from bilberryshed.coordination._load_relay import LoadRelay
+from bilberryshed.coordination._loop_lag import LATE_GAP, TICK_INTERVAL, LoopLag
 from bilberryshed.coordination._membership import ListChange, Member, Members
 from bilberryshed.coordination._named_limits import NamedLimits, parse_limit
 from bilberryshed.coordination._orders import (
@@ -129,6 +130,9 @@
 from bilberryshed.coordination._token_trace import TokenReport, TokenTrace, trace_tokens
 
 __all__ = [
+    "LATE_GAP",
+    "TICK_INTERVAL",
+    "LoopLag",
     "PERMIT_TIME",
     "Departures",
     "ORIGIN_TIME",
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -109,6 +109,7 @@
 
         :returns: whether all requests were finished
         """
+        self.context.timers.watch_loop()
         http = self.http = self._listen()
         self._apply_limits()
         ready = self._listen_ready()
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -6,7 +6,7 @@
 from tornado.web import Application, RequestHandler
 
 from bilberryshed.gateway._context import GatewayContext
-from bilberryshed.transport import BodylessServer, CallerListener, logger
+from bilberryshed.transport import BodylessServer, CallerListener, log_loop_lag, logger
 
 LATENCIES = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)  # seconds
 PREFIX = "bilberryshed"
@@ -82,8 +82,18 @@
         self.cold_servers = Gauge(
             f"{PREFIX}_cold_servers", "Cold backend servers", ["zone"], registry=registry
         )
+        self.loop_lag = Counter(
+            f"{PREFIX}_event_loop_lag_seconds",
+            "Time by which ticks of the event loop were late",
+            registry=registry,
+        )
+        context.timers.on_lag = self._on_loop_lag
         self.events = Gauge(f"{PREFIX}_events", "Other events", ["event"], registry=registry)
 
+    def _on_loop_lag(self, seconds: float) -> None:
+        self.loop_lag.inc(seconds)
+        log_loop_lag(seconds)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         self.table_version.set(self.context.table_version())
--- a/src/bilberryshed/gateway/_silence_watch.py
+++ b/src/bilberryshed/gateway/_silence_watch.py
@@ -40,8 +40,8 @@
     :param begin_successor: begins another attempt and returns it once its response has begun, or
         ``None``; without it, a silent attempt ends
     :param discard: ends a successor that is not needed
-    :param limit: seconds that may pass without progress
-    :param since: monotonic time of the last progress
+    :param limit: responsive seconds that may pass without progress
+    :param since: responsive time of the last progress
     :param successor: the other attempt, while it is under way
     """
 
@@ -68,7 +68,7 @@
         :param factor: latency targets that may pass without progress
         """
         self.limit = factor * self.job.route.latency_target
-        self.since = self.context.timers.now()
+        self.since = self.context.timers.responsive_time()
         self.close()
 
     def close(self) -> None:
@@ -101,9 +101,7 @@
             left = self._time_left()
             if left > 0:
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout_at(
-                        min(self.context.timers.now() + left, self.job.deadline)
-                    ):
+                    async with self.context.timers.timeout(left, self.job.deadline):
                         return await read()
             if self._time_left() <= 0:
                 if self.begin_successor is None:
@@ -140,14 +138,14 @@
             raise SupersededError(attempt, broken)
         if broken is not None:
             raise broken
-        self.since = self.context.timers.now()
+        self.since = self.context.timers.responsive_time()
         return None
 
     def _time_left(self) -> float:
-        """Return the seconds for which the attempt may be silent yet."""
+        """Return the responsive seconds for which the attempt may be silent yet."""
         if not self._may_begin_successor():
             return math.inf
-        return self.since + self.limit - self.context.timers.now()
+        return self.since + self.limit - self.context.timers.responsive_time()
 
     def _may_begin_successor(self) -> bool:
         """Whether another attempt may follow.
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -39,7 +39,12 @@
     MessageDispatcher,
 )
 from bilberryshed.transport._log_pipe import LogFlusher, LogPipe, LogRateLimiter
-from bilberryshed.transport._logs import configure_logs, configure_piped_logs, logger
+from bilberryshed.transport._logs import (
+    configure_logs,
+    configure_piped_logs,
+    log_loop_lag,
+    logger,
+)
 from bilberryshed.transport._metrics import Metrics
 from bilberryshed.transport._platform import (
     HttpObjectStore,
@@ -50,7 +55,12 @@
 from bilberryshed.transport._quarantine_exchange import Admittance, QuarantineExchange
 from bilberryshed.transport._quarantine_rows import QuarantinePorts
 from bilberryshed.transport._tasks import BackgroundTasks, new_boot_id
-from bilberryshed.transport._timers import Subscription, TimerService, next_multiple
+from bilberryshed.transport._timers import (
+    ResponsiveTimeout,
+    Subscription,
+    TimerService,
+    next_multiple,
+)
 from bilberryshed.transport._tls import client_tls_context, server_tls_context
 
 __all__ = [
@@ -89,6 +99,7 @@
     "MessageDispatcher",
     "Metrics",
     "Subscription",
+    "ResponsiveTimeout",
     "TimerService",
     "client_tls_context",
     "configure_logs",
@@ -99,6 +110,7 @@
     "read_quiet_time",
     "use_new_connection",
     "http_platform",
+    "log_loop_lag",
     "logger",
     "new_boot_id",
     "next_multiple",
--- a/src/bilberryshed/transport/_logs.py
+++ b/src/bilberryshed/transport/_logs.py
@@ -9,6 +9,8 @@
 
 from bilberryshed.transport._log_pipe import LogFlusher, LogPipe, LogRateLimiter
 
+LOGGED_LAG = 0.2  # seconds; longer lags of the event loop are logged
+
 
 def configure_logs(program: str, vm: str, level: int = logging.INFO) -> None:
     """Write log events of this process to standard error.
@@ -62,3 +64,9 @@
 def logger() -> Any:
     """Return the logger of this process."""
     return structlog.get_logger()
+
+
+def log_loop_lag(seconds: float) -> None:
+    """Log by how much the event loop was late, if it is worth a line."""
+    if seconds > LOGGED_LAG:
+        logger().warning("event_loop_lag", seconds=round(seconds, 3))
--- a/src/bilberryshed/transport/_timers.py
+++ b/src/bilberryshed/transport/_timers.py
@@ -1,9 +1,16 @@
-"""Timer service of a process: periodic callbacks, monotonic time and wall-clock time."""
+"""Timer service of a process: periodic callbacks, timeouts, monotonic and wall-clock time."""
 
 import asyncio
 import math
 import time
 from collections.abc import Callable
+from types import TracebackType
+from typing import Self
+
+from bilberryshed.coordination import TICK_INTERVAL, LoopLag
+
+ON_TIME = 0.01  # seconds; a timer that fires later is no proof that nothing has arrived
+CONFIRM_INTERVAL = 0.02  # seconds until a timeout whose timer fired late is checked again
 
 Callback = Callable[[float], object]
 
@@ -34,18 +41,50 @@
 
     :param phase: monotonic time in seconds from which the intervals count; processes with different
         phases do not act together
+    :param lag: lag of the event loop
+    :param on_lag: called with the seconds by which the event loop was late
     """
 
-    __slots__ = ("subscriptions", "phase")
+    __slots__ = ("subscriptions", "phase", "lag", "on_lag")
 
     def __init__(self, phase: float = 0.0) -> None:
         self.subscriptions: list[Subscription] = []
         self.phase = phase
+        self.lag = LoopLag()
+        self.on_lag: Callback = lambda lag: None
+
+    def watch_loop(self) -> None:
+        """Start to measure the lag of the event loop; without it, there is none."""
+        self._tick(self.now())
+        self.subscribe(TICK_INTERVAL, self._tick)
+
+    def _tick(self, now: float) -> None:
+        lag = self.lag.on_tick(now)
+        if lag > 0:
+            self.on_lag(lag)
 
     def now(self) -> float:
         """Return the loop's monotonic time in seconds."""
         return asyncio.get_running_loop().time()
 
+    def responsive_time(self) -> float:
+        """Return the seconds in which the event loop was responsive, to judge others by.
+
+        See :class:`~bilberryshed.coordination.LoopLag`; without lag it advances like :meth:`now`.
+        """
+        return self.lag.responsive_time(self.now())
+
+    def timeout(self, seconds: float, until: float = math.inf) -> "ResponsiveTimeout":
+        """Return a context manager that limits the time that others have to respond.
+
+        It raises :exc:`TimeoutError` like :func:`asyncio.timeout`, but time in which the own event
+        loop lagged does not count, and what had arrived by then is handled first.
+
+        :param seconds: responsive seconds
+        :param until: monotonic time at which it ends in any case
+        """
+        return ResponsiveTimeout(self, seconds, until)
+
     def wall_time(self) -> float:
         """Return the wall-clock time in seconds since the epoch."""
         return time.time()
@@ -83,6 +122,53 @@
         subscription.callback(self.now())
 
 
+class ResponsiveTimeout:
+    """A timeout in responsive time.
+
+    :param expires_at: responsive time at which it ends, or earlier at the monotonic time ``until``
+    """
+
+    __slots__ = ("timers", "seconds", "until", "expires_at", "inner", "handle", "due")
+
+    def __init__(self, timers: TimerService, seconds: float, until: float) -> None:
+        self.timers = timers
+        self.seconds = seconds
+        self.until = until
+        self.expires_at = math.inf
+        self.inner = asyncio.timeout(None)
+        self.handle: asyncio.TimerHandle | None = None
+        self.due = 0.0
+
+    async def __aenter__(self) -> Self:
+        await self.inner.__aenter__()
+        self.expires_at = self.timers.responsive_time() + self.seconds
+        self._arm(self.seconds)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self.handle is not None:
+            self.handle.cancel()
+        await self.inner.__aexit__(exc_type, exc, traceback)
+
+    def _arm(self, delay: float) -> None:
+        now = self.timers.now()
+        self.due = min(now + max(0.0, delay), self.until)
+        self.handle = asyncio.get_running_loop().call_at(self.due, self._check)
+
+    def _check(self) -> None:
+        now = self.timers.now()
+        left = self.expires_at - self.timers.responsive_time()
+        if now >= self.until or (left <= 0 and now - self.due <= ON_TIME):
+            self.inner.reschedule(now)
+        else:
+            self._arm(max(left, CONFIRM_INTERVAL))
+
+
 def next_multiple(now: float, interval: float) -> float:
     """Return the next multiple of an interval, at least half an interval after ``now``.
 
