An error of another server does not replace a silent stream

Only a response that can go on with the answer replaces it.

An attempt that breaks off while another one is under way reports that at once, and waits for the other one afterwards.

--- a/features/late_gateway.feature
+++ b/features/late_gateway.feature
@@ -49,8 +49,21 @@
     Then every caller received events 1 to 60 once each, and a complete response
     And 3 streams moved on, and no event came over 1.5 s after the one before
 
-  Scenario: A stream stays where it is if the other server does not take it
+  Scenario Outline: A stream stays where it is if the other servers answer <answer>
     Given a gateway process whose retry budget is 50 a window
-    And the next responses of the model engines are: pause 1.2, full, full, full, full, full
+    And the next responses of the model engines are: pause 1.2, <faults>
+    When 1 callers stream
+    Then every caller received events 1 to 60 once each, and a complete response
+
+    Examples:
+      | answer              | faults                       |
+      | that they are full  | full, full, full, full, full |
+      | with an error       | error, error                 |
+      | and break off       | reset, reset                 |
+      | after it goes on    | slow 1.0                     |
+
+  Scenario: A stream that breaks off while another server is asked goes on there
+    Given a gateway process whose retry budget is 50 a window
+    And the next responses of the model engines are: pause 0.6 cut, slow 0.5
     When 1 callers stream
     Then every caller received events 1 to 60 once each, and a complete response
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -88,7 +88,7 @@
                 return result
 
     async def _run_attempts(self, job: Job, attempt: Attempt) -> AttemptOutcome:
-        """Run an attempt and those that supersede it while they live.
+        """Run an attempt and those that supersede it.
 
         :returns: outcome of the last one
         """
@@ -97,23 +97,25 @@
             begin_successor = partial(self._begin_successor, job, attempt)
             watch = SilenceWatch(self.context, job, begin_successor, self.attempts.end)
             try:
-                return await self._run_attempt(job, attempt, watch)
+                result = await self._run_attempt(job, attempt, watch)
+                if result is AttemptOutcome.DONE:
+                    return result
+                successor = await watch.take_successor()
+                if successor is None:
+                    return result
             except SupersededError as superseded:
-                self._on_superseded(job, attempt, superseded)
                 successor = superseded.successor
             finally:
                 watch.close()
-                self.attempts.end(attempt)
+            self.attempts.log(job, attempt.view, "attempt_superseded", successor=successor.server)
             attempt = successor
 
     async def _run_attempt(self, job: Job, attempt: Attempt, watch: SilenceWatch) -> AttemptOutcome:
-        """Send the request unless it has been sent, and relay the response."""
-        if attempt.response is None and not await self.attempts.connect(job, attempt):
-            return AttemptOutcome.NOT_RUN
+        """Send the request unless it has been sent, relay the response, and end the attempt."""
         try:
-            response = attempt.response
-            if response is None:
-                response = await self.attempts.request(job, attempt, watch)
+            if attempt.response is None and not await self.attempts.connect(job, attempt):
+                return AttemptOutcome.NOT_RUN
+            response = attempt.response or await self.attempts.request(job, attempt, watch)
             if response.is_rejection:
                 return AttemptOutcome.NOT_RUN
             result = await self._relay_body(job, attempt, response, watch)
@@ -126,6 +128,8 @@
         except ResponseError as error:
             self._on_broken(job, attempt, error)
             return AttemptOutcome.BROKEN
+        finally:
+            self.attempts.end(attempt)
 
     def _on_broken(self, job: Job, attempt: Attempt, error: ResponseError) -> None:
         job.last_failure = str(error)
@@ -212,13 +216,13 @@
         except ResponseError as error:
             self._on_broken(job, successor, error)
             return False
-        return not response.is_rejection
-
-    def _on_superseded(self, job: Job, attempt: Attempt, superseded: SupersededError) -> None:
-        if superseded.error is not None:
-            self._on_broken(job, attempt, superseded.error)
-        successor = superseded.successor.server
-        self.attempts.log(job, attempt.view, "attempt_superseded", successor=successor)
+        if response.is_rejection:
+            return False
+        if response.status >= 500 or (job.exchange.started and not 200 <= response.status < 300):
+            job.excluded.add(successor.server)
+            job.last_failure = f"backend server answered {response.status}"
+            return False
+        return True
 
     # Retries --------------------------------------------------------------------------------
 
--- a/src/bilberryshed/gateway/_silence_watch.py
+++ b/src/bilberryshed/gateway/_silence_watch.py
@@ -13,7 +13,6 @@
 from bilberryshed.gateway._attempt import Attempt
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._job import Job
-from bilberryshed.transport import ResponseError
 
 FIRST_BYTE_FACTOR = 2.0  # latency targets without a response, then another attempt may begin
 STALL_FACTOR = 1.5  # latency targets without an event of a stream, then another attempt may begin
@@ -22,16 +21,14 @@
 
 
 class SupersededError(Exception):
-    """Another attempt has begun to respond in place of this one.
+    """Another attempt has begun to respond in place of a silent one.
 
     :param successor: the other attempt
-    :param error: why this one had broken off by then, ``None`` if it was only silent
     """
 
-    def __init__(self, successor: Attempt, error: ResponseError | None = None) -> None:
+    def __init__(self, successor: Attempt) -> None:
         super().__init__(f"superseded by an attempt at {successor.server}")
         self.successor = successor
-        self.error = error
 
 
 class SilenceWatch:
@@ -109,6 +106,21 @@
                 self.successor = self.context.spawn(self.begin_successor())
         raise TimeoutError
 
+    async def take_successor(self) -> Attempt | None:
+        """Return the successor of an attempt that has failed, once its response has begun.
+
+        :returns: ``None`` if there is none by the deadline of the request
+        """
+        if self.successor is None:
+            return None
+        try:
+            async with asyncio.timeout_at(self.job.deadline):
+                await asyncio.wait({self.successor})
+        except TimeoutError:
+            return None
+        successor, self.successor = self.successor, None
+        return successor.result()
+
     async def _race(
         self, successor: "asyncio.Future[Attempt | None]", read: Callable[[], Awaitable[T]]
     ) -> "asyncio.Future[T] | None":
@@ -120,24 +132,18 @@
         """
         reading: asyncio.Future[T] = asyncio.ensure_future(read())
         both: set[asyncio.Future[Any]] = {reading, successor}
-        broken: ResponseError | None = None
         try:
-            async with asyncio.timeout_at(self.job.deadline):
-                if not successor.done():
+            if not successor.done():
+                async with asyncio.timeout_at(self.job.deadline):
                     await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-                if reading.done():
-                    error = reading.exception()
-                    if not isinstance(error, ResponseError):
-                        return reading
-                    broken = error
-                attempt = await successor
+            if reading.done():
+                return reading
         finally:
             reading.cancel()
         self.successor = None
+        attempt = successor.result()
         if attempt is not None:
-            raise SupersededError(attempt, broken)
-        if broken is not None:
-            raise broken
+            raise SupersededError(attempt)
         self.since = self.context.timers.responsive_time()
         return None
 
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -8,9 +8,9 @@
 length or chunks, which ends with its connection, ``unframed cut N`` after N events and a part of
 the next; ``unframed reset`` resets the connection within the body; ``error`` is a signed 500;
 ``hang`` delays the response by a minute, ``slow SECONDS`` by some time; ``pause SECONDS`` pauses
-once in the middle of a stream; ``empty`` is a 200 of
-length 0, ``no events`` a stream that ends well without any; ``error text N`` sends the text of a
-whole error response as a piece of the stream after N events;
+once in the middle of a stream, ``pause SECONDS cut`` then closes the connection;
+``empty`` is a 200 of length 0, ``no events`` a stream that ends well without any;
+``error text N`` sends the text of a whole error response as a piece of the stream after N events;
 ``half head`` closes, and ``half head reset`` resets, the connection in the middle of a 200's head;
 ``status N`` is a signed answer with any status; ``interim N`` sends
 N interim responses (1xx) before the answer;
@@ -374,7 +374,9 @@
             if self.delay:
                 await self._wait_between_events(id_, reader)
             if kind == "pause" and number == self.events // 2:
-                await asyncio.sleep(float(count))
+                await asyncio.sleep(float(count.split()[0]))
+                if count.endswith("cut"):
+                    return False
             if kind == "trickle":
                 await self._trickle(id_, number + 1, reader, writer)
         if will_crash:
