An error that comes while another server is asked does not end the request

Found by reading: the head of a 500 of a silent attempt ended the other attempt that was under way, and the 500 reached the caller although the other one would have answered ("An error that comes ...": 500 before, 200 now).

--- a/features/late_gateway.feature
+++ b/features/late_gateway.feature
@@ -42,6 +42,13 @@
     Then the status is 200
     And 1 servers executed the request
 
+  Scenario: An error that comes while another server is asked does not end the request
+    Given a gateway process whose retry budget is 50 a window
+    And the next responses of the plain servers are: slow 1.0 error, slow 0.6
+    When a caller sends GET /look/1 with its key
+    Then the status is 200
+    And 2 servers executed the request
+
   Scenario: Streams move on from servers that are silent
     Given a gateway process whose retry budget is 50 a window
     And the next responses of the model engines are: pause 5, pause 5, pause 5
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -148,7 +148,7 @@
                 now = self.context.timers.now()
                 self.pool.on_first_event(now, attempt.run, attempt.sent_at)
             body = await self.responses.read_body(job, attempt, watch)
-            if response.status >= 500 and self._is_error_retryable(job):
+            if response.status >= 500 and self._is_error_retryable(job, watch):
                 job.failed_response = (response, body)
                 self.answer_limits.keep_failed(job, len(body))
                 job.excluded.add(attempt.server)
@@ -159,12 +159,10 @@
             self.stream_relay.record_answer(job, attempt)
         return AttemptOutcome.DONE
 
-    def _is_error_retryable(self, job: Job) -> bool:
-        return (
-            job.route.kind is RouteKind.IDEMPOTENT
-            and job.runs < job.route.attempts
-            and job.deadline - self.context.timers.now() > job.route.latency_target / 2
-        )
+    def _is_error_retryable(self, job: Job, watch: SilenceWatch) -> bool:
+        has_time = job.deadline - self.context.timers.now() > job.route.latency_target / 2
+        may_follow = job.runs < job.route.attempts or watch.successor is not None
+        return job.route.kind is RouteKind.IDEMPOTENT and has_time and may_follow
 
     def _send_response(self, job: Job, response: BackendResponse, body: bytes) -> None:
         if job.exchange.started:
--- a/src/bilberryshed/gateway/_response_reader.py
+++ b/src/bilberryshed/gateway/_response_reader.py
@@ -67,9 +67,10 @@
 
         :raises ResponseError: if it is longer than ``MAX_BODY_BYTES``, or has to give way to others
         """
-        connection, body = attempt.connection, BodyBuffer()
-        assert connection is not None
-        watch.restart(FIRST_BYTE_FACTOR)
+        connection, response, body = attempt.connection, attempt.response, BodyBuffer()
+        assert connection is not None and response is not None
+        if response.status < 500:
+            watch.restart(FIRST_BYTE_FACTOR)
         with self.answer_limits.open(job, connection) as answer:
             while chunk := await watch.read(connection.read_body):
                 body.append(chunk)
--- a/src/bilberryshed_standins/_routed_backend.py
+++ b/src/bilberryshed_standins/_routed_backend.py
@@ -7,7 +7,8 @@
 omits the signature; ``garbage`` sends bytes that are not HTTP; ``unframed`` sends a body without
 length or chunks, which ends with its connection, ``unframed cut N`` after N events and a part of
 the next; ``unframed reset`` resets the connection within the body; ``error`` is a signed 500;
-``hang`` delays the response by a minute, ``slow SECONDS`` by some time; ``pause SECONDS`` pauses
+``hang`` delays the response by a minute, ``slow SECONDS`` by some time (``slow SECONDS error``
+for a signed 500); ``pause SECONDS`` pauses
 once in the middle of a stream, ``pause SECONDS cut`` then closes the connection;
 ``empty`` is a 200 of length 0, ``no events`` a stream that ends well without any;
 ``error text N`` sends the text of a whole error response as a piece of the stream after N events;
@@ -256,7 +257,8 @@
         if fault == "hang":
             await asyncio.sleep(60)
         if fault.startswith("slow "):
-            await asyncio.sleep(float(fault.removeprefix("slow ")))
+            await asyncio.sleep(float(fault.split()[1]))
+            fault = "error" if fault.endswith("error") else fault
         if fault.startswith("half head"):
             head = _response_head(200, id_, "Content-Length: 10")
             writer.write(head[: len(head) // 2])
