--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -143,6 +143,7 @@
 
         :returns: whether all attempts ended and all usage records were acknowledged
         """
+        self.timers.watch_loop()
         await self._poll_load()
         await self.links.start(self.settings.link_listen)
         self._listen_status()
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -120,6 +120,7 @@
 
         :returns: whether all work was finished and all grants were returned
         """
+        self.context.timers.watch_loop()
         await self.server.start(self.settings.link_listen)
         self.sheet_replica.start()
         self.funding.start()
