An agent's own lag does not count as its backend server's silence

What callers could see: after a pause of an agent's event loop past an attempt's deadline, an answer that lay in its sockets counted as missing: an idempotent request ran once more, the outcome of a booking that had run was unknown. A load query in such a pause made the backend server count as away or crashed, and a crash is held against the content of the request.

Cause: the deadline of an attempt, the time to connect and the time for control requests ran on the agent's own monotonic clock, those of engines inside curl, whose timeout is checked before the data that waits is read.

The limits are measured in responsive time. As a limit of curl cannot be, engines are called over a connection of their own that is closed at the end, as plain services were already; the log line of a refusal by an engine now has its status without the phrase.

--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -111,7 +111,7 @@
         self.boot = new_boot_id(settings.name)
         self.timers = TimerService()
         self.metrics = Metrics(settings.statsd, "bilberryshed.agent")
-        self.backend: Backend = backend_types[settings.kind](settings.backend)
+        self.backend: Backend = backend_types[settings.kind](settings.backend, self.timers)
         self.limiter = ServerLimiter()
         self.backend.on_statement = self._on_statement
         self.leaving_boot: int | None = None
--- a/src/bilberryshed/runtime/_backends.py
+++ b/src/bilberryshed/runtime/_backends.py
@@ -4,17 +4,19 @@
 through a :class:`ResponseSink` and returns exactly one of :class:`RunCompleted`,
 :class:`RunNotStarted` and :class:`RunInterrupted`. Each attempt has a connection of its own: not
 all responses name their request, and a faulty backend server may send an earlier one again.
+
+Time limits of a backend server are measured in responsive time: after a pause of the agent, what
+the backend server sent in time may still lie in the agent's sockets.
 """
 
-import asyncio
 import json
+import math
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
-
 from bilberryshed.coordination import EventBuffer, parse_limit
 from bilberryshed.protocol import Dispatch
 from bilberryshed.state import Address
@@ -25,20 +27,17 @@
     ConnectionPool,
     ResponseError,
     ResponseHead,
-    describe_error,
-    fetch_response,
-    http_client,
+    TimerService,
     read_quiet_time,
-    use_new_connection,
 )
 
 LIMIT_HEADER = "server-limit"  # requests per second that the backend server takes
 LEAVING_HEADER = "server-leaving"  # "1" if the backend server leaves
 QUIET_HEADER = "retry-after"  # seconds for which it wants no requests, with QUIET_STATUS
-QUIET_STATUS = "503"
+QUIET_STATUS = 503
 ORDER_TIMEOUT = 100.0  # seconds; includes the time to load a model
 MAX_EVENT_BYTES = 1_000_000  # bytes of one event of a stream
-MAX_BODY_BYTES = 8_000_000  # bytes of a plain service's response
+MAX_BODY_BYTES = 8_000_000  # bytes of a plain service's response, or one to a control request
 METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
 CONNECT_TIMEOUT = 1.0  # seconds
 CONTROL_TIMEOUT = 1.0  # seconds for control requests, such as load queries and cancellations
@@ -117,15 +116,18 @@
 class Backend(ABC):
     """Client of one backend server.
 
+    :param timers: measures the time limits of the backend server
+    :param connections: opens the connection of each request
     :param on_statement: called for each response to an attempt, with what it says of the backend
         server, and the monotonic time at which its request was sent
     """
 
-    __slots__ = ("base_url", "client", "on_statement")
+    __slots__ = ("address", "timers", "connections", "on_statement")
 
-    def __init__(self, address: Address) -> None:
-        self.base_url = f"http://{address}"
-        self.client: AsyncHTTPClient = http_client()
+    def __init__(self, address: Address, timers: TimerService | None = None) -> None:
+        self.address = address
+        self.timers = timers or TimerService()
+        self.connections = ConnectionPool()
         self.on_statement: Callable[[ServerStatement, float], None] = (
             lambda statement, sent_at: None
         )
@@ -156,32 +158,65 @@
             int(body.get("boot", 0)),
         )
 
-    def _header_reader(self) -> "_HeadReader":
-        """Return a callback for the header lines of a response that is about to be requested."""
-        sent_at = asyncio.get_running_loop().time()
+    @asynccontextmanager
+    async def _connection(self) -> AsyncIterator[BackendConnection]:
+        """Open a connection, and close it at the end.
+
+        :raises ConnectError: if it cannot be opened in time
+        """
+        try:
+            async with self.timers.timeout(CONNECT_TIMEOUT):
+                connection = await self.connections.open("", self.address, math.inf)
+        except TimeoutError as error:
+            raise ConnectError("timed out") from error
+        try:
+            yield connection
+        finally:
+            connection.abort()
+
+    def _head_reader(self) -> "_HeadReader":
+        """Return a callback for the head of a response that is about to be requested."""
+        sent_at = self.timers.now()
         return _HeadReader(lambda statement: self.on_statement(statement, sent_at))
 
     async def _control(
         self, method: str, path: str, body: Any, timeout: float = CONTROL_TIMEOUT
     ) -> Any:
-        request = HTTPRequest(
-            self.base_url + path,
-            method=method,
-            body=None if body is None else json.dumps(body),
-            request_timeout=timeout,
-        )
+        """Send a control request and return its response, ``None`` if it fails."""
+        content = b"" if body is None else json.dumps(body).encode()
         try:
-            response = await fetch_response(self.client, request)
-            response.rethrow()
-            return json.loads(response.body)
-        except Exception:
+            async with self.timers.timeout(timeout), self._connection() as connection:
+                connection.send(method, path, self._headers(method, content), content)
+                head = await connection.read_head()
+                response = await _read_whole(connection)
+            return json.loads(response) if 200 <= head.status < 300 else None
+        except (ConnectError, ResponseError, TimeoutError, ValueError, RecursionError):
             return None
 
+    def _headers(self, method: str, body: bytes, *others: tuple[str, str]) -> list[tuple[str, str]]:
+        headers = [("Host", str(self.address)), ("Connection", "close"), *others]
+        if method in METHODS_WITH_BODY:
+            headers.append(("Content-Length", str(len(body))))
+        return headers
+
+
+async def _read_whole(connection: BackendConnection) -> bytes:
+    """Return the body of a response.
+
+    :raises ResponseError: if it is incomplete or too long
+    """
+    content = BodyBuffer()
+    while chunk := await connection.read_body():
+        content.append(chunk)
+        if len(content) > MAX_BODY_BYTES:
+            raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
+    return content.take()
+
 
 class _HeadReader:
-    """Finds what a backend server says of itself in the header lines of a response.
+    """Finds what a backend server says of itself in the head of a response.
 
-    :param on_end: called with it at the end of the head
+    :param on_end: called with it
     """
 
     __slots__ = ("on_end", "statement", "status")
@@ -189,20 +224,11 @@
     def __init__(self, on_end: Callable[[ServerStatement], None]) -> None:
         self.on_end = on_end
         self.statement = ServerStatement()
-        self.status = ""
-
-    def __call__(self, line: str) -> None:
-        """Process one line, the status line and the empty one included."""
-        if line.startswith("HTTP/"):
-            self.status = line.split()[1] if len(line.split()) > 1 else ""
-        name, _, value = line.partition(":")
-        self._read_field(name.lower(), value.strip())
-        if not line.strip():
-            self.on_end(self.statement)
+        self.status = 0
 
     def read_head(self, head: ResponseHead) -> None:
         """Process a whole head."""
-        self.status = str(head.status)
+        self.status = head.status
         for name, value in head.headers:
             self._read_field(name, value)
         self.on_end(self.statement)
@@ -216,7 +242,7 @@
             self.statement.quiet_time = read_quiet_time(value)
 
 
-backend_types: dict[str, Callable[[Address], Backend]] = {}
+backend_types: dict[str, Callable[[Address, TimerService], Backend]] = {}
 
 
 def register_backend(kind: str) -> Callable[[type[Backend]], type[Backend]]:
@@ -237,24 +263,36 @@
 
     async def run(self, dispatch: Dispatch, sink: ResponseSink) -> RunResult:
         """Run one attempt."""
-        stream = _CompletionStream(dispatch.attempt, sink)
-        request = HTTPRequest(
-            self.base_url + dispatch.path,
-            method=dispatch.method,
-            body=dispatch.body,
-            headers={"Content-Type": "application/json"},
-            request_timeout=dispatch.deadline,
-            streaming_callback=stream.feed,
-            header_callback=self._header_reader(),
-            prepare_curl_callback=use_new_connection,
-        )
         try:
-            response = await fetch_response(self.client, request)
-        except Exception as error:
+            async with self.timers.timeout(dispatch.deadline), self._connection() as connection:
+                return await self._exchange(connection, dispatch, sink)
+        except ConnectError as error:
+            return RunNotStarted(str(error))
+        except (ResponseError, TimeoutError) as error:
             await self.cancel(dispatch.attempt)
-            return _failed_result(error)
-        if response.code != 200:
-            return RunNotStarted(f"engine refused with HTTP {response.code} {response.reason}")
+            return RunInterrupted(str(error) or "no response in time")
+
+    async def _exchange(
+        self, connection: BackendConnection, dispatch: Dispatch, sink: ResponseSink
+    ) -> RunResult:
+        """Send the request and read the whole stream.
+
+        :raises ResponseError: if it is incomplete or malformed
+        """
+        head_reader = self._head_reader()
+        headers = self._headers(
+            dispatch.method, dispatch.body, ("Content-Type", "application/json")
+        )
+        connection.send(dispatch.method, dispatch.path, headers, dispatch.body)
+        head = await connection.read_head()
+        head_reader.read_head(head)
+        if head.status != 200:
+            return RunNotStarted(f"engine refused with HTTP {head.status}")
+        stream = _CompletionStream(dispatch.attempt, sink)
+        while data := await connection.read_body():
+            stream.feed(data)
+            if stream.stream_error:
+                raise ResponseError(stream.stream_error)
         return stream.result()
 
     async def cancel(self, attempt: str) -> None:
@@ -324,31 +362,19 @@
 
 @register_backend("service")
 class ServiceBackend(Backend):
-    """Client of a plain service that sends each response as a whole.
+    """Client of a plain service that sends each response as a whole."""
 
-    :param connections: opens the connection of each attempt
-    """
-
-    __slots__ = ("address", "connections")
-
-    def __init__(self, address: Address) -> None:
-        super().__init__(address)
-        self.address = address
-        self.connections = ConnectionPool()
+    __slots__ = ()
 
     async def run(self, dispatch: Dispatch, sink: ResponseSink) -> RunResult:
         """Run one attempt."""
         try:
-            connection = await self.connections.open("", self.address, CONNECT_TIMEOUT)
+            async with self.timers.timeout(dispatch.deadline), self._connection() as connection:
+                return await self._exchange(connection, dispatch, sink)
         except ConnectError as error:
             return RunNotStarted(str(error))
-        try:
-            async with asyncio.timeout(dispatch.deadline):
-                return await self._exchange(connection, dispatch, sink)
         except (ResponseError, TimeoutError) as error:
             return RunInterrupted(str(error) or "no response in time")
-        finally:
-            connection.abort()
 
     async def _exchange(
         self, connection: BackendConnection, dispatch: Dispatch, sink: ResponseSink
@@ -357,36 +383,20 @@
 
         :raises ResponseError: if it is incomplete, malformed or too long
         """
-        read_statement = self._header_reader()
+        head_reader = self._head_reader()
         body = dispatch.body if dispatch.method in METHODS_WITH_BODY else b""
-        connection.send(dispatch.method, dispatch.path, self._headers(dispatch, body), body)
+        headers = self._headers(
+            dispatch.method,
+            body,
+            ("Idempotency-Key", dispatch.key),
+            ("X-Request-Id", dispatch.request),
+        )
+        connection.send(dispatch.method, dispatch.path, headers, body)
         head = await connection.read_head()
-        read_statement.read_head(head)
-        content = BodyBuffer()
-        while chunk := await connection.read_body():
-            content.append(chunk)
-            if len(content) > MAX_BODY_BYTES:
-                raise ResponseError(f"the answer has more than {MAX_BODY_BYTES} bytes")
+        head_reader.read_head(head)
+        content = await _read_whole(connection)
         content_type = head.get("content-type") or "application/octet-stream"
         sink.started(head.status, content_type)
         if content:
-            sink.data(content.take())
+            sink.data(content)
         return RunCompleted(head.status, content_type, "stop", 0, 0)
-
-    def _headers(self, dispatch: Dispatch, body: bytes) -> list[tuple[str, str]]:
-        headers = [
-            ("Host", str(self.address)),
-            ("Idempotency-Key", dispatch.key),
-            ("X-Request-Id", dispatch.request),
-            ("Connection", "close"),
-        ]
-        if dispatch.method in METHODS_WITH_BODY:
-            headers.append(("Content-Length", str(len(body))))
-        return headers
-
-
-def _failed_result(error: Exception) -> RunResult:
-    http_error = describe_error(error)
-    if isinstance(error, asyncio.CancelledError) or http_error.possibly_sent:
-        return RunInterrupted(http_error.detail)
-    return RunNotStarted(http_error.detail)
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -28,7 +28,6 @@
     fetch_response,
     http_client,
     read_quiet_time,
-    use_new_connection,
 )
 from bilberryshed.transport._link_monitor import LinkMonitor
 from bilberryshed.transport._links import (
@@ -108,7 +107,6 @@
     "fetch_response",
     "http_client",
     "read_quiet_time",
-    "use_new_connection",
     "http_platform",
     "log_loop_lag",
     "logger",
--- a/src/bilberryshed/transport/_http.py
+++ b/src/bilberryshed/transport/_http.py
@@ -98,12 +98,6 @@
     return seconds or 0.0
 
 
-def use_new_connection(curl: pycurl.Curl) -> None:
-    """Have a request use a connection of its own, on which no earlier response can arrive."""
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
-    curl.setopt(pycurl.FORBID_REUSE, 1)
-
-
 def describe_error(error: Exception) -> HttpError:
     """Convert an exception of the HTTP client to an :class:`HttpError`."""
     if isinstance(error, CurlError):
