A router's own lag does not count as an agent's silence

What callers could see: after a pause of a router past the deadline of an attempt, a response that lay in its sockets was lost: the outcome of a booking that had run was unknown, an idempotent request ran once more, and the agent was held to have failed. A claim whose agent had confirmed that it never ran stayed (409 in_progress). Requests that waited for an agent were refused with no_capacity, though reports of free agents waited to be read.

Cause: these limits ran on the router's monotonic clock, whose overdue timers fire before the sockets are read.

The limits are measured in responsive time.

--- a/features/late_runtime.feature
+++ b/features/late_runtime.feature
@@ -31,3 +31,40 @@
     Given a model engine that sends its response within 0.3 s
     When an agent whose event loop stands still from 0.1 s to 1.5 s queries the load
     Then the load is known
+
+  Scenario Outline: A router stands still while <what> comes in
+    Guards against: an answer that had come in time was taken for none: an attempt counted as lost, a claim stayed, a
+    request was refused, a record was written by two routers.
+
+    When <what> comes to a router within 0.3 s, and its event loop stands still from 0.1 s for <pause> s
+    Then it is so that <result>
+
+    Examples:
+      | what                      | pause | result                            |
+      | the end of an attempt     | 1.8   | the attempt has its response      |
+      | the state of an attempt   | 0.9   | the attempt is known to be unrun  |
+      | news of a free agent      | 0.9   | the request gets the agent        |
+
+  Scenario Outline: A router that is on time takes <what> for missing after <limit> s
+    When <what> does not come to a router
+    Then it is given up after <limit> s
+
+    Examples:
+      | what                    | limit |
+      | the end of an attempt   | 1.3   |
+      | the state of an attempt | 0.5   |
+      | news of a free agent    | 0.5   |
+
+  Scenario Outline: Agents and routers are stopped while a booking runs that takes 4.7 of its 5 s: <processes>
+    Guards against: the caller was told that the outcome of a booking that had run was unknown.
+
+    Given a Cairnbrae fleet with its sheet active
+    When highland-council books a visit that takes 4.7 s, and <processes> are stopped from 4.4 s to <end> s
+    Then the booking is answered
+    And the booking of key late ran 1 times
+    And eventually key late has one bill
+
+    Examples:
+      | processes                | end  |
+      | a-s1 and a-s2            | 5.5  |
+      | r-inverness-1 and r-wick-1 | 6.2 |
--- a/src/bilberryshed/runtime/_agent_queue.py
+++ b/src/bilberryshed/runtime/_agent_queue.py
@@ -58,7 +58,7 @@
         self.waiters[entry.number] = waiter
         self.context.metrics.count("queued")
         try:
-            async with asyncio.timeout(self.context.settings.queue_wait):
+            async with self.context.timers.timeout(self.context.settings.queue_wait):
                 return await waiter.assigned
         except TimeoutError:
             # The timeout may have expired just after an agent was assigned.
--- a/src/bilberryshed/runtime/_attempts.py
+++ b/src/bilberryshed/runtime/_attempts.py
@@ -20,7 +20,9 @@
 from bilberryshed.runtime._execution import Execution
 from bilberryshed.runtime._funding_service import Reservation
 
-DEADLINE_MARGIN = 1.0  # seconds after the deadline for the agent to report the end of the attempt
+DEADLINE_MARGIN = (
+    1.0  # responsive seconds after the deadline for the agent to report the end of the attempt
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -98,7 +100,8 @@
         verifier, queue = ResponseVerifier(attempt), self.frame_queues[attempt]
         cancel_task = asyncio.ensure_future(self._cancel_if_abandoned(execution, agent, attempt))
         try:
-            async with asyncio.timeout(dispatch.deadline + DEADLINE_MARGIN):
+            limit = dispatch.deadline + DEADLINE_MARGIN
+            async with self.context.timers.timeout(limit):
                 while True:
                     frame = await queue.get()
                     if isinstance(frame, Chunk):
--- a/src/bilberryshed/runtime/_billing.py
+++ b/src/bilberryshed/runtime/_billing.py
@@ -19,7 +19,7 @@
 from bilberryshed.runtime._ledger_service import LedgerService
 
 ACK_INTERVAL = 0.25  # seconds between batches of acknowledgements to an agent
-QUERY_TIMEOUT = 0.5  # seconds for an agent to report the state of an attempt
+QUERY_TIMEOUT = 0.5  # responsive seconds for an agent to report the state of an attempt
 QUERY_INTERVAL = 2.0  # seconds between queries for lost attempts
 
 
@@ -147,7 +147,7 @@
         self.pending_queries[attempt] = future
         link.send(AttemptQuery((attempt,)))
         try:
-            async with asyncio.timeout(QUERY_TIMEOUT):
+            async with self.context.timers.timeout(QUERY_TIMEOUT):
                 return await future
         except TimeoutError:
             return None
--- a/src/bilberryshed/runtime/_runner.py
+++ b/src/bilberryshed/runtime/_runner.py
@@ -128,7 +128,8 @@
         result: AttemptResult | None = None
         started = bool(open_bill.lost_attempts)
         attempts_left = self.context.settings.attempts
-        retry_deadline = self.context.timers.now() + self.context.settings.queue_wait
+        timers = self.context.timers
+        retry_deadline = timers.responsive_time() + self.context.settings.queue_wait
         while attempts_left > 0:
             wait = self.quarantine.seconds_blocked(call.content, call.parts)
             is_unused_probe = is_probe and (result is None or isinstance(result, NotRun))
@@ -145,7 +146,7 @@
                 return None
             self.context.metrics.count("retries")
             if isinstance(result, NotRun):
-                if self.context.timers.now() >= retry_deadline:
+                if timers.responsive_time() >= retry_deadline:
                     break
                 await asyncio.sleep(NOT_RUN_BACKOFF)
                 continue
