A router's own lag does not make it write another one's ledger shard

Seen: after a pause of 3 s a router wrote every record that it had under way itself, beside the writer of the shard whose responses lay in its sockets. The ledger stays right (segments are put if absent, bill ids are unique), but both writers collide.

Evidence: "A router stands still while the record of a writer comes in" fails before, passes now.

The age of a record is measured in responsive time.

--- a/features/late_runtime.feature
+++ b/features/late_runtime.feature
@@ -44,6 +44,7 @@
       | the end of an attempt     | 1.8   | the attempt has its response      |
       | the state of an attempt   | 0.9   | the attempt is known to be unrun  |
       | news of a free agent      | 0.9   | the request gets the agent        |
+      | the record of a writer    | 3.5   | the record was sent to the writer only |
 
   Scenario Outline: A router that is on time takes <what> for missing after <limit> s
     When <what> does not come to a router
--- a/src/bilberryshed/runtime/_ledger_service.py
+++ b/src/bilberryshed/runtime/_ledger_service.py
@@ -12,7 +12,7 @@
 from bilberryshed.state import StoreError, segment_object_name
 from bilberryshed.transport import logger
 
-WRITER_TIMEOUT = 3.0  # seconds after which a record is written without the shard's writer
+WRITER_TIMEOUT = 3.0  # responsive seconds until a record is written without the shard's writer
 
 CommitCallback = Callable[[UsageRecord], None]
 
@@ -21,7 +21,7 @@
 class _PendingRecord:
     """A record that is not known to be committed.
 
-    :param since: time at which it was submitted
+    :param since: responsive time at which it was submitted
     :param sent: whether it was sent to the shard's writer
     """
 
@@ -67,7 +67,7 @@
         """
         pending_record = self.pending_records.get(record.bill_id)
         if pending_record is None:
-            pending_record = _PendingRecord(record, self.context.timers.now())
+            pending_record = _PendingRecord(record, self.context.timers.responsive_time())
             self.pending_records[record.bill_id] = pending_record
         pending_record.callbacks.append(on_committed)
 
@@ -125,8 +125,9 @@
 
     def _on_tick(self, now: float) -> None:
         requests: dict[tuple[str, int], list[UsageRecord]] = {}
+        time = self.context.timers.responsive_time()
         for pending_record in self.pending_records.values():
-            self._route_record(now, pending_record, requests)
+            self._route_record(time, pending_record, requests)
         for (peer, shard), records in requests.items():
             request = LedgerAppendRequest(
                 f"{self.context.boot}.o{self.next_request}", shard, tuple(records)
@@ -138,13 +139,13 @@
 
     def _route_record(
         self,
-        now: float,
+        time: float,
         pending_record: _PendingRecord,
         requests: dict[tuple[str, int], list[UsageRecord]],
     ) -> None:
         shard = shard_of(pending_record.record.bill_id, self.context.settings.ledger_shards)
         peer = self.context.members.shard_writer(shard)
-        overdue = now - pending_record.since >= WRITER_TIMEOUT
+        overdue = time - pending_record.since >= WRITER_TIMEOUT
         if peer is None or overdue:
             committed = self._writer(shard).submit(pending_record.record)
             if committed is not None:
