A router's own lag does not make its peers count as unreachable

What callers could see: after a pause of over 0.5 s a funding round took the peers' responses, which lay in the router's sockets, for missing; in the last stage the waiting requests are refused.

Evidence: "A router stands still while tokens from a peer comes in" fails before, passes now.

Funding rounds are measured in responsive time throughout, the backoff after a failed round included, so that no two clocks are compared.

--- a/features/late_runtime.feature
+++ b/features/late_runtime.feature
@@ -44,6 +44,7 @@
       | the end of an attempt     | 1.8   | the attempt has its response      |
       | the state of an attempt   | 0.9   | the attempt is known to be unrun  |
       | news of a free agent      | 0.9   | the request gets the agent        |
+      | tokens from a peer        | 0.9   | the peer counts as reachable      |
       | the record of a writer    | 3.5   | the record was sent to the writer only |
 
   Scenario Outline: A router that is on time takes <what> for missing after <limit> s
@@ -55,6 +56,7 @@
       | the end of an attempt   | 1.3   |
       | the state of an attempt | 0.5   |
       | news of a free agent    | 0.5   |
+      | tokens from a peer      | 0.5   |
 
   Scenario Outline: Agents and routers are stopped while a booking runs that takes 4.7 of its 5 s: <processes>
     Guards against: the caller was told that the outcome of a booking that had run was unknown.
--- a/src/bilberryshed/coordination/_funding.py
+++ b/src/bilberryshed/coordination/_funding.py
@@ -10,8 +10,10 @@
 
 from bilberryshed.protocol import FundsRequest, FundsResponse
 
-PEER_TIMEOUT = 0.5  # seconds without a response after which a peer counts as unreachable
-FAILURE_BACKOFF = 0.25  # seconds after a failed round before the next one for the same budget
+PEER_TIMEOUT = 0.5  # responsive seconds without a response after which a peer counts as unreachable
+FAILURE_BACKOFF = (
+    0.25  # responsive seconds after a failed round before the next one for the same budget
+)
 
 
 class Stage(StrEnum):
@@ -92,7 +94,7 @@
 
 
 class Funding:
-    """Funding rounds of one router.
+    """Funding rounds of one router; times are responsive, as they judge the peers.
 
     :param boot: boot id of the router, the prefix of its request ids
     :param backoff: by budget, the end of its backoff and the result of its failed round
--- a/src/bilberryshed/runtime/_funding_service.py
+++ b/src/bilberryshed/runtime/_funding_service.py
@@ -117,8 +117,9 @@
         shortfall = max(1, tokens - self.grant_book.free(key))
         wanted = int(self.grant_book.demand(now, key) * FORECAST_HORIZON)
         holder = self.context.members.holder(key)
+        time = self.context.timers.responsive_time()
         self._execute_actions(
-            self.funding.start_round(now, budget.customer, budget.name, shortfall, wanted, holder)
+            self.funding.start_round(time, budget.customer, budget.name, shortfall, wanted, holder)
         )
         return await future
 
@@ -167,9 +168,9 @@
 
     def _on_granted(self, acquisition: AcquireGrant, granted: int, store_responded: bool) -> None:
         self._credit(acquisition, granted)
-        now, peers = self.context.timers.now(), self.context.members.routers()
+        time, peers = self.context.timers.responsive_time(), self.context.members.routers()
         self._execute_actions(
-            self.funding.on_store(now, acquisition.budget, granted, store_responded, peers)
+            self.funding.on_store(time, acquisition.budget, granted, store_responded, peers)
         )
 
     def _credit(self, acquisition: AcquireGrant, granted: int) -> None:
@@ -252,8 +253,8 @@
         for transfer in response.transfers:
             self.on_transfer(peer, transfer)
         budget = self.budget_by_request.pop(response.ask, "")
-        now, peers = self.context.timers.now(), self.context.members.routers()
-        self._execute_actions(self.funding.on_response(now, budget, response, peers))
+        time, peers = self.context.timers.responsive_time(), self.context.members.routers()
+        self._execute_actions(self.funding.on_response(time, budget, response, peers))
 
     def on_transfer(self, peer: str, transfer: Transfer) -> None:
         """Credit a transfer at most once and acknowledge it."""
@@ -270,7 +271,8 @@
     # Periodic tasks -------------------------------------------------------------------------
 
     def _on_tick(self, now: float) -> None:
-        self._execute_actions(self.funding.on_tick(now, self.context.members.routers()))
+        time, peers = self.context.timers.responsive_time(), self.context.members.routers()
+        self._execute_actions(self.funding.on_tick(time, peers))
 
     def _refill(self, now: float) -> None:
         """Keep the tokens of the budgets that this router holds for its zone near the target.
