A router's own lag does not count as an order's failure

Seen: an order to load a model whose result lay in the sockets of a router that had stood still for long was sent again.

Evidence: "An order that was sent 200 s ago, of which the router stood still for 190 s" fails before, passes now.

The age of an order is measured in responsive time. The lease, which this process holds itself, stays on its clock.

--- a/features/late_runtime.feature
+++ b/features/late_runtime.feature
@@ -58,6 +58,18 @@
       | news of a free agent    | 0.5   |
       | tokens from a peer      | 0.5   |
 
+  Scenario Outline: An order that was sent <before> s ago, of which the router stood still for <still> s
+    Guards against: an order whose result lay in the router's sockets was sent again.
+
+    When a router looks at an order that it sent <before> s ago, and stood still for <still> s of them
+    Then the order is <state>
+
+    Examples:
+      | before | still | state     |
+      | 119    | 0     | in flight |
+      | 121    | 0     | failed    |
+      | 200    | 190   | in flight |
+
   Scenario Outline: Agents and routers are stopped while a booking runs that takes 4.7 of its 5 s: <processes>
     Guards against: the caller was told that the outcome of a booking that had run was unknown.
 
--- a/src/bilberryshed/runtime/_placement_service.py
+++ b/src/bilberryshed/runtime/_placement_service.py
@@ -17,11 +17,13 @@
 PLACEMENT_INTERVAL = 1.0  # seconds between placement passes
 LEASE_DURATION = 10.0  # seconds
 RENEWAL_MARGIN = 5.0  # seconds before expiry at which the lease is renewed
-ORDER_TIMEOUT = 120.0  # seconds without a result after which an order is considered failed
+ORDER_TIMEOUT = 120.0  # responsive seconds without a result until an order counts as failed
 
 
 @dataclass(slots=True, frozen=True)
 class _SentOrder:
+    """An order without a result; ``sent_at`` is in responsive time."""
+
     order: PlannedOrder
     sent_at: float
 
@@ -42,13 +44,13 @@
     def _on_tick(self, now: float) -> None:
         is_owner = self.context.members.owns_task(TASK_NAME)
         if is_owner and not self.is_running and not self.context.draining:
-            self.context.spawn(self._run_pass(now))
+            self.context.spawn(self._run_pass())
 
-    async def _run_pass(self, now: float) -> None:
+    async def _run_pass(self) -> None:
         self.is_running = True
         try:
             if await self._ensure_lease():
-                self._send_orders(now)
+                self._send_orders(self.context.timers.responsive_time())
         finally:
             self.is_running = False
 
@@ -65,18 +67,18 @@
                 self.lease.on_acquired(put)
         return self.lease.held(self.context.timers.wall_time())
 
-    def _send_orders(self, now: float) -> None:
+    def _send_orders(self, time: float) -> None:
         current = self.context.rollout.current
         if current is None:
             return
         self.in_flight = {
-            key: sent for key, sent in self.in_flight.items() if now - sent.sent_at < ORDER_TIMEOUT
+            key: sent for key, sent in self.in_flight.items() if time - sent.sent_at < ORDER_TIMEOUT
         }
         desired_engines = {label: model.engines for label, model in current.sheet.models.items()}
         for order in plan_orders(desired_engines, self._engines()):
             link = self.context.agent_links.get(order.agent)
             if link is not None:
-                self.in_flight[order.agent, order.model] = _SentOrder(order, now)
+                self.in_flight[order.agent, order.model] = _SentOrder(order, time)
                 link.send(Order(self.lease.number, order.kind, order.model))
                 logger().info(
                     "order_sent",
