A holder of grants is revoked only once it has counted as gone for a while

What could be seen: a live router was revoked and could not come back, as every process refuses a revoked boot id for good. The reclaiming router compared grants that it had just read with a VM list and links that could be older: a router that had started while it stood still holds grants, is missing from the old list and has no link yet; one that restarted after a power loss has another boot id than the link whose loss is not noticed yet. (Its grants stay open without its acknowledgement, so nothing was overspent.)

The list is read after the grants in each pass, and a holder must have counted as gone in every pass of this owner for 5 responsive seconds, longer than a lost link and a list take to be noticed. Grants of a router that is gone come back 5 s later at most one pass more.

Tests: the steps of reclaim.feature make two passes 5 s apart for the same expectations. "For 5 seconds the grants stay open" became 11 seconds, as nothing is released in the first 5 s any more, whoever acknowledges.

--- a/features/late_runtime.feature
+++ b/features/late_runtime.feature
@@ -70,6 +70,39 @@
       | 121    | 0     | failed    |
       | 200    | 190   | in flight |
 
+  Scenario Outline: A holder of grants that counts as gone: <passes>
+    Guards against: a live router was revoked by a VM list or a link that was out of date, and could not come back.
+
+    Given a grant of a holder
+    When passes find at these responsive times that the holder is: <passes>
+    Then the holder is <outcome>
+
+    Examples:
+      | passes                            | outcome     |
+      | 0 gone                            | not revoked |
+      | 0 gone, 4.9 gone                  | not revoked |
+      | 0 gone, 5 gone                    | revoked     |
+      | 0 gone, 3 live, 5 gone            | not revoked |
+      | 0 restarted, 3 live, 8 live       | not revoked |
+      | 0 restarted, 5 restarted          | revoked     |
+
+  Scenario Outline: A router reclaims twice, 6 responsive seconds apart, and <state>
+    Guards against: a router that had started while this one stood still held grants, was not in the list that was
+    read before, and was revoked.
+
+    When a router whose VM list lacks a holder reclaims at 0 and 6 responsive seconds, and <state>
+    Then it has revoked <revoked>
+
+    Examples:
+      | state                      | revoked    |
+      | the list has it by then    | nobody     |
+      | the list is unavailable    | nobody     |
+      | nothing changes            | the holder |
+
+  Scenario: A router that stands still between two passes does not revoke
+    When a router whose VM list lacks a holder reclaims at 0 and 0.1 responsive seconds, and nothing changes
+    Then it has revoked nobody
+
   Scenario Outline: Agents and routers are stopped while a booking runs that takes 4.7 of its 5 s: <processes>
     Guards against: the caller was told that the outcome of a booking that had run was unknown.
 
--- a/features/reclaim.feature
+++ b/features/reclaim.feature
@@ -66,5 +66,5 @@
     Given a Cairnbrae fleet with its sheet active that reclaims every second
     When callers send 80 requests at 40 per second and router r-inverness-1 is killed half-way
     And a-e1 is suspended and r-inverness-1 is restarted
-    Then for 5 seconds the grants of the killed router stay open
+    Then for 11 seconds the grants of the killed router stay open
     And after a-e1 resumes, within 20 seconds no grant of the killed router is open
--- a/features/steps/reclaim_steps.py
+++ b/features/steps/reclaim_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from fleet_support import records_reader, run, start_fleet
 
-from bilberryshed.coordination import MembershipSnapshot, Reclaim
+from bilberryshed.coordination import GONE_CONFIRM_TIME, MembershipSnapshot, Reclaim
 from bilberryshed.protocol import Charge, UsageRecord
 from bilberryshed.state import GRANTS, GrantRow, Vm, budget_key
 
@@ -40,7 +40,10 @@
         context.boots["B"] = "B.1"
     elif link != "down":
         context.boots["B"] = "B.2"
-    context.revoked = context.reclaim.revoke_gone(context.grants, membership_snapshot(context))
+    for now in (0.0, GONE_CONFIRM_TIME):
+        context.revoked = context.reclaim.revoke_gone(
+            now, context.grants, membership_snapshot(context)
+        )
 
 
 def membership_snapshot(context):
--- a/src/bilberryshed/coordination/__init__.py
+++ b/src/bilberryshed/coordination/__init__.py
@@ -93,6 +93,7 @@
     probe_delay,
 )
 from bilberryshed.coordination._reclaim import (
+    GONE_CONFIRM_TIME,
     GrantToClose,
     MembershipSnapshot,
     Reclaim,
@@ -185,6 +186,7 @@
     "Funded",
     "Funding",
     "FundingFailure",
+    "GONE_CONFIRM_TIME",
     "GetSegment",
     "Grant",
     "GrantBatch",
--- a/src/bilberryshed/coordination/_reclaim.py
+++ b/src/bilberryshed/coordination/_reclaim.py
@@ -1,6 +1,7 @@
 """Reclaim of grants whose holder is gone, by acknowledgements and never by timeouts.
 
-A boot id is revoked when its VM is missing from the platform's list or runs another boot id. Every
+A boot id is revoked once its VM has been missing from the platform's list, or has run another boot
+id, for a while: the list lags, and the loss of a link to an earlier boot id is noticed late. Every
 process then refuses its requests, and acknowledges the revocation once everything that it ran for
 the boot id, and every record that names its grants, is delivered. The grants are closed only when
 every process of the fleet has acknowledged every revoked boot id; while any process cannot
@@ -13,6 +14,10 @@
 from bilberryshed.protocol import UsageRecord
 from bilberryshed.state import GrantRow, Vm
 
+# Responsive seconds for which a holder must count as gone before it is revoked: longer than the
+# detection of a lost link (3 s) and a reading of the VM list (1 s) take together.
+GONE_CONFIRM_TIME = 5.0
+
 
 def vm_of_boot(boot: str) -> str:
     """Return the VM name that a boot id contains."""
@@ -67,20 +72,26 @@
 class Reclaim:
     """Revocations in progress, as known to one router.
 
+    :param gone_since: responsive time from which a holder has counted as gone
     :param acks: for each revoked boot id, the boot ids of the acknowledging processes by VM name
     """
 
     acks: dict[str, dict[str, str]] = field(default_factory=dict)
+    gone_since: dict[str, float] = field(default_factory=dict)
 
     def revoke_gone(
-        self, grants: Mapping[str, GrantRow], snapshot: MembershipSnapshot
+        self, time: float, grants: Mapping[str, GrantRow], snapshot: MembershipSnapshot
     ) -> tuple[str, ...]:
         """Revoke the holders of open grants that are gone, and end revocations without open grants.
 
+        :param time: responsive time
+        :param snapshot: membership after the grants were read, as a holder may be younger
         :returns: boot ids that are newly revoked
         """
         holders = {row.holder for row in grants.values() if not row.left}
-        new = sorted(h for h in holders if h not in self.acks and snapshot.is_gone(h))
+        gone = [h for h in holders if h not in self.acks and snapshot.is_gone(h)]
+        self.gone_since = {h: self.gone_since.get(h, time) for h in gone}
+        new = sorted(h for h in gone if time - self.gone_since[h] >= GONE_CONFIRM_TIME)
         for boot in new:
             self.acks[boot] = {}
         for boot in [boot for boot in self.acks if boot not in holders]:
--- a/src/bilberryshed/runtime/_reclaim_service.py
+++ b/src/bilberryshed/runtime/_reclaim_service.py
@@ -34,6 +34,8 @@
 
     def _on_tick(self, now: float) -> None:
         is_owner = self.context.members.owns_task(TASK_NAME)
+        if not is_owner:
+            self.reclaim.gone_since.clear()
         if (
             is_owner
             and not self.is_running
@@ -51,11 +53,12 @@
 
     async def _reclaim(self) -> None:
         rows = await scan_all(self.context.tables, GRANTS)
-        if isinstance(rows, Failure):
+        if isinstance(rows, Failure) or not await self._refresh_list():
+            self.reclaim.gone_since.clear()
             return
         grants = {row.ref.key: GrantRow.from_value(row.value) for row in rows.unwrap()}
-        snapshot = self._membership_snapshot()
-        for boot in self.reclaim.revoke_gone(grants, snapshot):
+        snapshot, time = self._membership_snapshot(), self.context.timers.responsive_time()
+        for boot in self.reclaim.revoke_gone(time, grants, snapshot):
             logger().warning("boot_revoked", boot=boot)
         if not self.reclaim.acks:
             return
@@ -66,6 +69,14 @@
             missing = ",".join(self.reclaim.missing_acks(snapshot))
             logger().info("reclaim_waiting", boots=len(self.reclaim.acks), missing=missing)
 
+    async def _refresh_list(self) -> bool:
+        """Read the VM list anew, so that it is not older than the grants; returns whether it is."""
+        vms = await self.context.vm_list.vms()
+        if isinstance(vms, Failure):
+            return False
+        self.listed_vms = vms.unwrap()
+        return True
+
     def _revoke(self, boots: tuple[str, ...]) -> None:
         """Request the revocation from all linked processes, and apply it to this router."""
         links = (*self.context.agent_links.values(), *self.context.peer_links.values())
