A connection that was accepted while the gateway was late does not count as refused

After a pause of the event loop the timeout of a connection had passed, though its server had accepted it at once. The server got no requests for the backoff, which doubles, and `CrashReports` took it for crashed after a broken run, which made the parts of the prompt suspects: callers of a sound prompt could be blocked (503).

The pool opens connections with the timeout of the timer service: own lag does not count, and what has arrived is handled first. A timeout while the own link is full is no crash, either, as it already was no refusal.

features/late_verdicts.feature, pause of 0.8 s at the first connection: before, 3 of the 5 scenarios fail, after, none. The other two: servers that are gone, or never accept, are noticed.

--- /dev/null
+++ b/features/late_verdicts.feature
@@ -0,0 +1,32 @@
+Feature: A gateway judges backend servers by the time in which it could hear them
+  After a pause of its own event loop, or while its own network link is full, what others sent in time has not been read yet.
+
+  Background:
+    Given a platform with 2 model engines and 2 plain servers
+
+  Scenario: Servers accept connections while the gateway stands still
+    Guards against: a connection that was accepted at once counted as refused after a pause of 0.8 s.
+
+    When a caller sends GET /look/1, and the gateway stands still for 0.8 s at its first connection
+    Then the status is 200
+    And no server counts as refusing connections
+
+  Scenario Outline: A server takes the connection by which a gateway checks whether it crashed, <while>
+    Guards against: the parts of a prompt became suspects as the gateway could not hear its server.
+
+    When a gateway checks a server that lives, <while>
+    Then the server does not count as crashed
+
+    Examples:
+      | while                                               |
+      | and stands still for 0.8 s                          |
+      | and the connection times out as its own link is full |
+
+  Scenario Outline: Servers that refuse connections, or do not answer, are noticed: <server>
+    When a gateway checks a server that <server>
+    Then the server counts as crashed
+
+    Examples:
+      | server        |
+      | is gone       |
+      | never accepts |
--- a/src/bilberryshed/gateway/_attempts.py
+++ b/src/bilberryshed/gateway/_attempts.py
@@ -47,7 +47,7 @@
         self.connections = context.connections
         self.limits = limits
         self.link_load = link_load
-        self.crash_reports = CrashReports(context)
+        self.crash_reports = CrashReports(context, link_load)
         self.responses = responses
 
     def begin(self, job: Job, view: BackendView) -> Attempt:
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -102,7 +102,7 @@
         self.link_meter = LinkMeter(self.byte_counter, settings.bandwidth)
         self.backends = BackendPool(settings.zone, settings.name)
         self.backends.pacing = Pacing(settings.name) if settings.pace else None
-        self.connections = ConnectionPool(self.byte_counter)
+        self.connections = ConnectionPool(self.byte_counter, self.timers)
         self.retries = RetryBudget(
             settings.retry_ratio, settings.retry_window, settings.retry_slack
         )
--- a/src/bilberryshed/gateway/_crash_reports.py
+++ b/src/bilberryshed/gateway/_crash_reports.py
@@ -9,9 +9,10 @@
 
 from bilberryshed.coordination import BackendView
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.protocol import CrashedRun
 from bilberryshed.state import Address, BackendServer
-from bilberryshed.transport import ConnectError, logger
+from bilberryshed.transport import ConnectError, ConnectTimeoutError, logger
 
 CHECK_TIMEOUT = 0.3  # seconds for a connection to a backend server that may have crashed
 
@@ -36,10 +37,11 @@
     :param checks: checks in progress, by incarnation of the backend server
     """
 
-    __slots__ = ("context", "checks")
+    __slots__ = ("context", "link_load", "checks")
 
-    def __init__(self, context: GatewayContext) -> None:
+    def __init__(self, context: GatewayContext, link_load: LinkLoad) -> None:
         self.context = context
+        self.link_load = link_load
         self.checks: dict[str, asyncio.Future[bool]] = {}
 
     def on_broken(self, view: BackendView, run: BrokenRun) -> None:
@@ -75,7 +77,8 @@
         try:
             address = Address.parse(server.address)
             connection = await connections.open(server.id, address, CHECK_TIMEOUT)
-        except ConnectError:
-            return True
+        except ConnectError as error:
+            is_own = isinstance(error, ConnectTimeoutError) and self.link_load.delays_connections
+            return not is_own
         connections.release(connection, self.context.timers.now(), None)
         return False
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -22,6 +22,7 @@
 from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.state import Address
 from bilberryshed.transport._http import MAX_STATUS
+from bilberryshed.transport._timers import TimerService
 
 READ_SIZE = 65_536  # bytes per read
 MAX_HEADER_BYTES = 65_536  # bytes of a response's headers
@@ -287,12 +288,16 @@
     """Pool of idle connections by key.
 
     :param counter: counts the bytes sent and received on all connections
+    :param timers: measures the time in which others accept connections
     """
 
-    __slots__ = ("idle", "counter")
+    __slots__ = ("idle", "counter", "timers")
 
-    def __init__(self, counter: ByteCounter | None = None) -> None:
+    def __init__(
+        self, counter: ByteCounter | None = None, timers: TimerService | None = None
+    ) -> None:
         self.counter = counter or ByteCounter()
+        self.timers = timers or TimerService()
         self.idle: dict[str, deque[BackendConnection]] = {}
 
     def acquire(
@@ -316,7 +321,7 @@
     async def open(self, key: str, address: Address, timeout: float) -> BackendConnection:
         """Open a new connection.
 
-        :param timeout: seconds
+        :param timeout: responsive seconds
         :raises ConnectError: if the connection cannot be opened
         :raises ConnectTimeoutError: if it is not opened in time
         """
@@ -328,7 +333,7 @@
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         stream = _SendingStream(raw)
         try:
-            async with asyncio.timeout(timeout):
+            async with self.timers.timeout(timeout):
                 await stream.connect((address.host, address.port))
         except TimeoutError as error:
             stream.close()
