An idle connection is looked at before it is used again

An idle connection that its server had closed or reset, or on which it had sent something, was only known to be unusable once the event loop had polled it. After a long task, a request that was already due went out on it and broke off; one that must not be repeated then had no answer.

`is_usable` asks the socket itself with MSG_PEEK, one system call, so that no order of the loop's work matters.

--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -30,3 +30,17 @@
       | server        |
       | is gone       |
       | never accepts |
+
+  Scenario Outline: An idle connection on which the server <did> while the gateway was busy
+    Guards against: a request was sent on a connection that its server had ended, and broke off.
+
+    Given an idle connection to a server
+    When the server <did>, and the connection is due before the event loop has polled it
+    Then the connection is <use>
+
+    Examples:
+      | did               | use    |
+      | closed it         | closed |
+      | reset it          | closed |
+      | sent a response   | closed |
+      | sent nothing      | used   |
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -229,8 +229,19 @@
         return True
 
     def is_usable(self) -> bool:
-        """Whether the idle connection is open and has received nothing."""
-        return not self.pending_read.done() and not self.stream.closed()
+        """Whether the idle connection is open and has received nothing.
+
+        The event loop may not have noticed yet what has arrived, above all after a long task.
+        """
+        if self.pending_read.done() or self.stream.closed():
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     def abort(self) -> None:
         """Close the connection immediately."""
