Servers do not seem slow because the gateway was late

The time from sending a prompt to its first event, by which placement and pacing learn how fast a server is, included pauses of the gateway itself. After one, all its servers with prompts counted as slow: windows of paced servers shrank, and placement moved prompts by it.

It is measured in responsive time. `on_first_event` takes these seconds in place of the time of sending, as times of the two clocks are not to be mixed; its callers in features pass the same difference as before.

features/late_verdicts.feature, an answer after 0.2 s and a pause of 0.8 s: before, the scenario fails, after, the server is known to have taken at most 0.3 s.

--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -44,3 +44,9 @@
       | reset it          | closed |
       | sent a response   | closed |
       | sent nothing      | used   |
+
+  Scenario: A server answers while the gateway stands still
+    Guards against: after a pause of 0.8 s all servers that had prompts counted as slow.
+
+    When a stream begins after 0.2 s, and the gateway stands still for 0.8 s meanwhile
+    Then the server is known to have taken at most 0.3 s
--- a/features/pacing_support.py
+++ b/features/pacing_support.py
@@ -308,7 +308,7 @@
         if failed:
             self._send(now, pool, since, tried)
             return
-        pool.on_first_event(now, run, sent_at)
+        pool.on_first_event(now, run, now - sent_at)
         is_late = now - since > LATE
         self.late += is_late
         if not is_late:
--- a/features/steps/uneven_servers_steps.py
+++ b/features/steps/uneven_servers_steps.py
@@ -78,7 +78,7 @@
     """Let a server answer one prompt at a pace that deviates by up to a share ``noise``."""
     request = pool.begin(now, view, BackendDemand("", 9_000, 0, 9_000))
     seconds = 9_000 * 2e-5 * pace * (1 + noise * rng.uniform(-1, 1))
-    pool.on_first_event(now, request, now - seconds)
+    pool.on_first_event(now, request, seconds)
     pool.end(request)
 
 
@@ -170,11 +170,12 @@
 def when_stream_begins(context, seconds, tokens):
     context.view = next(iter(context.pool.views.values()))
     run = context.pool.begin(NOW, context.view, BackendDemand("", tokens, 0, tokens))
-    timers = SimpleNamespace(now=lambda: NOW + seconds)
+    clock = lambda: NOW + seconds  # noqa: E731
+    timers = SimpleNamespace(now=clock, responsive_time=clock)
     gateway = SimpleNamespace(backends=context.pool, timers=timers, on_load_change=lambda: None)
     relay = StreamRelay(gateway, None, None)
     for _ in range(2):  # only the first data counts
-        relay._note_data(SimpleNamespace(run=run, sent_at=NOW))
+        relay._note_data(SimpleNamespace(run=run, awaited_since=NOW))
 
 
 @then("{count:d} answers of that server are known, and none of its prompt tokens is unread")
--- a/src/bilberryshed/coordination/_backend_pool.py
+++ b/src/bilberryshed/coordination/_backend_pool.py
@@ -262,15 +262,17 @@
             view.record_prefix_sent(now, demand.affinity)
         return request
 
-    def on_first_event(self, now: float, request: InFlightRequest, sent_at: float) -> None:
-        """Learn from the time from sending a request, at ``sent_at``, to its first event.
+    def on_first_event(self, now: float, request: InFlightRequest, seconds: float) -> None:
+        """Learn from the time from sending a request to its first event.
 
         The head of a response that has no events counts as one.
+
+        :param seconds: responsive seconds, which may step back a little and so be negative
         """
-        view = request.view
+        view, seconds = request.view, max(0.0, seconds)
         if self.pacing is not None:
-            self.pacing.on_first_event(now, view, now - sent_at)
-        if view.estimate.observe(now, now - sent_at, request.until_first):
+            self.pacing.on_first_event(now, view, seconds)
+        if view.estimate.observe(now, seconds, request.until_first):
             update_paces(now, [v.estimate for v in self._of_service(view.server.service)])
         self.on_prefill_done(request)
 
--- a/src/bilberryshed/gateway/_attempt.py
+++ b/src/bilberryshed/gateway/_attempt.py
@@ -34,6 +34,7 @@
     :param connection: connection that carries it, ``None`` before there is one
     :param number: number of the run of its request, 0 before it was sent
     :param sent_at: time at which it was sent
+    :param awaited_since: responsive time at which it was sent
     :param response: head of the response, ``None`` before it was read
     :param writing_since: time of its first event
     :param is_silent: whether it has been without data for too long
@@ -47,6 +48,7 @@
     connection: BackendConnection | None = None
     number: int = 0
     sent_at: float = 0.0
+    awaited_since: float = 0.0
     response: BackendResponse | None = None
     writing_since: float | None = None
     is_silent: bool = False
--- a/src/bilberryshed/gateway/_attempts.py
+++ b/src/bilberryshed/gateway/_attempts.py
@@ -135,6 +135,7 @@
         job.runs += 1
         attempt.number = job.runs
         attempt.sent_at = self.context.timers.now()
+        attempt.awaited_since = self.context.timers.responsive_time()
         job.exchange.is_sent = True
         self._send(job, attempt, attempt.connection)
         response = await self.responses.read_head(job, attempt, watch)
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -141,8 +141,9 @@
         else:
             # The time of an error says nothing of how fast a backend server works.
             if 200 <= response.status < 300:
-                now = self.context.timers.now()
-                self.pool.on_first_event(now, attempt.run, attempt.sent_at)
+                timers = self.context.timers
+                seconds = timers.responsive_time() - attempt.awaited_since
+                self.pool.on_first_event(timers.now(), attempt.run, seconds)
             body = await self.responses.read_body(job, attempt, watch)
             if response.status >= 500 and self._is_error_retryable(job):
                 job.failed_response = (response, body)
--- a/src/bilberryshed/gateway/_stream_relay.py
+++ b/src/bilberryshed/gateway/_stream_relay.py
@@ -99,8 +99,9 @@
     def _note_data(self, attempt: Attempt) -> None:
         """Note that the backend server has read the prompt."""
         if attempt.run.unread:
-            now = self.context.timers.now()
-            self.context.backends.on_first_event(now, attempt.run, attempt.sent_at)
+            timers = self.context.timers
+            seconds = timers.responsive_time() - attempt.awaited_since
+            self.context.backends.on_first_event(timers.now(), attempt.run, seconds)
             self.context.on_load_change()
 
     def _note_origin(self, job: Job, attempt: Attempt) -> None:
--- a/src/bilberryshed_load/_replay.py
+++ b/src/bilberryshed_load/_replay.py
@@ -262,7 +262,7 @@
 
     def on_first_event(self, now: float, arrival: Arrival) -> None:
         request = self.in_flight[id(arrival)]
-        self.pools[arrival.router].on_first_event(now, request, arrival.arrival_time)
+        self.pools[arrival.router].on_first_event(now, request, now - arrival.arrival_time)
 
     def on_end(self, arrival: Arrival, engine: str) -> None:
         self.pools[arrival.router].end(self.in_flight.pop(id(arrival)))
