Time in which the own link is full does not count as a server's silence

While a gateway's network link is full, what servers sent waits outside. Streams of sound servers then counted as silent: they moved, which loads the link further, and the servers counted as failing.

Silence is measured in `LinkLoad.clear_time`: responsive time that stands still while the meter says that the link is full, by the same thresholds as for connections. As no silent time passes, no successor begins into a full link. Readiness does not count: a gateway that is away stays "full" for seconds after its link has room again, and would not notice silent servers.

features/late_verdicts.feature, a pause of 1.5 s of the server while the link is full: before, the stream moved on, after, it stays and the server has no failures. With half the use, or full for 1 s of 3 s, it still moves.

--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -50,3 +50,24 @@
 
     When a stream begins after 0.2 s, and the gateway stands still for 0.8 s meanwhile
     Then the server is known to have taken at most 0.3 s
+
+  Scenario: Servers are silent while the gateway's own link is full
+    Guards against: streams moved away from sound servers, whose events waited for the gateway's link.
+
+    Given the next responses of the model engines are: pause 1.5
+    When a caller streams while the link of the gateway is full
+    Then the whole stream came from one server, which has no failures
+
+  Scenario: Servers are silent while the gateway's own link has room
+    Guards against: a link that is in use, but not full, excused a silent server.
+
+    Given the next responses of the model engines are: pause 1.5
+    When a caller streams while the link of the gateway is half full
+    Then the stream moved on to another server
+
+  Scenario: A server is silent for longer than the gateway's own link is full
+    Guards against: a link that had been full excused a silent server for as long as the gateway was not ready.
+
+    Given the next responses of the model engines are: pause 3
+    When a caller streams while the link of the gateway is full for 1 s
+    Then the stream moved on to another server
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -95,7 +95,9 @@
         while True:
             job.server = attempt.server
             begin_successor = partial(self._begin_successor, job, attempt)
-            watch = SilenceWatch(self.context, job, begin_successor, self.attempts.end)
+            watch = SilenceWatch(
+                self.context, self.link_load, job, begin_successor, self.attempts.end
+            )
             try:
                 return await self._run_attempt(job, attempt, watch)
             except SupersededError as superseded:
@@ -203,7 +205,7 @@
         if not self._take_retry(job, AttemptOutcome.BROKEN):
             self.attempts.release_unused(successor)
             return False
-        watch = SilenceWatch(self.context, job, None, self.attempts.end)
+        watch = SilenceWatch(self.context, self.link_load, job, None, self.attempts.end)
         try:
             response = await self.attempts.request(job, successor, watch)
         except TimeoutError:
--- a/src/bilberryshed/gateway/_link_load.py
+++ b/src/bilberryshed/gateway/_link_load.py
@@ -29,9 +29,20 @@
 
     :param http: the callers' listener
     :param noticed_at: monotonic time of the last notice sent, in seconds
+    :param delayed: responsive seconds in which the link delayed what others sent
+    :param counted_until: responsive time up to which ``delayed`` is counted
     """
 
-    __slots__ = ("context", "meter", "readiness", "peers", "http", "noticed_at")
+    __slots__ = (
+        "context",
+        "meter",
+        "readiness",
+        "peers",
+        "http",
+        "noticed_at",
+        "delayed",
+        "counted_until",
+    )
 
     def __init__(self, context: GatewayContext) -> None:
         self.context = context
@@ -40,6 +51,8 @@
         self.peers = LinkPeers()
         self.http: HTTPServer | None = None
         self.noticed_at = 0.0
+        self.delayed = 0.0
+        self.counted_until = 0.0
 
     def start(self, http: HTTPServer) -> None:
         """Subscribe to the timers."""
@@ -89,6 +102,30 @@
         wait = self.meter.send_wait(self.context.timers.now())
         return self.readiness.is_full or self.meter.use >= FULL_USE or wait >= FULL_WAIT
 
+    @property
+    def delays_responses(self) -> bool:
+        """Whether the own link may be why nothing arrives from others.
+
+        How much waits outside is not known, so that recent use near the capacity has to tell.
+        """
+        if not self.is_on:
+            return False
+        wait = self.meter.send_wait(self.context.timers.now())
+        use = max(self.meter.use, self.meter.predicted_use)
+        return use >= FULL_USE or wait >= FULL_WAIT
+
+    def clear_time(self) -> float:
+        """Return the responsive seconds in which the own link delayed nothing.
+
+        The silence of others is measured in this time.
+        """
+        now = self.context.timers.responsive_time()
+        if now > self.counted_until:
+            if self.delays_responses:
+                self.delayed += now - self.counted_until
+            self.counted_until = now
+        return now - self.delayed
+
     def check(self, now: float) -> None:
         """Update the meter and decide on readiness.
 
@@ -96,6 +133,7 @@
         """
         if self.is_on:
             self._decide(now)
+            self.clear_time()
         if self.http is not None and not self.context.draining:
             self.http.conn_params.no_keep_alive = self.is_away
 
--- a/src/bilberryshed/gateway/_silence_watch.py
+++ b/src/bilberryshed/gateway/_silence_watch.py
@@ -13,10 +13,12 @@
 from bilberryshed.gateway._attempt import Attempt
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._job import Job
+from bilberryshed.gateway._link_load import LinkLoad
 from bilberryshed.transport import ResponseError
 
 FIRST_BYTE_FACTOR = 2.0  # latency targets without a response, then another attempt may begin
 STALL_FACTOR = 1.5  # latency targets without an event of a stream, then another attempt may begin
+MIN_WAIT = 0.02  # seconds between checks of an attempt that is nearly silent for too long
 
 T = TypeVar("T")
 
@@ -40,21 +42,32 @@
     :param begin_successor: begins another attempt and returns it once its response has begun, or
         ``None``; without it, a silent attempt ends
     :param discard: ends a successor that is not needed
-    :param limit: responsive seconds that may pass without progress
-    :param since: responsive time of the last progress
+    :param limit: seconds that may pass without progress, in the time of ``LinkLoad.clear_time``
+    :param since: that time at the last progress
     :param successor: the other attempt, while it is under way
     """
 
-    __slots__ = ("context", "job", "begin_successor", "discard", "limit", "since", "successor")
+    __slots__ = (
+        "context",
+        "link_load",
+        "job",
+        "begin_successor",
+        "discard",
+        "limit",
+        "since",
+        "successor",
+    )
 
     def __init__(
         self,
         context: GatewayContext,
+        link_load: LinkLoad,
         job: Job,
         begin_successor: Callable[[], Coroutine[Any, Any, Attempt | None]] | None,
         discard: Callable[[Attempt], None],
     ) -> None:
         self.context = context
+        self.link_load = link_load
         self.job = job
         self.begin_successor = begin_successor
         self.discard = discard
@@ -68,7 +81,7 @@
         :param factor: latency targets that may pass without progress
         """
         self.limit = factor * self.job.route.latency_target
-        self.since = self.context.timers.responsive_time()
+        self.since = self.link_load.clear_time()
         self.close()
 
     def close(self) -> None:
@@ -101,7 +114,7 @@
             left = self._time_left()
             if left > 0:
                 with contextlib.suppress(TimeoutError):
-                    async with self.context.timers.timeout(left, self.job.deadline):
+                    async with self.context.timers.timeout(max(left, MIN_WAIT), self.job.deadline):
                         return await read()
             if self._time_left() <= 0:
                 if self.begin_successor is None:
@@ -138,14 +151,14 @@
             raise SupersededError(attempt, broken)
         if broken is not None:
             raise broken
-        self.since = self.context.timers.responsive_time()
+        self.since = self.link_load.clear_time()
         return None
 
     def _time_left(self) -> float:
-        """Return the responsive seconds for which the attempt may be silent yet."""
+        """Return the seconds for which the attempt may be silent yet."""
         if not self._may_begin_successor():
             return math.inf
-        return self.since + self.limit - self.context.timers.responsive_time()
+        return self.since + self.limit - self.link_load.clear_time()
 
     def _may_begin_successor(self) -> bool:
         """Whether another attempt may follow.
