Bytes read from the store count on the network link

A table of 541 kB, read from the store by a hub or by a member that is behind, fills a link of 10 Mbit/s for 0.43 s (computed). The meter did not count it, so that this time counted as the silence of servers.

The store's client counts what it reads while it arrives. These bytes count for silence only, not for readiness: moving callers to another gateway does not avoid them.

features/late_verdicts.feature, rows of 500 kB each 0.2 s beside a server that pauses for 1.5 s: before, the stream moved on, after, it stays.

--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -71,3 +71,12 @@
     Given the next responses of the model engines are: pause 3
     When a caller streams while the link of the gateway is full for 1 s
     Then the stream moved on to another server
+
+  Scenario: Servers are silent while the gateway reads tables from the store
+    Guards against: a table of 540 kB fills a link of 10 Mbit/s for longer than a caption may be silent, and was not counted.
+
+    Given a gateway whose link has 10 Mbit/s
+    And the next responses of the model engines are: pause 1.5
+    When a caller streams while the store sends rows of 500 kB, one every 0.2 s
+    Then the whole stream came from one server, which has no failures
+    And the gateway has not moved its callers, as they are not the cause
--- a/src/bilberryshed/coordination/admission/_link_meter.py
+++ b/src/bilberryshed/coordination/admission/_link_meter.py
@@ -15,13 +15,16 @@
     """Counts the bytes that a process writes to and reads from its sockets, with packet headers.
 
     It has no clock, as it is called for each write: :class:`LinkMeter` adds the time.
+
+    :param read: bytes read from the platform's store, which ``received`` does not include
     """
 
-    __slots__ = ("sent", "received")
+    __slots__ = ("sent", "received", "read")
 
     def __init__(self) -> None:
         self.sent = 0
         self.received = 0
+        self.read = 0
 
     def on_sent(self, size: int) -> None:
         """Count bytes that are written to a socket."""
@@ -31,6 +34,10 @@
         """Count bytes that were read from a socket."""
         self.received += size + PACKET_HEADER_BYTES * (1 + size // PACKET_BYTES)
 
+    def on_read(self, size: int) -> None:
+        """Count bytes that were read from the store."""
+        self.read += size + PACKET_HEADER_BYTES * (1 + size // PACKET_BYTES)
+
 
 class _Direction:
     """One direction of the link.
@@ -74,15 +81,18 @@
     use near the capacity means that something does. Times are monotonic, in seconds.
 
     :param bandwidth: capacity of each direction in Mbit/s
+    :param received: bytes of callers, backend servers and peers, which move with the callers
+    :param incoming: all bytes, those read from the store included
     """
 
-    __slots__ = ("counter", "capacity", "sent", "received", "updated_at")
+    __slots__ = ("counter", "capacity", "sent", "received", "incoming", "updated_at")
 
     def __init__(self, counter: ByteCounter, bandwidth: float) -> None:
         self.counter = counter
         self.capacity = bandwidth * BITS_PER_MEGABIT / BITS_PER_BYTE
         self.sent = _Direction(self.capacity)
         self.received = _Direction(self.capacity)
+        self.incoming = _Direction(self.capacity)
         self.updated_at = 0.0
 
     def update(self, now: float) -> None:
@@ -91,6 +101,7 @@
         self.updated_at = max(now, self.updated_at)
         self.sent.update(elapsed, self.counter.sent)
         self.received.update(elapsed, self.counter.received)
+        self.incoming.update(elapsed, self.counter.received + self.counter.read)
 
     def send_wait(self, now: float) -> float:
         """Return the seconds for which a byte that is written now waits."""
@@ -106,6 +117,12 @@
         """Use of the busier direction at the last update, as a share of its capacity."""
         return max(self.sent.rate, self.received.rate) / self.capacity
 
+    @property
+    def delaying_use(self) -> float:
+        """Use by all bytes of the busier direction, the higher one of the two averages."""
+        rates = (self.sent.rate, self.sent.trend, self.incoming.rate, self.incoming.trend)
+        return max(rates) / self.capacity
+
     @property
     def predicted_use(self) -> float:
         """Use that :attr:`use` approaches if the most recent rate continues."""
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from returns.result import Result
@@ -59,6 +59,7 @@
     :param server_table: name of the table of backend servers
     :param evacuation_prefix: prefix of the keys of rows that order to evacuate a zone; these rows
         are in the table with the route table
+    :param byte_counter: counts the bytes on the VM's network link, which the store's client shares
     """
 
     tables: ClockedTableService
@@ -70,6 +71,7 @@
     route_key: str
     server_table: str
     evacuation_prefix: str = "evacuate/"
+    byte_counter: ByteCounter = field(default_factory=ByteCounter)
 
 
 class GatewayContext:
@@ -98,7 +100,7 @@
         self.boot = new_boot_id(settings.name)
         self.timers = TimerService(phase=shard_of(self.boot, PHASES) / PHASES)
         self.metrics = Metrics(settings.statsd, "bilberryshed.gateway")
-        self.byte_counter = ByteCounter()
+        self.byte_counter = ports.byte_counter
         self.link_meter = LinkMeter(self.byte_counter, settings.bandwidth)
         self.backends = BackendPool(settings.zone, settings.name)
         self.backends.pacing = Pacing(settings.name) if settings.pace else None
--- a/src/bilberryshed/gateway/_link_load.py
+++ b/src/bilberryshed/gateway/_link_load.py
@@ -111,8 +111,7 @@
         if not self.is_on:
             return False
         wait = self.meter.send_wait(self.context.timers.now())
-        use = max(self.meter.use, self.meter.predicted_use)
-        return use >= FULL_USE or wait >= FULL_WAIT
+        return self.meter.delaying_use >= FULL_USE or wait >= FULL_WAIT
 
     def clear_time(self) -> float:
         """Return the responsive seconds in which the own link delayed nothing.
--- a/src/bilberryshed/platform/_ports.py
+++ b/src/bilberryshed/platform/_ports.py
@@ -1,5 +1,6 @@
 """Creates the ports through which a gateway uses the platform."""
 
+from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.gateway import GatewayPorts
 from bilberryshed.platform._backends import decode_server
 from bilberryshed.platform._config import decode_table
@@ -19,7 +20,8 @@
     :param store: address of the platform's store
     :param timeout: seconds for one call to the store
     """
-    client = PlatformStore(store, timeout)
+    byte_counter = ByteCounter()
+    client = PlatformStore(store, timeout, byte_counter)
     return GatewayPorts(
         tables=client,
         feed=client,
@@ -30,4 +32,5 @@
         route_key=CONFIG_KEY,
         server_table=SERVER_TABLE,
         evacuation_prefix=EVACUATION_PREFIX,
+        byte_counter=byte_counter,
     )
--- a/src/bilberryshed/platform/_store.py
+++ b/src/bilberryshed/platform/_store.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 from tornado.httpclient import HTTPRequest
 
+from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.state import (
     Address,
     ChangeBatch,
@@ -46,17 +47,21 @@
     so is a read whose pages are of several epochs.
 
     :param timeout: seconds for one call, not counting the time that it may wait for changes
+    :param counter: counts the bytes read, while they arrive
     :param latest_clock: latest time of the store in a response of this epoch, in seconds
     :param latest_epoch: latest epoch in any response
     """
 
-    __slots__ = ("base_url", "timeout", "client", "latest_clock", "latest_epoch")
+    __slots__ = ("base_url", "timeout", "counter", "client", "latest_clock", "latest_epoch")
 
-    def __init__(self, address: Address, timeout: float) -> None:
+    def __init__(
+        self, address: Address, timeout: float, counter: ByteCounter | None = None
+    ) -> None:
         self.latest_clock = 0.0
         self.latest_epoch = 0
         self.base_url = f"http://{address}"
         self.timeout = timeout
+        self.counter = counter or ByteCounter()
         self.client = http_client()
 
     # The product's own tables ---------------------------------------------------------------
@@ -193,6 +198,12 @@
         :param is_large: whether the response may take long to transfer
         """
         limit = self.timeout + wait
+        content = bytearray()
+
+        def on_chunk(chunk: bytes) -> None:
+            self.counter.on_read(len(chunk))
+            content.extend(chunk)
+
         request = HTTPRequest(
             self.base_url + path,
             method=method,
@@ -201,6 +212,7 @@
             request_timeout=limit + (MAX_TRANSFER_TIME if is_large else 0.0),
             connect_timeout=CONNECT_TIMEOUT,
             prepare_curl_callback=_time_out_silent(limit) if is_large else None,
+            streaming_callback=on_chunk,
         )
         is_write = body is not None
         try:
@@ -215,9 +227,9 @@
         if response.code >= 400 and response.code not in expected_statuses:
             return Failure(StoreError(response.code >= 500, f"HTTP {response.code} for {path}"))
         try:
-            content = json.loads(response.body)
-            self._follow_clock(content.get("serverTimeMs", 0) / MS_PER_SECOND)
-            return Success((response.code, content))
+            reply = json.loads(content)
+            self._follow_clock(reply.get("serverTimeMs", 0) / MS_PER_SECOND)
+            return Success((response.code, reply))
         except ValueError as error:
             return Failure(StoreError(is_write, f"response is not JSON: {error}"))
 
