The idle time of a connection begins before its response was read late

A server counts its idle timeout from its response, the gateway counted from when it had read that. After a pause longer than the margin, a request could cross the server's close.

The lag of the event loop since the connection was taken is added to its idle time.

features/late_verdicts.feature, a response read 0.8 s late, an idle timeout of 1 s, 0.5 s later: before, the connection was used, after, it is closed.

--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -45,6 +45,18 @@
       | sent a response   | closed |
       | sent nothing      | used   |
 
+  Scenario: A response is read late
+    Guards against: a request on a connection that its server, idle for longer than its gateway took it for, was about to end.
+
+    Given a connection whose response is read 0.8 s after it came, as the event loop was busy
+    When the connection is due 0.5 s later, and its idle timeout is 1 s
+    Then the connection is closed
+
+  Scenario: A response is read at once
+    Given a connection whose response is read 0.0 s after it came, as the event loop was busy
+    When the connection is due 0.5 s later, and its idle timeout is 1 s
+    Then the connection is used
+
   Scenario: A server answers while the gateway stands still
     Guards against: after a pause of 0.8 s all servers that had prompts counted as slow.
 
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -91,6 +91,7 @@
     :param counter: counts the bytes sent and received
     :param pending_read: the next bytes received; done on an idle connection only if it is unusable
     :param is_first_use: whether it carries its first request, so that no earlier response can come
+    :param lag: seconds by which the event loop had lagged in all when it was taken for a request
     :param body_end: what ended the body of which the last data has just been returned
     :param parts: parts of responses handled in this turn of the event loop
     """
@@ -102,6 +103,7 @@
         "framing",
         "pending_read",
         "is_first_use",
+        "lag",
         "body_end",
         "parts",
         "request",
@@ -117,6 +119,7 @@
         self.framing = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.pending_read = self._read()
         self.is_first_use = True
+        self.lag = 0.0
         self.body_end: h11.Event | ResponseError | None = None
         self.parts = 0
         self.request: h11.Request | None = None
@@ -325,10 +328,14 @@
                 connection.is_usable()
                 and now - connection.idle_since < connection.idle_timeout * max_idle_fraction
             ):
+                connection.lag = self._lag()
                 return connection
             connection.abort()
         return None
 
+    def _lag(self) -> float:
+        return self.timers.now() - self.timers.responsive_time()
+
     async def open(self, key: str, address: Address, timeout: float) -> BackendConnection:
         """Open a new connection.
 
@@ -355,16 +362,21 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        return BackendConnection(key, stream, self.counter)
+        connection = BackendConnection(key, stream, self.counter)
+        connection.lag = self._lag()
+        return connection
 
     def release(
         self, connection: BackendConnection, now: float, server_idle_timeout: float | None
     ) -> None:
         """Return a connection to the pool; the oldest is closed if there are too many.
 
+        The server has been idle since it sent its response, which may have waited to be read while
+        the event loop lagged.
+
         :param server_idle_timeout: idle timeout that the backend server announced, in seconds
         """
-        connection.idle_since = now
+        connection.idle_since = now - max(0.0, self._lag() - connection.lag)
         if server_idle_timeout is not None:
             connection.idle_timeout = max(0.0, server_idle_timeout - IDLE_TIMEOUT_MARGIN)
         connections = self.idle.setdefault(connection.key, deque())
