Deadlines that pass while the gateway is late are no failures of servers

All requests whose deadline passed in a pause of the gateway counted as failures of their servers, which were ejected after a few.

The deadline itself stays in monotonic time. The failure counts unless the gateway has lagged since the request was sent, and the server was not silent for too long by the time in which it was heard.

features/late_verdicts.feature, a deadline of 0.6 s and a pause of 1 s: before, the scenario fails, after, no server has failures. Without a pause, the deadline passed, one has.

--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -57,6 +57,19 @@
     When the connection is due 0.5 s later, and its idle timeout is 1 s
     Then the connection is used
 
+  Scenario Outline: A deadline of 0.6 s passes while the gateway is <state>
+    Guards against: servers counted as failing, and were ejected, after a pause in which deadlines passed.
+
+    Given the next responses of the plain servers are: <response>
+    When a request has a deadline of 0.6 s, and the gateway stands still for <pause> s
+    Then the status is 504
+    And <count> servers have failures
+
+    Examples:
+      | state    | response | pause | count |
+      | late     | slow 0.5 | 1.0   | 0     |
+      | on time  | slow 2   | 0.0   | 1     |
+
   Scenario: A server answers while the gateway stands still
     Guards against: after a pause of 0.8 s all servers that had prompts counted as slow.
 
--- a/src/bilberryshed/gateway/_attempts.py
+++ b/src/bilberryshed/gateway/_attempts.py
@@ -210,14 +210,21 @@
             self.pool.on_outcome(self.context.timers.now(), attempt.view, failed=True)
         self.log(job, attempt.view, "attempt_silent")
 
-    def on_broken(self, job: Job, attempt: Attempt, is_crash: bool) -> None:
+    def own_delay(self, attempt: Attempt) -> float:
+        """Return the seconds since an attempt was sent in which this gateway was late itself."""
+        timers = self.context.timers
+        responsive = timers.responsive_time() - attempt.awaited_since
+        return timers.now() - attempt.sent_at - responsive
+
+    def on_broken(self, job: Job, attempt: Attempt, is_crash: bool, is_own: bool = False) -> None:
         """Record that an attempt has failed, for the reason in ``job.last_failure``.
 
         :param is_crash: whether its backend server may have crashed
+        :param is_own: whether this gateway may be the cause
         """
         now, view = self.context.timers.now(), attempt.view
         job.excluded.add(attempt.server)
-        if not attempt.is_silent:
+        if not attempt.is_silent and not is_own:
             self.pool.on_outcome(now, view, failed=True)
         if is_crash and attempt.is_beginning(now):
             run = BrokenRun(f"{job.request.id}/{attempt.number}", job.fingerprint, job.shared_parts)
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -9,6 +9,7 @@
 
 from functools import partial
 
+from bilberryshed.coordination import LATE_GAP
 from bilberryshed.gateway._answer_limits import AnswerCutError, AnswerLimiter
 from bilberryshed.gateway._attempt import Attempt
 from bilberryshed.gateway._attempts import Attempts
@@ -122,13 +123,22 @@
             self.attempts.release_connection(attempt)
             return result
         except TimeoutError:
-            job.last_failure = "no answer in time"
-            self.attempts.on_broken(job, attempt, is_crash=False)
+            self._on_timeout(job, attempt, watch)
             return AttemptOutcome.TIMEOUT
         except ResponseError as error:
             self._on_broken(job, attempt, error)
             return AttemptOutcome.BROKEN
 
+    def _on_timeout(self, job: Job, attempt: Attempt, watch: SilenceWatch) -> None:
+        """Record that an attempt was given up.
+
+        A deadline that passes while the gateway is late itself is no fault of the backend server,
+        unless that was silent for too long.
+        """
+        job.last_failure = "no answer in time"
+        is_own = self.attempts.own_delay(attempt) > LATE_GAP and not watch.is_silent()
+        self.attempts.on_broken(job, attempt, is_crash=False, is_own=is_own)
+
     def _on_broken(self, job: Job, attempt: Attempt, error: ResponseError) -> None:
         job.last_failure = str(error)
         is_crash = not isinstance(error, InvalidStreamError | AnswerCutError)
@@ -209,8 +219,7 @@
         try:
             response = await self.attempts.request(job, successor, watch)
         except TimeoutError:
-            job.last_failure = "no answer in time"
-            self.attempts.on_broken(job, successor, is_crash=False)
+            self._on_timeout(job, successor, watch)
             return False
         except ResponseError as error:
             self._on_broken(job, successor, error)
--- a/src/bilberryshed/gateway/_silence_watch.py
+++ b/src/bilberryshed/gateway/_silence_watch.py
@@ -84,6 +84,13 @@
         self.since = self.link_load.clear_time()
         self.close()
 
+    def is_silent(self) -> bool:
+        """Whether the attempt has been silent for too long, of the time in which it was heard."""
+        return self._silent_time() >= self.limit
+
+    def _silent_time(self) -> float:
+        return self.link_load.clear_time() - self.since
+
     def close(self) -> None:
         """End a successor that has not replaced the attempt."""
         successor, self.successor = self.successor, None
@@ -158,7 +165,7 @@
         """Return the seconds for which the attempt may be silent yet."""
         if not self._may_begin_successor():
             return math.inf
-        return self.since + self.limit - self.link_load.clear_time()
+        return self.limit - self._silent_time()
 
     def _may_begin_successor(self) -> bool:
         """Whether another attempt may follow.
