--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -9,6 +9,7 @@
 
 from functools import partial
 
+from bilberryshed.coordination import LATE_GAP
 from bilberryshed.gateway._answer_limits import AnswerCutError, AnswerLimiter
 from bilberryshed.gateway._attempt import Attempt
 from bilberryshed.gateway._attempts import Attempts
@@ -95,7 +96,9 @@
         while True:
             job.server = attempt.server
             begin_successor = partial(self._begin_successor, job, attempt)
-            watch = SilenceWatch(self.context, job, begin_successor, self.attempts.end)
+            watch = SilenceWatch(
+                self.context, self.link_load, job, begin_successor, self.attempts.end
+            )
             try:
                 result = await self._run_attempt(job, attempt, watch)
                 if result is AttemptOutcome.DONE:
@@ -122,8 +125,7 @@
             self.attempts.release_connection(attempt)
             return result
         except TimeoutError:
-            job.last_failure = "no answer in time"
-            self.attempts.on_broken(job, attempt, is_crash=False)
+            self._on_timeout(job, attempt, watch)
             return AttemptOutcome.TIMEOUT
         except ResponseError as error:
             self._on_broken(job, attempt, error)
@@ -131,6 +133,16 @@
         finally:
             self.attempts.end(attempt)
 
+    def _on_timeout(self, job: Job, attempt: Attempt, watch: SilenceWatch) -> None:
+        """Record that an attempt was given up.
+
+        A deadline that passes while the gateway is late itself is no fault of the backend server,
+        unless that was silent for too long.
+        """
+        job.last_failure = "no answer in time"
+        is_own = self.attempts.own_delay(attempt) > LATE_GAP and not watch.is_silent()
+        self.attempts.on_broken(job, attempt, is_crash=False, is_own=is_own)
+
     def _on_broken(self, job: Job, attempt: Attempt, error: ResponseError) -> None:
         job.last_failure = str(error)
         is_crash = not isinstance(error, InvalidStreamError | AnswerCutError)
@@ -145,8 +157,9 @@
         else:
             # The time of an error says nothing of how fast a backend server works.
             if 200 <= response.status < 300:
-                now = self.context.timers.now()
-                self.pool.on_first_event(now, attempt.run, attempt.sent_at)
+                timers = self.context.timers
+                seconds = timers.responsive_time() - attempt.awaited_since
+                self.pool.on_first_event(timers.now(), attempt.run, seconds)
             body = await self.responses.read_body(job, attempt, watch)
             if response.status >= 500 and self._is_error_retryable(job, watch):
                 job.failed_response = (response, body)
@@ -204,12 +217,11 @@
         if not self._take_retry(job, AttemptOutcome.BROKEN):
             self.attempts.release_unused(successor)
             return False
-        watch = SilenceWatch(self.context, job, None, self.attempts.end)
+        watch = SilenceWatch(self.context, self.link_load, job, None, self.attempts.end)
         try:
             response = await self.attempts.request(job, successor, watch)
         except TimeoutError:
-            job.last_failure = "no answer in time"
-            self.attempts.on_broken(job, successor, is_crash=False)
+            self._on_timeout(job, successor, watch)
             return False
         except ResponseError as error:
             self._on_broken(job, successor, error)
--- a/src/bilberryshed/gateway/_silence_watch.py
+++ b/src/bilberryshed/gateway/_silence_watch.py
@@ -13,9 +13,11 @@
 from bilberryshed.gateway._attempt import Attempt
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._job import Job
+from bilberryshed.gateway._link_load import LinkLoad
 
 FIRST_BYTE_FACTOR = 2.0  # latency targets without a response, then another attempt may begin
 STALL_FACTOR = 1.5  # latency targets without an event of a stream, then another attempt may begin
+MIN_WAIT = 0.02  # seconds between checks of an attempt that is nearly silent for too long
 
 T = TypeVar("T")
 
@@ -37,21 +39,32 @@
     :param begin_successor: begins another attempt and returns it once its response has begun, or
         ``None``; without it, a silent attempt ends
     :param discard: ends a successor that is not needed
-    :param limit: responsive seconds that may pass without progress
-    :param since: responsive time of the last progress
+    :param limit: seconds that may pass without progress, in the time of ``LinkLoad.clear_time``
+    :param since: that time at the last progress
     :param successor: the other attempt, while it is under way
     """
 
-    __slots__ = ("context", "job", "begin_successor", "discard", "limit", "since", "successor")
+    __slots__ = (
+        "context",
+        "link_load",
+        "job",
+        "begin_successor",
+        "discard",
+        "limit",
+        "since",
+        "successor",
+    )
 
     def __init__(
         self,
         context: GatewayContext,
+        link_load: LinkLoad,
         job: Job,
         begin_successor: Callable[[], Coroutine[Any, Any, Attempt | None]] | None,
         discard: Callable[[Attempt], None],
     ) -> None:
         self.context = context
+        self.link_load = link_load
         self.job = job
         self.begin_successor = begin_successor
         self.discard = discard
@@ -65,9 +78,16 @@
         :param factor: latency targets that may pass without progress
         """
         self.limit = factor * self.job.route.latency_target
-        self.since = self.context.timers.responsive_time()
+        self.since = self.link_load.clear_time()
         self.close()
 
+    def is_silent(self) -> bool:
+        """Whether the attempt has been silent for too long, of the time in which it was heard."""
+        return self._silent_time() >= self.limit
+
+    def _silent_time(self) -> float:
+        return self.link_load.clear_time() - self.since
+
     def close(self) -> None:
         """End a successor that has not replaced the attempt."""
         successor, self.successor = self.successor, None
@@ -98,7 +118,7 @@
             left = self._time_left()
             if left > 0:
                 with contextlib.suppress(TimeoutError):
-                    async with self.context.timers.timeout(left, self.job.deadline):
+                    async with self.context.timers.timeout(max(left, MIN_WAIT), self.job.deadline):
                         return await read()
             if self._time_left() <= 0:
                 if self.begin_successor is None:
@@ -144,14 +164,14 @@
         attempt = successor.result()
         if attempt is not None:
             raise SupersededError(attempt)
-        self.since = self.context.timers.responsive_time()
+        self.since = self.link_load.clear_time()
         return None
 
     def _time_left(self) -> float:
-        """Return the responsive seconds for which the attempt may be silent yet."""
+        """Return the seconds for which the attempt may be silent yet."""
         if not self._may_begin_successor():
             return math.inf
-        return self.since + self.limit - self.context.timers.responsive_time()
+        return self.limit - self._silent_time()
 
     def _may_begin_successor(self) -> bool:
         """Whether another attempt may follow.
--- a/src/bilberryshed/transport/_connections.py
+++ b/src/bilberryshed/transport/_connections.py
@@ -22,6 +22,7 @@
 from bilberryshed.coordination.admission import ByteCounter
 from bilberryshed.state import Address
 from bilberryshed.transport._http import MAX_STATUS
+from bilberryshed.transport._timers import TimerService
 
 READ_SIZE = 65_536  # bytes per read
 MAX_HEADER_BYTES = 65_536  # bytes of a response's headers
@@ -90,6 +91,7 @@
     :param counter: counts the bytes sent and received
     :param pending_read: the next bytes received; done on an idle connection only if it is unusable
     :param is_first_use: whether it carries its first request, so that no earlier response can come
+    :param lag: seconds by which the event loop had lagged in all when it was taken for a request
     :param body_end: what ended the body of which the last data has just been returned
     :param parts: parts of responses handled in this turn of the event loop
     """
@@ -101,6 +103,7 @@
         "framing",
         "pending_read",
         "is_first_use",
+        "lag",
         "body_end",
         "parts",
         "request",
@@ -116,6 +119,7 @@
         self.framing = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.pending_read = self._read()
         self.is_first_use = True
+        self.lag = 0.0
         self.body_end: h11.Event | ResponseError | None = None
         self.parts = 0
         self.request: h11.Request | None = None
@@ -228,8 +232,19 @@
         return True
 
     def is_usable(self) -> bool:
-        """Whether the idle connection is open and has received nothing."""
-        return not self.pending_read.done() and not self.stream.closed()
+        """Whether the idle connection is open and has received nothing.
+
+        The event loop may not have noticed yet what has arrived, above all after a long task.
+        """
+        if self.pending_read.done() or self.stream.closed():
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     def abort(self) -> None:
         """Close the connection immediately."""
@@ -287,12 +302,16 @@
     """Pool of idle connections by key.
 
     :param counter: counts the bytes sent and received on all connections
+    :param timers: measures the time in which others accept connections
     """
 
-    __slots__ = ("idle", "counter")
+    __slots__ = ("idle", "counter", "timers")
 
-    def __init__(self, counter: ByteCounter | None = None) -> None:
+    def __init__(
+        self, counter: ByteCounter | None = None, timers: TimerService | None = None
+    ) -> None:
         self.counter = counter or ByteCounter()
+        self.timers = timers or TimerService()
         self.idle: dict[str, deque[BackendConnection]] = {}
 
     def acquire(
@@ -309,14 +328,18 @@
                 connection.is_usable()
                 and now - connection.idle_since < connection.idle_timeout * max_idle_fraction
             ):
+                connection.lag = self._lag()
                 return connection
             connection.abort()
         return None
 
+    def _lag(self) -> float:
+        return self.timers.now() - self.timers.responsive_time()
+
     async def open(self, key: str, address: Address, timeout: float) -> BackendConnection:
         """Open a new connection.
 
-        :param timeout: seconds
+        :param timeout: responsive seconds
         :raises ConnectError: if the connection cannot be opened
         :raises ConnectTimeoutError: if it is not opened in time
         """
@@ -328,7 +351,7 @@
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         stream = _SendingStream(raw)
         try:
-            async with asyncio.timeout(timeout):
+            async with self.timers.timeout(timeout):
                 await stream.connect((address.host, address.port))
         except TimeoutError as error:
             stream.close()
@@ -339,16 +362,21 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        return BackendConnection(key, stream, self.counter)
+        connection = BackendConnection(key, stream, self.counter)
+        connection.lag = self._lag()
+        return connection
 
     def release(
         self, connection: BackendConnection, now: float, server_idle_timeout: float | None
     ) -> None:
         """Return a connection to the pool; the oldest is closed if there are too many.
 
+        The server has been idle since it sent its response, which may have waited to be read while
+        the event loop lagged.
+
         :param server_idle_timeout: idle timeout that the backend server announced, in seconds
         """
-        connection.idle_since = now
+        connection.idle_since = now - max(0.0, self._lag() - connection.lag)
         if server_idle_timeout is not None:
             connection.idle_timeout = max(0.0, server_idle_timeout - IDLE_TIMEOUT_MARGIN)
         connections = self.idle.setdefault(connection.key, deque())
