Silent servers are noticed behind a link that is always full, too

While the own link is full no silence counted at all, so that a stream at a server that had stopped waited for its deadline on a VM whose link is always in full use ("... always full": cut before, moves on now). A fifth of the time counts.

--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -97,6 +97,14 @@
     When a caller streams while the link of the gateway is full for 1 s
     Then the stream moved on to another server
 
+  Scenario: A server is silent for long behind a link that is always full
+    Guards against: a server that had stopped was never noticed where the link was always in full use.
+
+    Given streams that may take 6 s
+    And the next responses of the model engines are: pause 9
+    When a caller streams while the link of the gateway is full
+    Then the stream moved on to another server
+
   Scenario: Servers are silent while the gateway reads tables from the store
     Guards against: a table of 540 kB fills a link of 10 Mbit/s for longer than a caption may be silent, and was not counted.
 
--- a/features/steps/late_verdict_steps.py
+++ b/features/steps/late_verdict_steps.py
@@ -9,7 +9,8 @@
 from unittest import mock
 
 from behave import given, then, when
-from gateway_steps import run
+from gateway_steps import put_config, run
+from gateway_support import build_config
 
 from bilberryshed.coordination.pacing import Pacing
 from bilberryshed.state import Address
@@ -223,11 +224,19 @@
     run(context, replace())
 
 
+@given("streams that may take {seconds:d} s")
+def given_timeout(context, seconds):
+    routes = build_config()["routeTable"]
+    put_config(context, routeTable=[{**route, "timeoutMs": seconds * 1000} for route in routes])
+    context.stream_headers = {"X-Deadline-Ms": str(seconds * 1000)}
+
+
 async def stream_beside(context, other):
     """Send a request for a stream, and run a coroutine until the response has ended."""
     running = asyncio.ensure_future(other)
     try:
-        context.response = await context.harness.call("/chat/1")
+        headers = getattr(context, "stream_headers", {})
+        context.response = await context.harness.call("/chat/1", headers=headers)
     finally:
         running.cancel()
 
--- a/src/bilberryshed/gateway/_link_load.py
+++ b/src/bilberryshed/gateway/_link_load.py
@@ -21,6 +21,7 @@
 CHECK_INTERVAL = 0.1  # seconds between updates of the meter
 MAX_DISPATCH_WAIT = 0.5  # seconds; bytes that wait longer may arrive at a server that has left
 FULL_WAIT = 0.05  # seconds of waiting bytes from which the link may make a connection time out
+CLEAR_SHARE = 0.2  # share of the time that counts as clear while the own link is full
 RENEWAL_INTERVAL = 2.0  # seconds between notices of a gateway that is full
 
 
@@ -29,7 +30,7 @@
 
     :param http: the callers' listener
     :param noticed_at: monotonic time of the last notice sent, in seconds
-    :param delayed: responsive seconds in which the link delayed what others sent
+    :param delayed: responsive seconds that do not count, as the link delayed what others sent
     :param counted_until: responsive time up to which ``delayed`` is counted
     """
 
@@ -116,12 +117,13 @@
     def clear_time(self) -> float:
         """Return the responsive seconds in which the own link delayed nothing.
 
-        The silence of others is measured in this time.
+        The silence of others is measured in this time. It goes on slowly while the link is full, so
+        that silent backend servers are noticed behind a link that is always full, too.
         """
         now = self.context.timers.responsive_time()
         if now > self.counted_until:
             if self.delays_responses:
-                self.delayed += now - self.counted_until
+                self.delayed += (1 - CLEAR_SHARE) * (now - self.counted_until)
             self.counted_until = now
         return now - self.delayed
 
