Grants and bounds of many customers are computed in several turns of the loop

A new table starts a sync of the grants. With 2,000 prepaid customers the sync computed the demand of all in one turn of the event loop, and the bounds were composed and encoded in another one, which may be the same turn: streams and probes waited meanwhile.

The sync now lets other callbacks run after each 200 customers. The change of one customer is still computed and debited in one step, and other callbacks already ran between the computation and the request. Bounds count as unconfirmed as soon as they are composed, so a delay before the write is like a slow store.

--- a/src/bilberryshed/gateway/_bounds_recorder.py
+++ b/src/bilberryshed/gateway/_bounds_recorder.py
@@ -81,6 +81,8 @@
                 return False
             now = self.context.timers.now()
             record = self.spending_bounds.compose(now, tables.clock, needs, tables.epoch)
+            # The bounds of many customers are composed and encoded in two turns of the event loop.
+            await asyncio.sleep(0)
             written = await tables.transact((Put(self.ref, self.version, record.to_value()),))
             if isinstance(written, Failure):
                 self._on_failure(written.failure().ambiguous, written.failure().detail)
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -22,6 +22,7 @@
 READ_PEERS_PER_STEP = 6  # hubs per additional READ_INTERVAL, which bounds the store's load
 MEMBER_READ_INTERVAL = 5.0  # seconds between reads by a gateway that borrows from its hub
 RESYNC_DELAY = 0.05  # seconds until the next sync while a lowered total is exceeded
+SLICE_CUSTOMERS = 200  # customers whose demand is computed before other callbacks have their turn
 STORE_WAIT_TIMEOUT = 0.35  # seconds; longest wait of a request for the store
 STORE_BACKOFF = 0.5  # seconds after a failed call; requests do not wait for the store meanwhile
 
@@ -156,7 +157,9 @@
         await self._end_restorations(totals)
         changes: list[PoolChange] = []
         direct: list[str] = []
-        for name, total in totals.items():
+        for position, (name, total) in enumerate(totals.items(), start=1):
+            if position % SLICE_CUSTOMERS == 0:
+                await asyncio.sleep(0)
             desired_change = self._desired_change(name, total, needs.get(name, 0))
             if name in self.unconfirmed:
                 direct.append(name)
