The install of a route table does not hold the event loop

What callers saw: while a config of 1,400 routes was installed on a small VM, streams and probes stood still for 0.3 to 1.0 s.

Cause: a config was decoded, indexed, logged and activated in one turn of the event loop. Of 70 ms at full speed, 55 ms were one log line for each customer with a new total, 12 ms the decoding. The log's limit of 200 lines a second for each event then suppressed most of these lines, so that the report did not know the totals.

Tables are now decoded, compared, compressed and decompressed in slices of 2 ms; the decoder is a generator. The activation is still one step, in a turn of its own, so each request sees one table. Of the tables that arrive during an install, the one with the highest version is installed next, and the others are logged as route_table_skipped; if it is unreadable, its finding is logged as before and the next highest one follows. A table that is being decoded is always finished, as otherwise none would come into force while they arrive faster than they can be decoded. Unchanged routes and customers are shared with the table before, which keeps garbage collections short. More than 20 changed totals are logged as prepaid_totals, 250 to a line; the report reads both. The route_table line has the time of the install (ms).

Existing steps: platform_steps.py runs the steps of the decoder to the end, as it has become a generator; the checks are the same.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -11,7 +11,7 @@
 from support import call_server_that_stops
 
 from bilberryshed.coordination import BackendRegistry, RouteIndex
-from bilberryshed.platform._config import decode_table
+from bilberryshed.platform._config import decode_table as decode_steps
 from bilberryshed.platform._store import PlatformStore
 from bilberryshed.state import Address, BackendServer, Put, Row, RowRef
 from bilberryshed_standins import RowStore, serve_row_store
@@ -46,6 +46,16 @@
     assert not found, "\n".join(found)
 
 
+def decode_table(data):
+    """Run all steps in which a config is decoded; return the result."""
+    steps = decode_steps(data)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+
+
 # Configs ------------------------------------------------------------------------------------
 
 
--- a/src/bilberryshed/coordination/_token_trace.py
+++ b/src/bilberryshed/coordination/_token_trace.py
@@ -1,9 +1,10 @@
 """Tells from the log lines of all gateways where each customer's prepaid tokens went."""
 
+import json
 from collections import Counter
 from dataclasses import dataclass
 
-from bilberryshed.coordination._log_fields import log_fields
+from bilberryshed.coordination._log_fields import log_fields, unescaped
 
 
 @dataclass(slots=True)
@@ -84,15 +85,18 @@
     def read(self, fields: dict[str, str]) -> None:
         """Read one line.
 
-        :raises KeyError, ValueError: if a field is missing or no number
+        :raises KeyError, ValueError: if a field is missing or unreadable
         """
         boot = self.boots.get(fields.get("vm", ""), "")
-        customer, request = fields.get("customer", ""), fields.get("request", "")
+        customer, request = unescaped(fields.get("customer", "")), fields.get("request", "")
         match fields.get("event"):
             case "started":
                 self.boots[fields["vm"]] = fields["boot"]
             case "prepaid":
                 self.totals[customer] = int(fields["total"])
+            case "prepaid_totals":
+                totals = dict(json.loads(unescaped(fields["totals"])))
+                self.totals |= {name: int(total) for name, total in totals.items()}
             case "sent":
                 self.open[boot, request] = customer, int(fields["reserved"])
             case "request":
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -1,7 +1,7 @@
 """State shared by the components of a gateway."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Generator, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -54,6 +54,8 @@
 
     :param tables: the gateways' own tables
     :param feed: changes of the tables that operators and backend servers write
+    :param decode_table: decodes a route table in short steps, each of which yields the version that
+        it states, ``None`` if it states none
     :param route_table: name of the store table with the route table
     :param route_key: key of the route table's row
     :param server_table: name of the table of backend servers
@@ -64,7 +66,7 @@
     tables: ClockedTableService
     feed: ChangeFeed
     dialect: Dialect
-    decode_table: Callable[[bytes], Result[RouteTable, Finding]]
+    decode_table: Callable[[bytes], Generator[int | None, None, Result[RouteTable, Finding]]]
     decode_server: Callable[[str, bytes], Result[BackendServer, Finding]]
     route_table: str
     route_key: str
--- a/src/bilberryshed/gateway/_followers.py
+++ b/src/bilberryshed/gateway/_followers.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import contextlib
-import zlib
 from collections.abc import Callable
 
 from returns.result import Failure
 
-from bilberryshed.coordination import BackendRegistry, RouteIndex
+from bilberryshed.coordination import BackendRegistry
 from bilberryshed.coordination.distribution import TableFetch, TableSource
-from bilberryshed.coordination.places import places_without_known_region
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._evacuation_orders import EvacuationOrders
+from bilberryshed.gateway._table_install import TableInstaller, compress_table, decompress_table
 from bilberryshed.protocol import (
     BackendEntry,
     BackendsNotice,
@@ -21,14 +20,13 @@
     RouteTableVersion,
 )
 from bilberryshed.state import ChangeBatch
-from bilberryshed.transport import Link, logger
+from bilberryshed.transport import Link, logger, run_in_slices
 
 ERROR_BACKOFF = 0.15  # seconds between a failed call and the next one
 ROUTE_TABLE_LONG_POLL = 1.0  # seconds that a call waits for a change of the route table
 PEER_FETCH_DELAY = 0.3  # seconds for the store to deliver a table before a peer is queried
 PAUSE_CHECK_INTERVAL = 0.1  # seconds between checks whether a paused follower may go on
 FETCH_INTERVAL = 0.05  # seconds between checks for a table that a peer is to send
-MAX_TABLE_BYTES = 16 * 1024 * 1024  # bytes of a table that a peer sends; a larger one is damaged
 SERVER_POLL_INTERVAL = 0.4  # seconds between reads of the backend servers
 EXPIRY_CHECK_INTERVAL = 0.2  # seconds between checks for entries that did not reappear
 
@@ -164,6 +162,7 @@
     :param fetch: versions that peers have announced
     :param fetching: whether a request to a peer is scheduled
     :param compressed: version and compressed bytes of the table sent last
+    :param compressing: held while a table is compressed
     :param from_hub: whether the hub sends the tables, as last logged
     :param evacuations: gets all rows of the table
     :param follower: follower of the table in the store
@@ -176,12 +175,13 @@
         evacuations: EvacuationOrders,
     ) -> None:
         self.context = context
-        self.on_table = on_table
+        self.installer = TableInstaller(context, on_table)
         self.evacuations = evacuations
         self.source = TableSource(context.settings.bandwidth)
         self.fetch = TableFetch()
         self.fetching = False
         self.compressed = (-1, b"")
+        self.compressing = asyncio.Lock()
         self.from_hub = False
         self.follower = TableFollower(
             context,
@@ -217,7 +217,7 @@
         self.evacuations.on_changes(changes, self.follower.begun_at)
         for row in changes.rows:
             if row.key == self.context.ports.route_key and row.data is not None:
-                self.install(row.data, "store")
+                self.installer.install(row.data, "store")
 
     def version(self) -> int:
         """Return the active version, -1 if there is none."""
@@ -243,7 +243,8 @@
             while self.fetch.newest > self.version() and not self.context.closing:
                 if self.fetch.is_exhausted(self.context.timers.now()):
                     return
-                self._ask_next()
+                if not self.installer.busy:
+                    self._ask_next()
                 await asyncio.sleep(FETCH_INTERVAL)
         finally:
             self.fetching = False
@@ -256,55 +257,28 @@
 
     def on_request(self, link: Link, request: RouteTableRequest) -> None:
         """Send the active table to a peer that has an older one."""
-        if self.version() <= request.known:
-            return
-        if self.compressed[0] != self.version():
-            self.compressed = (self.version(), zlib.compress(self.context.table_data))
+        if self.version() > request.known:
+            self.context.spawn(self._send_table(link))
+
+    async def _send_table(self, link: Link) -> None:
+        async with self.compressing:
+            version = self.version()
+            if self.compressed[0] != version:
+                data = await run_in_slices(compress_table(self.context.table_data))
+                self.compressed = (version, data)
         link.send(RouteTableResponse(*self.compressed))
 
     def on_response(self, link: Link, response: RouteTableResponse) -> None:
         """Install a table that a peer forwards."""
-        if response.version <= self.version():
-            return
-        decompressor = zlib.decompressobj()
-        try:
-            data = decompressor.decompress(response.data, MAX_TABLE_BYTES)
-        except zlib.error as error:
-            logger().error("route_table_damaged", peer=link.peer.name, error=str(error))
-            return
-        if not decompressor.eof:
-            error_text = f"not complete within {MAX_TABLE_BYTES} bytes"
-            logger().error("route_table_damaged", peer=link.peer.name, error=error_text)
-            return
-        self.install(data, link.peer.name)
+        if response.version > self.version():
+            self.context.spawn(self._receive_table(link, response))
 
-    def install(self, data: bytes, source: str) -> None:
-        """Activate a table if it can be decoded and is newer than the active one."""
-        decoded = self.context.ports.decode_table(data)
-        if isinstance(decoded, Failure):
-            logger().error("route_table_unreadable", source=source, finding=str(decoded.failure()))
+    async def _receive_table(self, link: Link, response: RouteTableResponse) -> None:
+        data = await run_in_slices(decompress_table(response.data))
+        if isinstance(data, Failure):
+            logger().error("route_table_damaged", peer=link.peer.name, error=data.failure())
             return
-        table, index = decoded.unwrap(), self.context.index
-        if index is not None and table.version <= index.table.version:
-            return
-        known = self.context.prepaid_totals()
-        self.context.route_history.on_table(self.context.timers.now(), index)
-        self.context.index = RouteIndex(table)
-        self.context.table_data = data
-        logger().info(
-            "route_table",
-            version=table.version,
-            source=source,
-            routes=len(table.routes),
-            customers=len(table.customers),
-        )
-        for place in places_without_known_region(table, self.context.settings.regions):
-            logger().warning("homes_unknown", finding=f"{place}: no known region, so no server")
-        for name, total in self.context.prepaid_totals().items():
-            if known.get(name) != total:
-                logger().info("prepaid", customer=name, total=total, before=known.get(name))
-        self.context.broadcast(RouteTableVersion(table.version))
-        self.on_table()
+        self.installer.install(data.unwrap(), link.peer.name)
 
 
 class BackendUpdater:
--- a/src/bilberryshed/platform/_config.py
+++ b/src/bilberryshed/platform/_config.py
@@ -1,7 +1,8 @@
 """Decodes the operator's config into a route table."""
 
 import json
-from typing import Any
+from collections.abc import Callable, Generator
+from typing import Any, TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -23,30 +24,32 @@
     "streaming": RouteKind.STREAM,
 }
 MS_PER_SECOND = 1000
+STEP_ITEMS = 50  # routes, services or customers that are decoded in one step
 
+Item = TypeVar("Item")
 
-def decode_table(data: bytes) -> Result[RouteTable, Finding]:
-    """Decode a config, or return what is wrong with it and where."""
+
+def decode_table(data: bytes) -> Generator[int | None, None, Result[RouteTable, Finding]]:
+    """Decode a config in short steps, so that the event loop can run between them.
+
+    Each step yields the version that the config states, ``None`` if it states none.
+
+    :returns: the table, or what is wrong with the config and where
+    """
     try:
         config = fields.json_object(json.loads(data), "config")
-        return Success(_table(config))
+        return Success((yield from _table(config)))
     except (ValueError, RecursionError) as error:
         return Failure(Finding("config", "config", str(error)))
 
 
-def _table(config: dict[str, Any]) -> RouteTable:
-    services = [
-        _service(fields.json_object(item, f"services[{i}]"), f"services[{i}]")
-        for i, item in enumerate(fields.json_array(config.get("services"), "services"))
-    ]
-    routes = [
-        _route(fields.json_object(item, f"routeTable[{i}]"), f"routeTable[{i}]")
-        for i, item in enumerate(fields.json_array(config.get("routeTable"), "routeTable"))
-    ]
-    customers = [
-        _customer(fields.json_object(item, f"tenants[{i}]"), f"tenants[{i}]")
-        for i, item in enumerate(fields.json_array(config.get("tenants", []), "tenants"))
-    ]
+def _table(config: dict[str, Any]) -> Generator[int | None, None, RouteTable]:
+    version = config.get("version")
+    stated = version if type(version) is int else None
+    yield stated
+    services = yield from _items(config.get("services"), "services", _service, stated)
+    routes = yield from _items(config.get("routeTable"), "routeTable", _route, stated)
+    customers = yield from _items(config.get("tenants", []), "tenants", _customer, stated)
     services_by_name = {service.name: service for service in services}
     for route in routes:
         for share in route.shares:
@@ -62,6 +65,19 @@
     )
 
 
+def _items(
+    value: Any, name: str, decode: Callable[[dict[str, Any], str], Item], version: int | None
+) -> Generator[int | None, None, list[Item]]:
+    """Decode the objects of an array."""
+    items: list[Item] = []
+    for i, item in enumerate(fields.json_array(value, name)):
+        location = f"{name}[{i}]"
+        items.append(decode(fields.json_object(item, location), location))
+        if len(items) % STEP_ITEMS == 0:
+            yield version
+    return items
+
+
 def _route(item: dict[str, Any], location: str) -> Route:
     kind = fields.string(item, "kind", location)
     if kind not in ROUTE_KINDS:
--- a/src/bilberryshed/transport/__init__.py
+++ b/src/bilberryshed/transport/__init__.py
@@ -54,6 +54,7 @@
 )
 from bilberryshed.transport._quarantine_exchange import Admittance, QuarantineExchange
 from bilberryshed.transport._quarantine_rows import QuarantinePorts
+from bilberryshed.transport._slices import run_in_slices
 from bilberryshed.transport._tasks import BackgroundTasks, new_boot_id
 from bilberryshed.transport._timers import (
     ResponsiveTimeout,
@@ -108,6 +109,7 @@
     "fetch_response",
     "http_client",
     "read_quiet_time",
+    "run_in_slices",
     "use_new_connection",
     "http_platform",
     "log_loop_lag",
