Timeouts in responsive time read what has arrived, and end in an overloaded process

A timeout whose timer fired within 10 ms of its due time ended at once, also if the loop had been blocked for 0.05 s until then: data that had arrived meanwhile was cancelled unread. In a process that is late at every turn, the timer never fired on time, so the timeout never ended. Responsive time counted the time between a late tick and the next one all at once, so that up to 0.1 s of handling what had waited counted as silence of others. After TimerService.close, it stood still.

A timeout now ends some turns of the loop after its limit, which read what has arrived and wake the tasks that wait for it, however late its timer is. Responsive time goes on from the first tick on time, and like monotonic time after the end of its measurement.

--- a/src/bilberryshed/coordination/_loop_lag.py
+++ b/src/bilberryshed/coordination/_loop_lag.py
@@ -19,32 +19,45 @@
     :param ticked_at: time of the last tick, ``None`` before the first one
     :param was_late: whether the last tick was late, so that the loop still handles what waited
     :param lost: time in which the loop was not responsive
+    :param credit: time that counts as responsive if the next tick is late
     """
 
-    __slots__ = ("ticked_at", "was_late", "lost")
+    __slots__ = ("ticked_at", "was_late", "lost", "credit")
 
     def __init__(self) -> None:
         self.ticked_at: float | None = None
         self.was_late = False
         self.lost = 0.0
+        self.credit = 0.0
 
     def on_tick(self, now: float) -> float:
         """Record a tick.
 
-        While every tick is late, responsive time goes on slowly, so that an overloaded process
-        still notices in the end that others are gone.
+        Responsive time goes on from the first tick on time after a late one, without a jump. If
+        late ticks follow each other, also with one on time between them, it goes on slowly at the
+        late ones, so that an overloaded process still notices in the end that others are gone.
 
         :returns: seconds by which it was late, 0 if it was not
         """
         last, self.ticked_at = self.ticked_at, now
         if last is None:
             return 0.0
-        gap, was_late = now - last, self.was_late
-        self.was_late = gap > LATE_GAP
-        if not self.was_late:
-            return 0.0
-        self.lost += gap - LATE_GAP if was_late else gap
-        return gap - TICK_INTERVAL
+        gap = now - last
+        if gap > LATE_GAP:
+            self.lost += gap - self.credit
+            self.credit, self.was_late = LATE_GAP, True
+            return gap - TICK_INTERVAL
+        if self.was_late:
+            self.lost += gap
+            self.credit, self.was_late = gap, False
+        else:
+            self.credit = 0.0
+        return 0.0
+
+    def stop(self, now: float) -> None:
+        """End the measurement; responsive time goes on like monotonic time."""
+        self.lost = now - self.responsive_time(now)
+        self.ticked_at, self.was_late = None, False
 
     def responsive_time(self, now: float) -> float:
         """Return the time up to now in which the loop was responsive.
@@ -53,8 +66,6 @@
         ``LATE_GAP``, as a delay is noticed once it has lasted that long.
         """
         last = self.ticked_at
-        if last is None:
-            return now
-        if self.was_late or now - last > LATE_GAP:
+        if last is not None and (self.was_late or now - last > LATE_GAP):
             return last - self.lost
         return now - self.lost
--- a/src/bilberryshed/transport/_timers.py
+++ b/src/bilberryshed/transport/_timers.py
@@ -9,8 +9,10 @@
 
 from bilberryshed.coordination import TICK_INTERVAL, LoopLag
 
-ON_TIME = 0.01  # seconds; a timer that fires later is no proof that nothing has arrived
-CONFIRM_INTERVAL = 0.02  # seconds until a timeout whose timer fired late is checked again
+# Turns of the event loop from the limit of a timeout to its end: one reads what has arrived, and
+# the others wake the tasks that wait for it.
+CONFIRM_TURNS = 5
+MIN_REARM = 0.001  # seconds; a timer may fire early by the resolution of the clock
 
 Callback = Callable[[float], object]
 
@@ -106,9 +108,10 @@
         return loop.call_later(delay, lambda: callback(loop.time()))
 
     def close(self) -> None:
-        """Cancel all subscriptions."""
+        """Cancel all subscriptions, and end the measurement of the loop's lag."""
         for subscription in self.subscriptions:
             subscription.cancel()
+        self.lag.stop(time.monotonic())
 
     def _arm(self, subscription: Subscription) -> None:
         loop = asyncio.get_running_loop()
@@ -128,7 +131,7 @@
     :param expires_at: responsive time at which it ends, or earlier at the monotonic time ``until``
     """
 
-    __slots__ = ("timers", "seconds", "until", "expires_at", "inner", "handle", "due")
+    __slots__ = ("timers", "seconds", "until", "expires_at", "inner", "handle")
 
     def __init__(self, timers: TimerService, seconds: float, until: float) -> None:
         self.timers = timers
@@ -136,8 +139,7 @@
         self.until = until
         self.expires_at = math.inf
         self.inner = asyncio.timeout(None)
-        self.handle: asyncio.TimerHandle | None = None
-        self.due = 0.0
+        self.handle: asyncio.Handle | None = None
 
     async def __aenter__(self) -> Self:
         await self.inner.__aenter__()
@@ -156,17 +158,24 @@
         await self.inner.__aexit__(exc_type, exc, traceback)
 
     def _arm(self, delay: float) -> None:
-        now = self.timers.now()
-        self.due = min(now + max(0.0, delay), self.until)
-        self.handle = asyncio.get_running_loop().call_at(self.due, self._check)
+        due = min(self.timers.now() + max(0.0, delay), self.until)
+        self.handle = asyncio.get_running_loop().call_at(due, self._check)
 
     def _check(self) -> None:
-        now = self.timers.now()
         left = self.expires_at - self.timers.responsive_time()
-        if now >= self.until or (left <= 0 and now - self.due <= ON_TIME):
+        if left > 0 and self.timers.now() < self.until:
+            self._arm(max(left, MIN_REARM))
+        else:
+            self._confirm(CONFIRM_TURNS)
+
+    def _confirm(self, turns: int) -> None:
+        """End the timeout after some turns of the loop, or at once at its latest time."""
+        now = self.timers.now()
+        if turns == 0 or now >= self.until:
             self.inner.reschedule(now)
         else:
-            self._arm(max(left, CONFIRM_INTERVAL))
+            loop = asyncio.get_running_loop()
+            self.handle = loop.call_soon(self._confirm, turns - 1)
 
 
 def next_multiple(now: float, interval: float) -> float:
