A gateway that stood still does not close the links to its peers

A process whose loop stood still for 2.5 s closed all its links within a millisecond when it went on: the time since its probes was measured on its own clock, while the replies waited in its sockets, or the probes themselves in its queues. The time for a peer's Hello ran on in the same way.

Probes, messages and Hellos are now timed in responsive time. A probe counts from when it has left the queue; while it waits there, from the last message that left, so that a peer that reads nothing is still noticed.

The recorder of hubs.feature has the new method send_probe, its examples are unchanged.

--- a/features/steps/hub_steps.py
+++ b/features/steps/hub_steps.py
@@ -30,7 +30,7 @@
 
     def __init__(self, name):
         self.peer = Hello(name, f"{name}.1", "router", "wick", "")
-        self.received_at = NOW
+        self.now = self.received_at = NOW
         self.probed_at = None
         self.sent = []
         self.closed = False
@@ -39,6 +39,11 @@
         """Record a message."""
         self.sent.append(message)
 
+    def send_probe(self):
+        """Record a probe; the time is that of the check, as the link has no queue."""
+        self.sent.append(LinkProbe())
+        self.probed_at = self.now
+
     def abort(self):
         """Record that the link is closed."""
         self.closed = True
@@ -212,6 +217,7 @@
         now = NOW + step * CHECK_STEP
         for link in context.links[1:]:
             link.received_at, link.probed_at = now, None
+        context.link.now = now
         context.monitor.check(now)
         if replies and context.link.probed_at is not None:
             context.link.received_at, context.link.probed_at = now, None
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -18,6 +18,7 @@
     LinkClient,
     LinkHandlers,
     LinkServer,
+    TimerService,
     client_tls_context,
     configure_logs,
     server_tls_context,
@@ -73,7 +74,10 @@
 async def listen(context):
     """Start the listener on the scenario's port."""
     context.server = LinkServer(
-        hello("listener", context.listener), context.listener_endpoint.handlers, context.server_tls
+        hello("listener", context.listener),
+        context.listener_endpoint.handlers,
+        context.server_tls,
+        TimerService(),
     )
     await context.server.start(Address("127.0.0.1", context.port))
 
@@ -103,7 +107,11 @@
         context.caller_endpoint = LinkEndpoint()
         address = Address("127.0.0.1", context.port)
         context.client = LinkClient(
-            address, hello("caller", security), context.caller_endpoint.handlers, tls
+            address,
+            hello("caller", security),
+            context.caller_endpoint.handlers,
+            tls,
+            TimerService(),
         )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CONNECT_TIMEOUT):
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -136,7 +136,7 @@
         )
         handlers = LinkHandlers(self._on_link_up, messages.handle, self._on_link_down)
         tls = server_tls_context(settings.certificate, settings.certificate_key)
-        self.links = LinkServer(hello(settings, "agent", self.boot), handlers, tls)
+        self.links = LinkServer(hello(settings, "agent", self.boot), handlers, tls, self.timers)
 
     async def serve(self, stop: asyncio.Event) -> bool:
         """Serve until ``stop`` is set, then drain.
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -103,7 +103,7 @@
         self.placement = PlacementService(self.context)
         messages = MessageDispatcher(self._message_handlers())
         self.handlers = LinkHandlers(self._on_link_up, messages.handle, self._on_link_down)
-        self.server = LinkServer(self.hello, self.handlers, self.server_tls)
+        self.server = LinkServer(self.hello, self.handlers, self.server_tls, self.context.timers)
 
     @property
     def is_draining(self) -> bool:
@@ -246,7 +246,9 @@
     def _connect(self, vm: Vm) -> None:
         """Open a link to a VM; of two routers, the one with the lower name connects."""
         address = Address.parse(vm.link)
-        self.clients[vm.name] = LinkClient(address, self.hello, self.handlers, self.client_tls)
+        self.clients[vm.name] = LinkClient(
+            address, self.hello, self.handlers, self.client_tls, self.context.timers
+        )
 
     def _disconnect(self, name: str) -> None:
         client = self.clients.pop(name, None)
--- a/src/bilberryshed/transport/_link_monitor.py
+++ b/src/bilberryshed/transport/_link_monitor.py
@@ -11,7 +11,7 @@
 CHECK_INTERVAL = 0.5  # seconds between checks of all links
 PRIMARY_PROBE_INTERVAL = 1.0  # seconds without a message, then a link in constant use is probed
 MAX_PROBE_RATE = 8.0  # probes per second of one process on all other links
-PROBE_TIMEOUT = 2.0  # seconds without any message after a probe, then the link is closed
+PROBE_TIMEOUT = 2.0  # responsive seconds without a message after a probe, then a link is closed
 
 
 def probe_interval(links: int) -> float:
@@ -39,7 +39,7 @@
 
     def start(self, timers: TimerService) -> None:
         """Subscribe to the timers."""
-        timers.subscribe(CHECK_INTERVAL, self.check)
+        timers.subscribe(CHECK_INTERVAL, lambda now: self.check(timers.responsive_time()))
 
     def handlers(self) -> dict[type, Callable[[Link, Any], object]]:
         """Return the message handlers by message class; both ends of a link need them."""
@@ -51,7 +51,7 @@
     def check(self, now: float) -> None:
         """Probe idle links, and close links whose probe was not answered.
 
-        :param now: monotonic time in seconds
+        :param now: responsive time in seconds, so that replies which wait to be read count
         """
         links = list(self.links())
         interval = probe_interval(len(links))
@@ -63,5 +63,4 @@
                 continue
             limit = PRIMARY_PROBE_INTERVAL if self.is_primary(link) else interval
             if now - link.received_at >= limit:
-                link.probed_at = now
-                link.send(LinkProbe())
+                link.send_probe()
--- a/src/bilberryshed/transport/_links.py
+++ b/src/bilberryshed/transport/_links.py
@@ -16,13 +16,14 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from bilberryshed.coordination.admission import ByteCounter
-from bilberryshed.protocol import FrameError, Hello, decode, encode
+from bilberryshed.protocol import FrameError, Hello, LinkProbe, decode, encode
 from bilberryshed.state import Address
 from bilberryshed.transport._logs import logger
+from bilberryshed.transport._timers import TimerService
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024  # bytes of a received message
 MAX_QUEUED_MESSAGES = 20_000  # messages in the send queue of one link
-HELLO_TIMEOUT = 2.0  # seconds for the connection to open, and for the peer's Hello
+HELLO_TIMEOUT = 2.0  # responsive seconds for a connection to open, and for the peer's Hello
 PING_INTERVAL = 1.0  # seconds
 PING_TIMEOUT = 2.0  # seconds
 INITIAL_RECONNECT_DELAY = 0.05  # seconds
@@ -49,18 +50,35 @@
     """One established link.
 
     :param peer: the Hello received from the other side
-    :param received_at: monotonic time of the last message received, in seconds
-    :param probed_at: monotonic time of the last probe sent, ``None`` if it has been answered
+    :param enqueued: number of messages that were enqueued
+    :param sent: number of messages that were sent
+    :param received_at: responsive time of the last message received, in seconds
+    :param probed_at: responsive time at which the last probe was sent, or, while it waits in the
+        queue, a message before it; ``None`` if it has been answered
+    :param probe: number of the message that is the last probe
     """
 
-    __slots__ = ("peer", "websocket", "queue", "closed", "received_at", "probed_at")
-
-    def __init__(self, peer: Hello, websocket: Any) -> None:
+    __slots__ = (
+        "peer",
+        "websocket",
+        "timers",
+        "queue",
+        "closed",
+        "enqueued",
+        "sent",
+        "received_at",
+        "probed_at",
+        "probe",
+    )
+
+    def __init__(self, peer: Hello, websocket: Any, timers: TimerService) -> None:
         self.peer = peer
         self.websocket = websocket
+        self.timers = timers
         self.queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_MESSAGES)
         self.closed = False
-        self.received_at = asyncio.get_running_loop().time()
+        self.enqueued = self.sent = self.probe = 0
+        self.received_at = timers.responsive_time()
         self.probed_at: float | None = None
 
     def send(self, message: Any) -> bool:
@@ -79,8 +97,15 @@
         except asyncio.QueueFull:
             self.abort()
             return False
+        self.enqueued += 1
         return True
 
+    def send_probe(self) -> None:
+        """Enqueue a probe, which the peer answers."""
+        if self.send(LinkProbe()):
+            self.probe = self.enqueued
+            self.probed_at = self.timers.responsive_time()
+
     def abort(self) -> None:
         """Close the link immediately; queued messages are lost."""
         self.closed = True
@@ -96,7 +121,7 @@
         handlers.on_up(self)
         try:
             async for data in self.websocket:
-                self.received_at = asyncio.get_running_loop().time()
+                self.received_at = self.timers.responsive_time()
                 self.probed_at = None
                 handlers.counter.on_received(len(data))
                 handlers.on_message(self, decode(data))
@@ -117,6 +142,9 @@
                 counter.on_sent(len(data))
                 await self.websocket.send(data)
                 self.queue.task_done()
+                self.sent += 1
+                if self.probed_at is not None and self.sent <= self.probe:
+                    self.probed_at = self.timers.responsive_time()
         except websockets.ConnectionClosed:
             self.closed = True
 
@@ -144,18 +172,20 @@
     :param ping_interval: seconds between pings, ``None`` if a :class:`LinkMonitor` checks the links
     """
 
-    __slots__ = ("hello", "handlers", "tls", "ping_interval", "server", "links")
+    __slots__ = ("hello", "handlers", "tls", "timers", "ping_interval", "server", "links")
 
     def __init__(
         self,
         hello: Hello,
         handlers: LinkHandlers,
         tls: ssl.SSLContext | None,
+        timers: TimerService,
         ping_interval: float | None = PING_INTERVAL,
     ) -> None:
         self.hello = hello
         self.handlers = handlers
         self.tls = tls
+        self.timers = timers
         self.ping_interval = ping_interval
         self.server: Server | None = None
         self.links: dict[Link, None] = {}  # insertion order, so that they are closed in it
@@ -185,12 +215,12 @@
 
     async def _accept(self, websocket: ServerConnection) -> None:
         try:
-            peer = await _receive_hello(websocket, self.hello.secret)
+            peer = await _receive_hello(websocket, self.hello.secret, self.timers)
             await websocket.send(encode(self.hello))
         except (TimeoutError, FrameError, websockets.ConnectionClosed) as error:
             logger().warning("link_refused", error=str(error) or type(error).__name__)
             return
-        link = Link(peer, websocket)
+        link = Link(peer, websocket, self.timers)
         self.links[link] = None
         try:
             await link.run(self.handlers)
@@ -204,7 +234,7 @@
     :param ping_interval: seconds between pings, ``None`` if a :class:`LinkMonitor` checks the link
     """
 
-    __slots__ = ("address", "hello", "handlers", "tls", "ping_interval", "task")
+    __slots__ = ("address", "hello", "handlers", "tls", "timers", "ping_interval", "task")
 
     def __init__(
         self,
@@ -212,12 +242,14 @@
         hello: Hello,
         handlers: LinkHandlers,
         tls: ssl.SSLContext | None,
+        timers: TimerService,
         ping_interval: float | None = PING_INTERVAL,
     ) -> None:
         self.address = address
         self.hello = hello
         self.handlers = handlers
         self.tls = tls
+        self.timers = timers
         self.ping_interval = ping_interval
         self.task = asyncio.create_task(self._maintain())
 
@@ -236,30 +268,31 @@
     async def _connect_once(self) -> bool:
         scheme = "wss" if self.tls else "ws"
         try:
-            websocket = await connect(
-                f"{scheme}://{self.address}",
-                ssl=self.tls,
-                compression=None,
-                max_size=MAX_MESSAGE_BYTES,
-                open_timeout=HELLO_TIMEOUT,
-                ping_interval=self.ping_interval,
-                ping_timeout=PING_TIMEOUT,
-                proxy=None,
-            )
+            async with self.timers.timeout(HELLO_TIMEOUT):
+                websocket = await connect(
+                    f"{scheme}://{self.address}",
+                    ssl=self.tls,
+                    compression=None,
+                    max_size=MAX_MESSAGE_BYTES,
+                    open_timeout=None,
+                    ping_interval=self.ping_interval,
+                    ping_timeout=PING_TIMEOUT,
+                    proxy=None,
+                )
         except (OSError, TimeoutError, websockets.WebSocketException):
             return False
         try:
             await websocket.send(encode(self.hello))
-            peer = await _receive_hello(websocket, self.hello.secret)
+            peer = await _receive_hello(websocket, self.hello.secret, self.timers)
         except (TimeoutError, FrameError, websockets.ConnectionClosed):
             websocket.transport.abort()
             return False
-        await Link(peer, websocket).run(self.handlers)
+        await Link(peer, websocket, self.timers).run(self.handlers)
         return True
 
 
-async def _receive_hello(websocket: Any, secret: str) -> Hello:
-    async with asyncio.timeout(HELLO_TIMEOUT):
+async def _receive_hello(websocket: Any, secret: str, timers: TimerService) -> Hello:
+    async with timers.timeout(HELLO_TIMEOUT):
         data = await websocket.recv()
     hello = decode(data)
     if not isinstance(hello, Hello):
--- a/src/bilberryshed_load/_slopes.py
+++ b/src/bilberryshed_load/_slopes.py
@@ -23,7 +23,7 @@
 )
 from bilberryshed.protocol import Charge, Heartbeat, Hello, LoadReport, UsageRecord, encode
 from bilberryshed.state import Address, parse_sheet
-from bilberryshed.transport import Link, LinkHandlers, LinkServer
+from bilberryshed.transport import Link, LinkHandlers, LinkServer, TimerService
 from bilberryshed_load._callers import LoadRequest, send_request
 from bilberryshed_load._fleet import Fleet, running_fleet
 from bilberryshed_load._plans import DEPLOYMENTS, HOST, FleetPlan, free_port, plan_fleet
@@ -236,7 +236,7 @@
         handlers = LinkHandlers(lambda link: None, _ignore, lambda link: None)
         for number, port in enumerate(self.ports):
             hello = Hello(f"z-{self.role}-{number}", f"boot-{number}", self.role, "inverness", "")
-            server = LinkServer(hello, handlers, None)
+            server = LinkServer(hello, handlers, None, TimerService())
             await server.start(Address(HOST, port))
             self.servers.append(server)
 
