Links of routers and agents are checked by the link monitor

They used the pings of the websockets library, which measure on the own clock: in a trial in which the loop of a process stood still for 2.5 s after its pings had left, 2 of 5 links to sound peers were closed when it went on. The monitor counts the time in which the own loop was responsive. Its probes come as often as the pings did. A link that another one replaces is closed, as the monitor does not know it any more.

late_links.feature has a scenario with a whole fleet: idle links stay, a suspended agent is dropped within 4.5 s and linked again.

--- a/features/late_links.feature
+++ b/features/late_links.feature
@@ -42,3 +42,14 @@
 
     When a process opens a link, and its loop is blocked for 2.5 s while the peer sends its Hello
     Then that link is up
+
+  Scenario: Routers and agents keep their idle links, and notice an agent that is silent
+    Guards against: one end does not reply to probes, or no end probes at all.
+
+    Given a Cairnbrae fleet with its sheet active
+    When it is idle for 6 s
+    Then no agent lost a link
+    When the first agent is suspended
+    Then every router drops it within 4.5 s
+    When it goes on
+    Then every router has it within 4.5 s
--- a/features/steps/late_link_steps.py
+++ b/features/steps/late_link_steps.py
@@ -72,7 +72,7 @@
                 dispatcher.handle(link, message)
 
         handlers = LinkHandlers(lambda link: None, on_message, lambda link: None)
-        self.server = SlowServer(hello("peer", ""), handlers, None, TimerService(), None)
+        self.server = SlowServer(hello("peer", ""), handlers, None, TimerService())
         self.server.hello_delay = self.hello_delay
         await self.server.start(Address("127.0.0.1", self.port))
         self.is_up.set()
@@ -100,7 +100,7 @@
     context.endpoint.handlers.on_message = MessageDispatcher(context.monitor.handlers()).handle
     address = Address("127.0.0.1", context.peer.port)
     context.clients = [
-        LinkClient(address, hello("p", ""), context.endpoint.handlers, None, context.timers, None)
+        LinkClient(address, hello("p", ""), context.endpoint.handlers, None, context.timers)
         for _ in range(count)
     ]
     async with asyncio.timeout(LINK_TIMEOUT + PAUSE):
@@ -293,3 +293,58 @@
     assert context.accepted == 0
     assert len(context.peer.server.links) == 1, len(context.peer.server.links)
     assert context.peer.server.handshakes == 1, context.peer.server.handshakes
+
+
+# Routers and agents ----------------------------------------------------------------------------
+
+
+def lost_links(context):
+    """Return the number of links that the agents have lost."""
+    counters = [s["counters"] for s in context.fleet.statuses("bilberryshed-agent")]
+    assert counters and all(counts["link_up"] for counts in counters), counters
+    return sum(counts.get("link_down", 0) for counts in counters)
+
+
+@when("it is idle for {seconds:g} s")
+def when_idle(context, seconds):
+    context.lost = lost_links(context)
+    time.sleep(seconds)
+
+
+@then("no agent lost a link")
+def then_none_lost(context):
+    assert lost_links(context) == context.lost, (context.lost, lost_links(context))
+
+
+@when("the first agent is suspended")
+def when_suspended(context):
+    context.agent = context.fleet.statuses("bilberryshed-agent")[0]["name"]
+    context.fleet.set_suspended(context.agent, True)
+
+
+@when("it goes on")
+def when_resumed(context):
+    context.fleet.set_suspended(context.agent, False)
+
+
+def wait_for_routers(context, seconds, has_agent):
+    """Wait until all routers have the agent, or none has."""
+    deadline = time.monotonic() + seconds
+    while True:
+        states = {
+            context.agent in s["agents"] for s in context.fleet.statuses("bilberryshed-router")
+        }
+        if states == {has_agent}:
+            return
+        assert time.monotonic() < deadline, states
+        time.sleep(0.05)
+
+
+@then("every router drops it within {seconds:g} s")
+def then_dropped(context, seconds):
+    wait_for_routers(context, seconds, has_agent=False)
+
+
+@then("every router has it within {seconds:g} s")
+def then_back(context, seconds):
+    wait_for_routers(context, seconds, has_agent=True)
--- a/src/bilberryshed/gateway/_peers.py
+++ b/src/bilberryshed/gateway/_peers.py
@@ -54,9 +54,7 @@
         self.handlers = LinkHandlers(
             self._on_link_up, dispatcher.handle, self._on_link_down, context.byte_counter
         )
-        self.server = LinkServer(
-            self.hello, self.handlers, None, context.timers, ping_interval=None
-        )
+        self.server = LinkServer(self.hello, self.handlers, None, context.timers)
         self.clients: dict[str, tuple[str, LinkClient]] = {}
         self.registered_epoch = -1
         self.leaving = False
@@ -150,9 +148,7 @@
         except ValueError as error:
             logger().warning("bad_gateway_entry", peer=name, error=str(error))
             return
-        client = LinkClient(
-            address, self.hello, self.handlers, None, self.context.timers, ping_interval=None
-        )
+        client = LinkClient(address, self.hello, self.handlers, None, self.context.timers)
         self.clients[name] = (link, client)
 
     def _is_primary(self, link: Link) -> bool:
--- a/src/bilberryshed/runtime/_agent.py
+++ b/src/bilberryshed/runtime/_agent.py
@@ -57,10 +57,12 @@
     HttpTableService,
     Link,
     LinkHandlers,
+    LinkMonitor,
     LinkServer,
     MessageDispatcher,
     Metrics,
     TimerService,
+    log_loop_lag,
     logger,
     new_boot_id,
     server_tls_context,
@@ -123,8 +125,10 @@
         self.fence = OrderFence()
         self.tables = HttpTableService(settings.platform, settings.platform_timeout)
         self.spawn = BackgroundTasks().spawn
+        self.monitor = LinkMonitor(lambda: self.links.links, lambda link: True)
         messages = MessageDispatcher(
             {
+                **self.monitor.handlers(),
                 Dispatch: self._on_dispatch,
                 Cancel: self._on_cancel,
                 AttemptQuery: self._on_query,
@@ -143,8 +147,11 @@
 
         :returns: whether all attempts ended and all usage records were acknowledged
         """
+        self.timers.on_lag = log_loop_lag
+        self.timers.watch_loop()
         await self._poll_load()
         await self.links.start(self.settings.link_listen)
+        self.monitor.start(self.timers)
         self._listen_status()
         self.timers.subscribe(
             self.settings.load_interval, lambda now: self.spawn(self._poll_load())
--- a/src/bilberryshed/runtime/_router.py
+++ b/src/bilberryshed/runtime/_router.py
@@ -54,10 +54,12 @@
     Link,
     LinkClient,
     LinkHandlers,
+    LinkMonitor,
     LinkServer,
     MessageDispatcher,
     client_tls_context,
     http_platform,
+    log_loop_lag,
     logger,
     server_tls_context,
 )
@@ -101,7 +103,8 @@
         self.client_tls = client_tls_context(settings.link_ca)
         self.clients: dict[str, LinkClient] = {}
         self.placement = PlacementService(self.context)
-        messages = MessageDispatcher(self._message_handlers())
+        self.monitor = LinkMonitor(self._links, lambda link: True)
+        messages = MessageDispatcher({**self._message_handlers(), **self.monitor.handlers()})
         self.handlers = LinkHandlers(self._on_link_up, messages.handle, self._on_link_down)
         self.server = LinkServer(self.hello, self.handlers, self.server_tls, self.context.timers)
 
@@ -120,7 +123,10 @@
 
         :returns: whether all work was finished and all grants were returned
         """
+        self.context.timers.on_lag = log_loop_lag
+        self.context.timers.watch_loop()
         await self.server.start(self.settings.link_listen)
+        self.monitor.start(self.context.timers)
         self.sheet_replica.start()
         self.funding.start()
         self.ledger.start()
@@ -166,19 +172,24 @@
             SheetNotice: lambda link, m: self.sheet_replica.on_notice(m, link.peer.name),
         }
 
+    def _links(self) -> tuple[Link, ...]:
+        return (*self.context.agent_links.values(), *self.context.peer_links.values())
+
     def _on_link_up(self, link: Link) -> None:
         name = link.peer.name
         if link.peer.boot in self.reclaim.revoked_boots:
             link.abort()
             return
         self.context.members.on_link_up(link.peer)
+        links = self.context.agent_links if link.peer.role == "agent" else self.context.peer_links
+        replaced, links[name] = links.get(name), link
+        if replaced is not None:
+            replaced.abort()
         if link.peer.role == "agent":
-            self.context.agent_links[name] = link
             if self.reclaim.revoked_boots:
                 link.send(Revoke(tuple(self.reclaim.revoked_boots)))
             self.context.routing.agents[name] = AgentView(name, link.peer.zone, healthy=False)
         else:
-            self.context.peer_links[name] = link
             notice = self.sheet_replica.notice()
             for message in (notice, self.context.quarantine.summary()):
                 if message is not None:
@@ -286,7 +297,7 @@
         http.stop()
         await self.slo.publish()
         self.context.timers.close()
-        for link in (*self.context.agent_links.values(), *self.context.peer_links.values()):
+        for link in self._links():
             await asyncio.wait({asyncio.ensure_future(link.flush())}, timeout=1.0)
         for name in tuple(self.clients):
             self._disconnect(name)
--- a/src/bilberryshed/transport/_links.py
+++ b/src/bilberryshed/transport/_links.py
@@ -24,8 +24,6 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024  # bytes of a received message
 MAX_QUEUED_MESSAGES = 20_000  # messages in the send queue of one link
 HELLO_TIMEOUT = 2.0  # responsive seconds for a connection to open, and for the peer's Hello
-PING_INTERVAL = 1.0  # seconds
-PING_TIMEOUT = 2.0  # seconds
 INITIAL_RECONNECT_DELAY = 0.05  # seconds
 MAX_RECONNECT_DELAY = 1.0  # seconds
 
@@ -167,12 +165,9 @@
 
 
 class LinkServer:
-    """Accepts links on one address.
+    """Accepts links on one address; a :class:`LinkMonitor` notices those that go silent."""
 
-    :param ping_interval: seconds between pings, ``None`` if a :class:`LinkMonitor` checks the links
-    """
-
-    __slots__ = ("hello", "handlers", "tls", "timers", "ping_interval", "server", "links")
+    __slots__ = ("hello", "handlers", "tls", "timers", "server", "links")
 
     def __init__(
         self,
@@ -180,13 +175,11 @@
         handlers: LinkHandlers,
         tls: ssl.SSLContext | None,
         timers: TimerService,
-        ping_interval: float | None = PING_INTERVAL,
     ) -> None:
         self.hello = hello
         self.handlers = handlers
         self.tls = tls
         self.timers = timers
-        self.ping_interval = ping_interval
         self.server: Server | None = None
         self.links: dict[Link, None] = {}  # insertion order, so that they are closed in it
 
@@ -202,8 +195,7 @@
             ssl=self.tls,
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
-            ping_interval=self.ping_interval,
-            ping_timeout=PING_TIMEOUT,
+            ping_interval=None,
         )
 
     async def close(self) -> None:
@@ -231,10 +223,10 @@
 class LinkClient:
     """Maintains one outgoing link; reconnects with exponential backoff until it is closed.
 
-    :param ping_interval: seconds between pings, ``None`` if a :class:`LinkMonitor` checks the link
+    A :class:`LinkMonitor` notices that it has gone silent.
     """
 
-    __slots__ = ("address", "hello", "handlers", "tls", "timers", "ping_interval", "task")
+    __slots__ = ("address", "hello", "handlers", "tls", "timers", "task")
 
     def __init__(
         self,
@@ -243,14 +235,12 @@
         handlers: LinkHandlers,
         tls: ssl.SSLContext | None,
         timers: TimerService,
-        ping_interval: float | None = PING_INTERVAL,
     ) -> None:
         self.address = address
         self.hello = hello
         self.handlers = handlers
         self.tls = tls
         self.timers = timers
-        self.ping_interval = ping_interval
         self.task = asyncio.create_task(self._maintain())
 
     def close(self) -> None:
@@ -275,8 +265,7 @@
                     compression=None,
                     max_size=MAX_MESSAGE_BYTES,
                     open_timeout=None,
-                    ping_interval=self.ping_interval,
-                    ping_timeout=PING_TIMEOUT,
+                    ping_interval=None,
                     proxy=None,
                 )
         except (OSError, TimeoutError, websockets.WebSocketException):
--- a/src/bilberryshed_load/_slopes.py
+++ b/src/bilberryshed_load/_slopes.py
@@ -21,7 +21,16 @@
     Segment,
     ShardWriter,
 )
-from bilberryshed.protocol import Charge, Heartbeat, Hello, LoadReport, UsageRecord, encode
+from bilberryshed.protocol import (
+    Charge,
+    Heartbeat,
+    Hello,
+    LinkProbe,
+    LinkProbeReply,
+    LoadReport,
+    UsageRecord,
+    encode,
+)
 from bilberryshed.state import Address, parse_sheet
 from bilberryshed.transport import Link, LinkHandlers, LinkServer, TimerService
 from bilberryshed_load._callers import LoadRequest, send_request
@@ -233,7 +242,7 @@
 
     async def start(self) -> None:
         """Start a link server for each member."""
-        handlers = LinkHandlers(lambda link: None, _ignore, lambda link: None)
+        handlers = LinkHandlers(lambda link: None, _reply_to_probe, lambda link: None)
         for number, port in enumerate(self.ports):
             hello = Hello(f"z-{self.role}-{number}", f"boot-{number}", self.role, "inverness", "")
             server = LinkServer(hello, handlers, None, TimerService())
@@ -255,8 +264,10 @@
             await server.close()
 
 
-def _ignore(link: Link, message: Any) -> None:
-    """Ignore a message."""
+def _reply_to_probe(link: Link, message: Any) -> None:
+    """Reply to a probe, and ignore any other message."""
+    if isinstance(message, LinkProbe):
+        link.send(LinkProbeReply())
 
 
 def _fleet_slopes(etc: Path) -> list[Slope]:
