A gateway's own pause does not show that another one has departed

After a restore of the store, pools are granted from again once all gateways but those that departed have confirmed their grants. Departed meant not seen for 5 s before the pools were last read. Both times were those at which this gateway handled things: a read that the store answered before the gateway stood still counted as one of the moment at which it went on.

A customer could then spend more than it had paid for: a gateway that was killed and restarted while the other one stood still for 7 s kept its new grants, which the copy lacked, and the other one granted the same tokens again.

The pools now count as read when the read began, and the watch of the others is measured in responsive time and from its own start, not from that of the process.

--- a/src/bilberryshed/coordination/_departures.py
+++ b/src/bilberryshed/coordination/_departures.py
@@ -12,14 +12,16 @@
 
 
 class Departures:
-    """What one router has seen of the others; times are monotonic, in seconds.
+    """What one router has seen of the others; times are responsive times, in seconds.
+
+    Time in which the router itself was not responsive shows nothing about the others.
 
     :param watched_since: time from which on it would have seen them
     :param seen_at: time at which each VM's router was last linked or active in the store
     :param closed: boot id of the last incarnation on each VM that said that it had closed its
         accounts, and when
-    :param pools_read_at: time at which all pools were last read
-    :param known_until: time of their last read before the store was restored
+    :param pools_read_at: time at which the last complete read of all pools began
+    :param known_until: beginning of their last read before the store was restored
     """
 
     __slots__ = ("watched_since", "seen_at", "closed", "pools_read_at", "known_until")
@@ -43,9 +45,9 @@
         """Record that an incarnation has closed its accounts, and ends."""
         self.closed[incarnation_vm(boot)] = (boot, now)
 
-    def on_pools_read(self, now: float) -> None:
-        """Record that all pools have been read."""
-        self.pools_read_at = now
+    def on_pools_read(self, begun_at: float) -> None:
+        """Record that all pools have been read, by a read that began at a time."""
+        self.pools_read_at = begun_at
 
     def on_restored(self) -> None:
         """Record that the store was restored: what was read before is all that is known."""
--- a/src/bilberryshed/gateway/_departure_watch.py
+++ b/src/bilberryshed/gateway/_departure_watch.py
@@ -40,7 +40,8 @@
         self.reading = False
 
     def start(self) -> None:
-        """Subscribe to timers."""
+        """Subscribe to timers; a router that is not seen from now on may have departed."""
+        self.departures.watched_since = self.context.timers.responsive_time()
         self.context.timers.subscribe(WATCH_INTERVAL, self._watch)
 
     def handlers(self) -> dict[type, Callable[[Link, Any], None]]:
@@ -62,10 +63,11 @@
         if message.boot != link.peer.boot:
             logger().warning("not_its_accounts", peer=link.peer.boot, boot=message.boot)
             return
-        self.departures.on_closed(self.context.timers.now(), message.boot)
+        self.departures.on_closed(self.context.timers.responsive_time(), message.boot)
         self.context.known_gateways.discard(link.peer.name)
 
-    def _watch(self, now: float) -> None:
+    def _watch(self, _: float) -> None:
+        now = self.context.timers.responsive_time()
         for link in self.context.peer_links.values():
             self.departures.saw(now, link.peer.boot)
         boots = self._unlinked_holders()
@@ -86,7 +88,7 @@
             rows = await self.context.ports.tables.read(refs)
             if isinstance(rows, Failure):
                 return
-            now = self.context.timers.now()
+            now = self.context.timers.responsive_time()
             for boot, row in zip(boots, rows.unwrap(), strict=True):
                 number = BoundsRecord.from_value(row.value).number if row.version else None
                 if boot not in self.numbers or self.numbers[boot] != number:
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -208,6 +208,8 @@
         return stale or not self.recorder.store_up or not totals.keys() <= self.known_rows.keys()
 
     async def _read(self, names: Iterable[str]) -> bool:
+        # The responses may be handled long after the store has sent them.
+        known_at = self.context.timers.responsive_time()
         for batch in row_batches(names):
             rows = await self.context.ports.tables.read(pool_refs(batch))
             if isinstance(rows, Failure):
@@ -216,7 +218,7 @@
             if any(self._update_from_row(row) is None for row in rows.unwrap()):
                 return False
         self.read_at = self.context.timers.now()
-        self.context.departures.on_pools_read(self.read_at)
+        self.context.departures.on_pools_read(known_at)
         self.recorder.on_store_response()
         self.initial_read.set()
         return True
