--- a/src/bilberryshed/gateway/_loans.py
+++ b/src/bilberryshed/gateway/_loans.py
@@ -12,6 +12,7 @@
 
 from bilberryshed.coordination import Shortage
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._peer_requests import PeerRequests
 from bilberryshed.gateway._token_peers import TokenPeers
 from bilberryshed.protocol import LoanRequest, LoanResponse
 from bilberryshed.transport import Link, logger
@@ -30,10 +31,10 @@
     """Borrows tokens as a member of a group, and lends them as a hub.
 
     :param reserve: reserves tokens of a customer at this gateway
-    :param pending: futures of the responses, by request id
+    :param requests: loan requests that await a response
     """
 
-    __slots__ = ("context", "peers", "reserve", "pending", "next_id")
+    __slots__ = ("context", "peers", "reserve", "requests")
 
     def __init__(
         self,
@@ -44,8 +45,7 @@
         self.context = context
         self.peers = peers
         self.reserve = reserve
-        self.pending: dict[str, asyncio.Future[LoanResponse]] = {}
-        self.next_id = 1
+        self.requests: PeerRequests[LoanResponse] = PeerRequests(context, "l")
 
     def start(self) -> None:
         """Subscribe to timers."""
@@ -81,17 +81,11 @@
         self, link: Link, customer: str, tokens: int
     ) -> Result[int, Shortage] | None:
         """Borrow from one hub; ``None`` if it does not respond in time."""
-        request_id = f"{self.context.boot}.l{self.next_id}"
-        self.next_id += 1
-        future = self.pending[request_id] = asyncio.get_running_loop().create_future()
         prepaid = self.context.prepaid_totals().get(customer, 0)
-        link.send(LoanRequest(request_id, customer, tokens, prepaid))
-        try:
-            response = await asyncio.wait_for(future, LOAN_TIMEOUT)
-        except TimeoutError:
+        request = LoanRequest(self.requests.new_id(), customer, tokens, prepaid)
+        response = await self.requests.ask(link, request, LOAN_TIMEOUT)
+        if response is None:
             return None
-        finally:
-            del self.pending[request_id]
         if response.transfer is not None:
             return Success(response.transfer.tokens)
         spent = response.shortage == Shortage.EXHAUSTED
@@ -109,9 +103,7 @@
         """Credit the tokens, also of a late response, and complete the pending request."""
         if response.transfer is not None:
             self.peers.on_transfer(link, response.transfer)
-        future = self.pending.get(response.ask)
-        if future is not None and not future.done():
-            future.set_result(response)
+        self.requests.on_response(response.ask, response)
 
     async def close(self) -> None:
         """Return the free tokens after the last request, and wait until they are acknowledged."""
--- a/src/bilberryshed/gateway/_origin_queries.py
+++ b/src/bilberryshed/gateway/_origin_queries.py
@@ -6,6 +6,7 @@
 
 from bilberryshed.coordination import Origin, StreamOrigins
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._peer_requests import PeerRequests
 from bilberryshed.protocol import (
     KnownStreamsRequest,
     KnownStreamsResponse,
@@ -55,7 +56,7 @@
     """Questions about streams, to hubs or to all gateways.
 
     :param search: looks a stream up for a gateway that does not reach the store
-    :param pending: futures of the responses of hubs, by request id
+    :param requests: requests to hubs that await a response
     :param rounds: rounds that wait for responses, by request id
     :param next_round: the round that has not begun
     """
@@ -69,11 +70,10 @@
         self.context = context
         self.origins = origins
         self.search = search
-        self.pending: dict[str, asyncio.Future[OriginResponse]] = {}
+        self.requests: PeerRequests[OriginResponse] = PeerRequests(context, "o")
         self.rounds: dict[str, QueryRound] = {}
         self.next_round: tuple[QueryRound, asyncio.Future[None]] | None = None
         self.round_lock = asyncio.Lock()
-        self.next_id = 1
 
     def handlers(self) -> dict[type, Callable[[Link, Any], None]]:
         """Return the message handlers by message class."""
@@ -85,10 +85,6 @@
             KnownStreamsResponse: self._on_known_streams_response,
         }
 
-    def _new_id(self) -> str:
-        self.next_id += 1
-        return f"{self.context.boot}.o{self.next_id}"
-
     # Hubs -----------------------------------------------------------------------------------
 
     async def ask_hubs(
@@ -121,15 +117,8 @@
                 unfinished.cancel()
 
     async def _ask(self, name: str, question: Question, timeout: float) -> OriginResponse | None:
-        ask = self._new_id()
-        future = self.pending[ask] = asyncio.get_running_loop().create_future()
-        self.context.peer_links[name].send(question(ask))
-        try:
-            return await asyncio.wait_for(future, timeout)
-        except TimeoutError:
-            return None
-        finally:
-            del self.pending[ask]
+        request = question(self.requests.new_id())
+        return await self.requests.ask(self.context.peer_links[name], request, timeout)
 
     def _on_request(self, link: Link, request: OriginRequest) -> None:
         """Answer from memory: what this gateway's list of servers implies may be out of date."""
@@ -149,9 +138,7 @@
             link.send(OriginResponse(ask, found.service, found.version))
 
     def _on_response(self, link: Link, response: OriginResponse) -> None:
-        future = self.pending.get(response.ask)
-        if future is not None and not future.done():
-            future.set_result(response)
+        self.requests.on_response(response.ask, response)
 
     # All gateways ---------------------------------------------------------------------------
 
@@ -182,7 +169,7 @@
 
     async def _send(self, query: QueryRound) -> None:
         """Ask all linked gateways, and wait for their responses."""
-        ask = self._new_id()
+        ask = self.requests.new_id()
         self.rounds[ask] = query
         self.context.broadcast(KnownStreamsRequest(ask, tuple(sorted(query.keys))))
         try:
--- a/src/bilberryshed/gateway/_pool_requests.py
+++ b/src/bilberryshed/gateway/_pool_requests.py
@@ -6,6 +6,7 @@
 
 from bilberryshed.coordination import PoolRow, coordinator
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._peer_requests import PeerRequests
 from bilberryshed.gateway._pool_table import PoolCoordinator
 from bilberryshed.protocol import PoolChange, PoolHolder, PoolRequest, PoolResponse, PoolState
 from bilberryshed.transport import Link, logger
@@ -19,16 +20,15 @@
     """Sends pool requests to coordinators, and serves those of other gateways.
 
     :param coordinator: changes the pools that this gateway coordinates
-    :param pending_requests: futures of the responses, by request id
+    :param requests: requests to coordinators that await a response
     """
 
-    __slots__ = ("context", "coordinator", "pending_requests", "next_id")
+    __slots__ = ("context", "coordinator", "requests")
 
     def __init__(self, context: GatewayContext) -> None:
         self.context = context
         self.coordinator = PoolCoordinator(context)
-        self.pending_requests: dict[str, asyncio.Future[Pools]] = {}
-        self.next_id = 1
+        self.requests: PeerRequests[Pools] = PeerRequests(context, "p")
 
     def handlers(self) -> dict[type, Callable[[Link, Any], None]]:
         """Return the message handlers by message class."""
@@ -65,17 +65,12 @@
         link = self.context.peer_links.get(peer)
         if link is None:
             return {}
-        request_id = f"{self.context.boot}.p{self.next_id}"
-        self.next_id += 1
-        response = self.pending_requests[request_id] = asyncio.get_running_loop().create_future()
-        link.send(PoolRequest(request_id, tuple(changes)))
-        try:
-            return await asyncio.wait_for(response, RESPONSE_TIMEOUT)
-        except TimeoutError:
+        request = PoolRequest(self.requests.new_id(), tuple(changes))
+        pools = await self.requests.ask(link, request, RESPONSE_TIMEOUT)
+        if pools is None:
             logger().info("coordinator_timeout", peer=peer, pools=len(changes))
             return {}
-        finally:
-            del self.pending_requests[request_id]
+        return pools
 
     def on_request(self, link: Link, request: PoolRequest) -> None:
         """Apply the changes that a peer requests, and respond with the pools."""
@@ -87,11 +82,8 @@
 
     def on_response(self, link: Link, response: PoolResponse) -> None:
         """Complete the pending request of a coordinator's response; late responses are ignored."""
-        pending_request = self.pending_requests.get(response.ask)
-        if pending_request is not None and not pending_request.done():
-            pending_request.set_result(
-                {state.customer: _from_state(state) for state in response.pools}
-            )
+        pools = {state.customer: _from_state(state) for state in response.pools}
+        self.requests.on_response(response.ask, pools)
 
 
 def _to_state(customer: str, pool: PoolRow) -> PoolState:
--- a/src/bilberryshed/gateway/_server_limits.py
+++ b/src/bilberryshed/gateway/_server_limits.py
@@ -1,6 +1,5 @@
 """Keeps the limits that backend servers name, together with the other gateways."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +12,7 @@
 )
 from bilberryshed.gateway._cold_limits import ColdLimits
 from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._peer_requests import PeerRequests
 from bilberryshed.protocol import (
     ColdPermitRequest,
     LimitNotice,
@@ -38,7 +38,7 @@
 
     :param cold: cold backend servers, which have a limit as well
     :param permits: permits that become valid soon, by incarnation of the backend server
-    :param asking: requests for permits that await a response, by id
+    :param asking: requests for permits that await a response
     :param suspected_until: monotonic time by gateway that did not respond as a coordinator
     """
 
@@ -48,9 +48,8 @@
         self.issuer = PermitIssuer()
         self.cold = ColdLimits(context, self.issuer, self.named.limit)
         self.permits: dict[str, Permit] = {}
-        self.asking: dict[str, asyncio.Future[PermitDecision]] = {}
+        self.asking: PeerRequests[PermitDecision] = PeerRequests(context, "p")
         self.suspected_until: dict[str, float] = {}
-        self.next_id = 1
 
     def start(self) -> None:
         """Subscribe to timers."""
@@ -121,7 +120,7 @@
         coordinator = limit_coordinator(server.incarnation, server.zone, candidates) or name
         if coordinator == name:
             return self.issuer.request(now, server.incarnation, limit, name)
-        request = PermitRequest(self._next_ask(), self._notice(server.incarnation))
+        request = PermitRequest(self.asking.new_id(), self._notice(server.incarnation))
         return await self._ask_peer(server, coordinator, request)
 
     async def _acquire_cold(self, server: BackendServer) -> float:
@@ -138,32 +137,23 @@
             decision = self.cold.decide(asked_at, server, name)
         else:
             cold = self.cold.notice(asked_at, server.incarnation)
-            request = ColdPermitRequest(self._next_ask(), cold)
+            request = ColdPermitRequest(self.asking.new_id(), cold)
             decision = await self._ask_peer(server, coordinator, request)
         if self.context.timers.now() - asked_at > MAX_ASK_TIME:
             return UNANSWERED_WAIT
         return 0.0 if decision.granted else max(MIN_WAIT, decision.wait)
 
-    def _next_ask(self) -> str:
-        self.next_id += 1
-        return f"{self.context.boot}.p{self.next_id - 1}"
-
     async def _ask_peer(
         self, server: BackendServer, coordinator: str, request: PermitRequest | ColdPermitRequest
     ) -> PermitDecision:
         """Ask another gateway for a permit."""
-        now, ask = self.context.timers.now(), request.ask
-        response = self.asking[ask] = asyncio.get_running_loop().create_future()
-        self.context.peer_links[coordinator].send(request)
-        try:
-            async with asyncio.timeout(PERMIT_TIMEOUT):
-                return await response
-        except TimeoutError:
+        now, link = self.context.timers.now(), self.context.peer_links[coordinator]
+        decision = await self.asking.ask(link, request, PERMIT_TIMEOUT)
+        if decision is None:
             logger().info("permit_timeout", server=server.id, peer=coordinator)
             self.suspected_until[coordinator] = now + SUSPECT_TIME
             return PermitDecision(False, UNANSWERED_WAIT)
-        finally:
-            del self.asking[ask]
+        return decision
 
     def _candidates(self, now: float) -> dict[str, str]:
         """Return the gateways that can be coordinators, and their availability zones."""
@@ -216,6 +206,4 @@
         link.send(PermitResponse(request.ask, decision.granted, decision.wait))
 
     def _on_response(self, link: Link, response: PermitResponse) -> None:
-        future = self.asking.get(response.ask)
-        if future is not None and not future.done():
-            future.set_result(PermitDecision(response.granted, response.wait))
+        self.asking.on_response(response.ask, PermitDecision(response.granted, response.wait))
