The gateway's own lag does not count as another gateway's silence

A gateway whose event loop was held up for longer than a timeout took answers for missing that lay unread in its sockets: it refused to take a stream up, had its hub or a coordinator suspected, or told a caller that tokens cannot be had. The timers that were overdue fired before the sockets were read.

The timeouts for answers of other gateways, and the wait of a take-up for the store, are now measured in responsive time. Of the scenarios of late_peers.feature, in which the loop is held up for 0.8 s, 9 fail before this change, and all pass now.

Two limits on the gateway itself stay in monotonic time, as the waits for answers may now last longer: a permit that comes after PERMIT_TIMEOUT is not used (without this check its scenario fails), and the time at which the last gateway ended is bounded by the time at which the read of the store began, not by the end of the questions to all gateways.

--- a/src/bilberryshed/gateway/_origin_queries.py
+++ b/src/bilberryshed/gateway/_origin_queries.py
@@ -173,7 +173,8 @@
         self.rounds[ask] = query
         self.context.broadcast(KnownStreamsRequest(ask, tuple(sorted(query.keys))))
         try:
-            await asyncio.wait_for(query.done.wait(), ROUND_TIMEOUT)
+            async with self.context.timers.timeout(ROUND_TIMEOUT):
+                await query.done.wait()
         except TimeoutError:
             logger().info("origin_round_incomplete", silent=sorted(query.silent))
         finally:
--- a/src/bilberryshed/gateway/_peer_requests.py
+++ b/src/bilberryshed/gateway/_peer_requests.py
@@ -43,13 +43,13 @@
     async def ask(self, link: Link, request: _Request, timeout: float) -> T | None:
         """Send a request and return the response.
 
-        :param timeout: seconds that the gateway has to respond
+        :param timeout: responsive seconds that the gateway has to respond
         :returns: ``None`` if it does not respond in time
         """
         response = self.pending[request.ask] = asyncio.get_running_loop().create_future()
         link.send(request)
         try:
-            async with asyncio.timeout(timeout):
+            async with self.context.timers.timeout(timeout):
                 return await response
         except TimeoutError:
             return None
--- a/src/bilberryshed/gateway/_server_limits.py
+++ b/src/bilberryshed/gateway/_server_limits.py
@@ -23,10 +23,10 @@
 from bilberryshed.state import BackendServer
 from bilberryshed.transport import Link, logger
 
-PERMIT_TIMEOUT = 0.15  # seconds for a coordinator to respond
+PERMIT_TIMEOUT = 0.15  # seconds for a coordinator to respond; no later permit is used
 UNANSWERED_WAIT = 0.3  # seconds without requests to a server whose coordinator does not respond
 MAX_ASK_TIME = 0.3  # seconds after which a permit for a cold server is not used any more
-MIN_WAIT = 0.02  # seconds without requests to a cold server after a permit was not issued
+MIN_WAIT = 0.02  # seconds without requests to a server after a permit was not issued or was late
 SUSPECT_TIME = 3.0  # seconds for which such a coordinator is not asked
 PRUNE_INTERVAL = 5.0  # seconds between removals of backend servers that are gone
 
@@ -108,10 +108,11 @@
             del self.permits[server.incarnation]
             if permit.is_valid(now):
                 return 0.0
-        decision = await self._ask(server, limit)
+        decision, answered_at = await self._ask(server, limit), self.context.timers.now()
+        if decision.granted and answered_at - now > PERMIT_TIMEOUT:
+            return MIN_WAIT
         if decision.granted and decision.wait > 0:
-            valid_from = self.context.timers.now() + decision.wait
-            self.permits[server.incarnation] = Permit(valid_from)
+            self.permits[server.incarnation] = Permit(answered_at + decision.wait)
         return decision.wait
 
     async def _ask(self, server: BackendServer, limit: float) -> PermitDecision:
--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -214,8 +214,11 @@
 
     async def _within(self, call: "asyncio.Future[bool]") -> bool:
         """Return the result of a call to the store, ``False`` if it takes too long."""
-        done, _ = await asyncio.wait({call}, timeout=STORE_WAIT_TIMEOUT)
-        return call in done and bool(call.result())
+        try:
+            async with self.context.timers.timeout(STORE_WAIT_TIMEOUT):
+                return await asyncio.shield(call)
+        except TimeoutError:
+            return False
 
     async def find_here(self, services: tuple[str, ...], key: int) -> Origin | None:
         """Return the origin of a stream for a gateway that does not reach the store."""
@@ -229,29 +232,36 @@
 
         The servers and versions have just been read.
         """
+        read_at, tables = self._now(), self.context.ports.tables
         if not await self._within(self.context.spawn(self.records.read())):
             return None
         if key in self.origins.records:
             return self.origins.get(key)
-        return self._prove(services, key, True, await self.queries.ask_all(key))
+        # The store's clock was at most this at the time read_at, however long the answers take.
+        clock = tables.clock
+        if not await self.queries.ask_all(key):
+            return self._prove(services, key, True)
+        self._note_members(self._now())
+        return self._prove(services, key, True, clock - (read_at - self.changed_at) + CLOCK_MARGIN)
 
     def _prove(
-        self, services: tuple[str, ...], key: int | None, is_fresh: bool, is_denied: bool = False
+        self,
+        services: tuple[str, ...],
+        key: int | None,
+        is_fresh: bool,
+        ended_at: float | None = None,
     ) -> Origin | None:
         """Return the origin of a stream by what has been found out.
 
-        :param is_denied: whether no row lists it, and every other gateway has denied it
+        :param ended_at: as for :class:`OriginEvidence`
         """
-        now = self._now()
-        self._note_members(now)
         tables, served = self.context.ports.tables, self.records.served
-        clock = tables.clock
         evidence = OriginEvidence(
             services,
             self.origins.get(key) if key is not None else None,
             is_fresh and served.epoch == tables.epoch,
-            clock,
-            clock - (now - self.changed_at) + CLOCK_MARGIN if is_denied else None,
+            tables.clock,
+            ended_at,
         )
         return prove_origin(served, evidence)
 
--- a/src/bilberryshed/gateway/_token_peers.py
+++ b/src/bilberryshed/gateway/_token_peers.py
@@ -201,7 +201,7 @@
         for name in peers:
             self.context.peer_links[name].send(request)
         try:
-            async with asyncio.timeout(PEER_TIMEOUT if recall else PROXY_TIMEOUT):
+            async with self.context.timers.timeout(PEER_TIMEOUT if recall else PROXY_TIMEOUT):
                 while pending_request.pending:
                     await pending_request.done.wait()
         except TimeoutError:
