A hub that stood still keeps the loads of its members

A hub dropped the load of members that had not reported for 6 s by its own clock. After a pause of its own their reports lay unread, and it told the others that there was no load. The age of reports is now measured in responsive time. The scenario with a pause of 7 s fails before this change; a member that does not report is dropped as before.

--- a/features/late_peers.feature
+++ b/features/late_peers.feature
@@ -32,6 +32,17 @@
       | a stream that nobody knows         |
       | the backend servers in the store   |
 
+  Scenario Outline: A hub that stood still for <still> s when a report was <age> s old has <counted> its member's load
+    Guards against: reports that lay unread in its sockets counted as missing, and the load of its members as none.
+
+    When a hub stands still for <still> s, <age> s after a member reported its load
+    Then it has <counted> that load
+
+    Examples:
+      | age | still | counted |
+      | 1   | 7     | kept    |
+      | 9   | 1     | dropped |
+
   Scenario: A permit that comes late is not used
     Guards against: the wait for an answer goes on while the gateway is late, but a permit is for the time at which it was issued.
 
--- a/features/late_peers_support.py
+++ b/features/late_peers_support.py
@@ -1,10 +1,22 @@
 """Simulates two gateways with prepaid tokens, of which one stands still for some time."""
 
 import asyncio
-
-from prepaid_support import Simulation, run_simulation
-
+import random
+
+from prepaid_support import (
+    FaultyStore,
+    SimulatedStore,
+    Simulation,
+    ports_for,
+    run_simulation,
+    settings_for,
+)
+
+from bilberryshed.gateway._context import GatewayContext
+from bilberryshed.gateway._load_sharing import LoadSharing
 from bilberryshed.gateway._pool_table import POOL_TABLE
+from bilberryshed.protocol import Hello, LoadNotice, ServerLoad
+from bilberryshed_load._simulated_time import run_in_simulated_time
 
 LATE, OTHER = "gate-1", "gate-2"
 SETTLE_TIME = 3.0  # seconds until the first event
@@ -21,13 +33,13 @@
     :param at_pool_read: whether it stops when the store has read pools for it
     """
 
-    def __init__(self, gateway):
-        self.timers = gateway.context.timers
+    def __init__(self, timers, store=None):
+        self.timers = timers
         self.running = asyncio.Event()
         self.running.set()
         self.at_pool_read = False
-        for name in ("read", "transact", "scan"):
-            setattr(gateway.store, name, self._delayed(name, getattr(gateway.store, name)))
+        for name in ("read", "transact", "scan") if store else ():
+            setattr(store, name, self._delayed(name, getattr(store, name)))
 
     def _delayed(self, name, call):
         async def wait(*args):
@@ -118,8 +130,9 @@
             self.start_gateway(name)
         if not has_table:
             self.gateways[OTHER].context.index = None
-        self.gateways[LATE].context.timers.watch_loop()
-        stopper = Stopper(self.gateways[LATE])
+        late = self.gateways[LATE]
+        late.context.timers.watch_loop()
+        stopper = Stopper(late.context.timers, late.store)
         await asyncio.sleep(SETTLE_TIME)
         return stopper
 
@@ -154,3 +167,39 @@
     simulation = LateGatewaySimulation(seed)
     run_simulation(simulation, lambda: run(simulation))
     return simulation
+
+
+class MemberLink:
+    """Link to a member of the group of a hub."""
+
+    peer = Hello(OTHER, f"{OTHER}.a", "router", "quay", "")
+
+
+async def stop_hub(report_age, still_time):
+    """Have a hub stand still some time after a report of a member.
+
+    :param report_age: seconds since the report
+    :param still_time: seconds for which the hub stands still
+    :returns: the loads of the members that it counts just afterwards
+    """
+    started_at = asyncio.get_running_loop().time()
+    store = FaultyStore(SimulatedStore(), random.Random(1))
+    context = GatewayContext(settings_for(LATE), ports_for(store), started_at)
+    context.timers.watch_loop()
+    sharing = LoadSharing(context)
+    sharing.start()
+    sharing.on_notice(MemberLink(), LoadNotice((ServerLoad("i-1", 3, 100, 0),), ()))
+    await asyncio.sleep(report_age)
+    stopper = Stopper(context.timers)
+    stopper.stop()
+    await asyncio.sleep(still_time)
+    stopper.go_on()
+    await asyncio.sleep(0.05)
+    members = dict(sharing.relay.members)
+    context.timers.close()
+    return members
+
+
+def run_late_hub(report_age, still_time):
+    """Return the result of :func:`stop_hub` in simulated time."""
+    return run_in_simulated_time(stop_hub(report_age, still_time), 1000.0)
--- a/features/steps/late_peers_steps.py
+++ b/features/steps/late_peers_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 from gateway_steps import run
 from gateway_support import CUSTOMER
-from late_peers_support import LateGatewaySimulation, run_late_gateway
+from late_peers_support import LateGatewaySimulation, run_late_gateway, run_late_hub
 
 from bilberryshed.coordination import Origin
 from bilberryshed.gateway._server_limits import ServerLimits
@@ -185,3 +185,16 @@
 def then_suspected(context):
     assert not context.answer, context.answer
     assert "gate-2" in context.harness.gateways["gate-1"].limits.suspected_until
+
+
+# Loads --------------------------------------------------------------------------------------
+
+
+@when("a hub stands still for {still:g} s, {age:g} s after a member reported its load")
+def when_hub_stopped(context, still, age):
+    context.members = run_late_hub(age, still)
+
+
+@then("it has {counted} that load")
+def then_load(context, counted):
+    assert bool(context.members) == (counted == "kept"), context.members
--- a/src/bilberryshed/coordination/_load_relay.py
+++ b/src/bilberryshed/coordination/_load_relay.py
@@ -43,7 +43,7 @@
     Nothing is sent back to its sender, so no load is counted twice.
 
     :param members: loads of the members of its group
-    :param reported_at: monotonic time of each member's last report, in seconds
+    :param reported_at: responsive time of each member's last report, in seconds
     :param groups: loads of the groups of other hubs
     :param parts_for_hubs: new shared prefixes in this group that other hubs do not know yet
     :param parts_for_members: new shared prefixes that the members do not know yet
@@ -59,7 +59,10 @@
         self.parts_for_members: list[PrefixSent] = []
 
     def on_member(self, now: float, name: str, loads: Loads, parts: Iterable[PrefixSent]) -> None:
-        """Record the load of a member."""
+        """Record the load of a member.
+
+        :param now: responsive time in seconds
+        """
         self.groups.pop(name, None)
         self.members[name] = loads
         self.reported_at[name] = now
@@ -85,7 +88,10 @@
         self.groups.pop(name, None)
 
     def expired(self, now: float) -> list[str]:
-        """Return the members that have not reported for ``REPORT_LIFETIME``."""
+        """Return the members that have not reported for ``REPORT_LIFETIME``.
+
+        :param now: responsive time in seconds
+        """
         return [name for name, at in self.reported_at.items() if now - at > REPORT_LIFETIME]
 
     def group(self, own: Loads) -> Loads:
--- a/src/bilberryshed/gateway/_load_sharing.py
+++ b/src/bilberryshed/gateway/_load_sharing.py
@@ -55,7 +55,8 @@
     def on_notice(self, link: Link, notice: LoadNotice) -> None:
         """Record the load of a gateway that uses this one as its hub."""
         now, name = self.context.timers.now(), link.peer.name
-        self.relay.on_member(now, name, notice.loads, notice.parts)
+        reported_at = self.context.timers.responsive_time()
+        self.relay.on_member(reported_at, name, notice.loads, notice.parts)
         self.context.backends.on_load_notice(now, name, notice)
         self.on_change()
 
@@ -94,7 +95,7 @@
             self._schedule(due_in)
 
     def _refresh(self, now: float) -> None:
-        for name in self.relay.expired(now):
+        for name in self.relay.expired(self.context.timers.responsive_time()):
             self.remove_peer(name)
         if now - self.sent_at >= REFRESH_INTERVAL:
             self._report(now)
