The gateway's own lag does not count as silence of the store

After a pause of more than 0.35 s, a request that waited for tokens or for a higher bound was refused, although the store's answer was there. Both waits, and that of a take-up, are now measured in responsive time, by one method. The two scenarios that hold the loop up during these calls fail before this change.

--- a/features/late_peers.feature
+++ b/features/late_peers.feature
@@ -31,6 +31,8 @@
       | the origin of a stream at a hub    |
       | a stream that nobody knows         |
       | the backend servers in the store   |
+      | tokens from the store              |
+      | a higher bound in the store        |
 
   Scenario Outline: A hub that stood still for <still> s when a report was <age> s old has <counted> its member's load
     Guards against: reports that lay unread in its sockets counted as missing, and the load of its members as none.
--- a/features/steps/late_peers_steps.py
+++ b/features/steps/late_peers_steps.py
@@ -99,6 +99,12 @@
     return await asker.streams.queries.ask_hubs(KEY, question)
 
 
+async def ask_store(asker):
+    """Ask the store for tokens, which has not been read for some time."""
+    asker.funds.pool_sync.read_at = float("-inf")
+    return await asker.funds.pool_sync.sync_with_timeout({CUSTOMER: 100_000})
+
+
 QUESTIONS = {
     "a permit": ask_permit,
     "a loan": ask_loan,
@@ -108,6 +114,8 @@
     "the origin of a stream at a hub": ask_origin,
     "a stream that nobody knows": lambda asker, other: asker.streams.queries.ask_all(KEY),
     "the backend servers in the store": lambda asker, other: asker.streams.refresh(),
+    "tokens from the store": lambda asker, other: ask_store(asker),
+    "a higher bound in the store": lambda asker, other: asker.recorder.raise_bounds({}),
 }
 
 
--- a/src/bilberryshed/gateway/_bounds_recorder.py
+++ b/src/bilberryshed/gateway/_bounds_recorder.py
@@ -64,8 +64,7 @@
         if not self.store_up:
             return False
         task = asyncio.ensure_future(self.record(needs))
-        done, _ = await asyncio.wait({task}, timeout=STORE_WAIT_TIMEOUT)
-        return task in done and task.result()
+        return await self.context.result_within(task, STORE_WAIT_TIMEOUT)
 
     async def record(self, needs: dict[str, int]) -> bool:
         """Compose bounds and write them to the store.
--- a/src/bilberryshed/gateway/_context.py
+++ b/src/bilberryshed/gateway/_context.py
@@ -131,6 +131,18 @@
         """Run a coroutine on the event loop; log its failure."""
         return self.tasks.spawn(coroutine)
 
+    async def result_within(self, call: "asyncio.Future[bool]", seconds: float) -> bool:
+        """Return the result of a call to the store, which goes on if it takes too long.
+
+        :param seconds: responsive seconds to wait for it
+        :returns: ``False`` if it takes longer
+        """
+        try:
+            async with self.timers.timeout(seconds):
+                return await asyncio.shield(call)
+        except TimeoutError:
+            return False
+
     def _quarantine_ports(self) -> QuarantinePorts:
         tables = self.ports.tables
         return QuarantinePorts(
--- a/src/bilberryshed/gateway/_pool_sync.py
+++ b/src/bilberryshed/gateway/_pool_sync.py
@@ -112,8 +112,7 @@
         if self.context.timers.now() < self.failed_at + STORE_BACKOFF:
             return False
         task = asyncio.ensure_future(self.sync(needs))
-        done, _ = await asyncio.wait({task}, timeout=STORE_WAIT_TIMEOUT)
-        return task in done and task.result()
+        return await self.context.result_within(task, STORE_WAIT_TIMEOUT)
 
     def _sync_soon(self) -> None:
         if not self.lock.locked() and not self.closed and self._is_sync_due():
--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -148,7 +148,7 @@
         """
         if self.refreshing is None:
             self.refreshing = self.context.spawn(self._refresh())
-        return await self._within(self.refreshing)
+        return await self.context.result_within(self.refreshing, STORE_WAIT_TIMEOUT)
 
     async def _refresh(self) -> bool:
         async with self.refresh_lock:
@@ -212,14 +212,6 @@
             SEARCH_TIMEOUT,
         )
 
-    async def _within(self, call: "asyncio.Future[bool]") -> bool:
-        """Return the result of a call to the store, ``False`` if it takes too long."""
-        try:
-            async with self.context.timers.timeout(STORE_WAIT_TIMEOUT):
-                return await asyncio.shield(call)
-        except TimeoutError:
-            return False
-
     async def find_here(self, services: tuple[str, ...], key: int) -> Origin | None:
         """Return the origin of a stream for a gateway that does not reach the store."""
         found = self.origins.get(key)
@@ -233,7 +225,8 @@
         The servers and versions have just been read.
         """
         read_at, tables = self._now(), self.context.ports.tables
-        if not await self._within(self.context.spawn(self.records.read())):
+        reading = self.context.spawn(self.records.read())
+        if not await self.context.result_within(reading, STORE_WAIT_TIMEOUT):
             return None
         if key in self.origins.records:
             return self.origins.get(key)
