--- a/src/bilberryshed/gateway/_stream_directory.py
+++ b/src/bilberryshed/gateway/_stream_directory.py
@@ -148,7 +148,7 @@
         """
         if self.refreshing is None:
             self.refreshing = self.context.spawn(self._refresh())
-        return await self._within(self.refreshing)
+        return await self.context.result_within(self.refreshing, STORE_WAIT_TIMEOUT)
 
     async def _refresh(self) -> bool:
         async with self.refresh_lock:
@@ -212,11 +212,6 @@
             SEARCH_TIMEOUT,
         )
 
-    async def _within(self, call: "asyncio.Future[bool]") -> bool:
-        """Return the result of a call to the store, ``False`` if it takes too long."""
-        done, _ = await asyncio.wait({call}, timeout=STORE_WAIT_TIMEOUT)
-        return call in done and bool(call.result())
-
     async def find_here(self, services: tuple[str, ...], key: int) -> Origin | None:
         """Return the origin of a stream for a gateway that does not reach the store."""
         found = self.origins.get(key)
@@ -229,29 +224,37 @@
 
         The servers and versions have just been read.
         """
-        if not await self._within(self.context.spawn(self.records.read())):
+        read_at, tables = self._now(), self.context.ports.tables
+        reading = self.context.spawn(self.records.read())
+        if not await self.context.result_within(reading, STORE_WAIT_TIMEOUT):
             return None
         if key in self.origins.records:
             return self.origins.get(key)
-        return self._prove(services, key, True, await self.queries.ask_all(key))
+        # The store's clock was at most this at the time read_at, however long the answers take.
+        clock = tables.clock
+        if not await self.queries.ask_all(key):
+            return self._prove(services, key, True)
+        self._note_members(self._now())
+        return self._prove(services, key, True, clock - (read_at - self.changed_at) + CLOCK_MARGIN)
 
     def _prove(
-        self, services: tuple[str, ...], key: int | None, is_fresh: bool, is_denied: bool = False
+        self,
+        services: tuple[str, ...],
+        key: int | None,
+        is_fresh: bool,
+        ended_at: float | None = None,
     ) -> Origin | None:
         """Return the origin of a stream by what has been found out.
 
-        :param is_denied: whether no row lists it, and every other gateway has denied it
+        :param ended_at: as for :class:`OriginEvidence`
         """
-        now = self._now()
-        self._note_members(now)
         tables, served = self.context.ports.tables, self.records.served
-        clock = tables.clock
         evidence = OriginEvidence(
             services,
             self.origins.get(key) if key is not None else None,
             is_fresh and served.epoch == tables.epoch,
-            clock,
-            clock - (now - self.changed_at) + CLOCK_MARGIN if is_denied else None,
+            tables.clock,
+            ended_at,
         )
         return prove_origin(served, evidence)
 
