A coordinator of a cold server that was late issues no permits for a while

Links are closed in responsive time now, so that a gateway whose loop had stood still keeps links to others that have taken it for gone and have another coordinator. Both could issue the whole rate of a cold server. After a lag of over 0.5 s in the time of a takeover it issues nothing for that long; the takeover waits 0.5 s longer (before: "A coordinator whose event loop lagged by 3 s" issued its whole share at once).

--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -78,3 +78,15 @@
     And all requests to cold servers were served
     When plain server 1 says in its entry that it is cold for 0 ms
     Then no gateway takes plain server 1 for cold
+
+  Scenario Outline: A coordinator whose event loop lagged by <lag> s <outcome>
+    Guards against: after a pause it kept links to others that had taken over, and both issued the whole rate.
+
+    When a router that has long been the coordinator of a cold server lags by <lag> s
+    Then it issues a share of <now> at once, and of <later> after the time of a takeover
+
+    Examples:
+      | lag | outcome                       | now | later |
+      | 3   | issues nothing for some time  | 0   | 1     |
+      | 0.6 | issues nothing for some time  | 0   | 1     |
+      | 0.4 | goes on, as others allow it   | 1   | 1     |
--- a/features/steps/cold_server_steps.py
+++ b/features/steps/cold_server_steps.py
@@ -300,3 +300,25 @@
 def then_none_cold(context, number):
     known = lambda: not any(view.is_cold for view in views(context, number))  # noqa: E731
     run(context, context.harness.wait_until(known))
+
+
+@when("a router that has long been the coordinator of a cold server lags by {lag:g} s")
+def when_lags(context, lag):
+    names = ["r-0", "r-1", "r-2"]
+    zones = dict.fromkeys(names, "quay")
+    name = limit_coordinator(ENTRY.incarnation, "quay", zones)
+    history = CoordinatorHistory(name)
+
+    def share(now, lagged):
+        history.record(now, zones, names, lagged)
+        return history.share(now, ENTRY.incarnation, "quay", len(names))
+
+    tenths = [share(number / 10, 0.0) for number in range(200)]
+    assert tenths[0] == 0.0 and tenths[-1] == 1.0, tenths
+    context.share = share(20.0 + lag, lag)
+    context.later = [share(20.0 + lag + number / 10, lag) for number in range(1, 100)][-1]
+
+
+@then("it issues a share of {now:g} at once, and of {later:g} after the time of a takeover")
+def then_share(context, now, later):
+    assert (context.share, context.later) == (now, later), (context.share, context.later)
--- a/src/bilberryshed/coordination/places/_cold_coordinators.py
+++ b/src/bilberryshed/coordination/places/_cold_coordinators.py
@@ -15,15 +15,17 @@
 
 LINKS_PER_SECOND = 8.0  # links that one process probes in a second, see the monitor of the links
 MIN_PROBE_INTERVAL = 1.0  # seconds without a message before a link is probed
-PROBE_TIME = 2.5  # seconds until a link that does not reply to a probe is closed
+PROBE_TIME = 2.5  # responsive seconds until a link that does not reply to a probe is closed
+LAG_MARGIN = 0.5  # seconds of lag in the time of a takeover with which a router stays coordinator
 
 
 def takeover_time(routers: int) -> float:
     """Return the seconds after which a coordinator's predecessor issues no more permits.
 
-    It notices a silent link in that time, and the permits that it has issued expire.
+    It notices a silent link or its own lag in that time, and the permits that it issued expire.
     """
-    return max(MIN_PROBE_INTERVAL, routers / LINKS_PER_SECOND) + PROBE_TIME + PERMIT_TIME
+    notice_time = max(MIN_PROBE_INTERVAL, routers / LINKS_PER_SECOND) + PROBE_TIME
+    return notice_time + LAG_MARGIN + PERMIT_TIME
 
 
 @dataclass(slots=True, frozen=True)
@@ -41,20 +43,34 @@
 
 
 class CoordinatorHistory:
-    """The candidates for coordinator that one router has recently seen."""
+    """The candidates for coordinator that one router has recently seen.
 
-    __slots__ = ("name", "readings")
+    A router whose event loop lagged notices silent links late: others may have taken over.
+
+    :param lag: seconds by which its loop had lagged in all at the time ``lag_at``
+    """
+
+    __slots__ = ("name", "readings", "lag", "lag_at")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.readings: deque[_Reading] = deque()
+        self.lag = 0.0
+        self.lag_at = float("-inf")
 
-    def record(self, now: float, zones: dict[str, str], known: Collection[str]) -> None:
+    def record(
+        self, now: float, zones: dict[str, str], known: Collection[str], lag: float = 0.0
+    ) -> None:
         """Record the candidates, and the routers that are known.
 
         :param zones: availability zone by candidate
+        :param lag: seconds by which the own event loop has lagged in all
         """
         names = frozenset(known) | zones.keys()
+        if lag > self.lag + LAG_MARGIN:
+            self.readings.clear()
+        if lag > self.lag + LAG_MARGIN or now >= self.lag_at + takeover_time(len(names)):
+            self.lag, self.lag_at = lag, now
         last = self.readings[-1] if self.readings else None
         if last is None or (last.zones, last.known) != (zones, names):
             self.readings.append(_Reading(now, dict(zones), names))
--- a/src/bilberryshed/gateway/_cold_limits.py
+++ b/src/bilberryshed/gateway/_cold_limits.py
@@ -91,7 +91,8 @@
     def _record_links(self, now: float) -> None:
         if self.context.listed:
             names = {*self.context.known_gateways, self.context.settings.name}
-            self.history.record(now, self._candidates(), names)
+            lag = now - self.context.timers.responsive_time()
+            self.history.record(now, self._candidates(), names, lag)
 
     def _update_views(self, now: float) -> None:
         """Mark the views of cold backend servers, and log changes."""
