A silent attempt is replaced only by one that is certain to go on

A stream is now replaced at the first event of the other attempt, any other response at the end of its body.

--- a/features/late_gateway.feature
+++ b/features/late_gateway.feature
@@ -67,8 +67,30 @@
       | that they are full  | full, full, full, full, full |
       | with an error       | error, error                 |
       | and break off       | reset, reset                 |
+      | without any events  | no events                    |
+      | and are cut at once | cut 0, full, full, full, full |
       | after it goes on    | slow 1.0                     |
 
+  Scenario: A slow server ends no request although another one breaks off in its answer
+    Given a gateway process whose retry budget is 50 a window
+    And the next responses of the plain servers are: slow 1.2, cut
+    When a caller sends GET /look/1 with its key
+    Then the status is 200
+
+  Scenario: A stream moves on at once past servers that are full
+    Given a gateway process whose retry budget is 50 a window
+    And the next responses of the model engines are: pause 8, full, full, full
+    When 1 callers stream
+    Then every caller received events 1 to 60 once each, and a complete response
+    And 1 streams moved on, and no event came over 1 s after the one before
+
+  Scenario: Streams that are silent at the same time are sent again within the retry budget
+    Given a gateway process whose retry budget is 2 a window
+    And the next responses of the model engines are: pause 1.5, pause 1.5, pause 1.5, pause 1.5, pause 1.5, pause 1.5, pause 1.5, pause 1.5, pause 1.5, pause 1.5
+    When 10 callers stream
+    Then every caller received events 1 to 60 once each, and a complete response
+    And 2 streams moved on, and no event came over 2 s after the one before
+
   Scenario: A stream that breaks off while another server is asked goes on there
     Given a gateway process whose retry budget is 50 a window
     And the next responses of the model engines are: pause 0.6 cut, slow 0.5
--- a/src/bilberryshed/coordination/_retry_budget.py
+++ b/src/bilberryshed/coordination/_retry_budget.py
@@ -37,6 +37,11 @@
         self.retries[service].append(now)
         return True
 
+    def refund(self, service: str) -> None:
+        """Take the last counted retry back, as nothing was sent."""
+        if self.retries[service]:
+            self.retries[service].pop()
+
     def may_retry(self, now: float, service: str, routers: int) -> bool:
         """Whether the budget covers a retry.
 
--- a/src/bilberryshed/gateway/_answer_limits.py
+++ b/src/bilberryshed/gateway/_answer_limits.py
@@ -5,9 +5,10 @@
 from itertools import count
 
 from bilberryshed.coordination.memory import AnswerBytes
+from bilberryshed.gateway._attempt import Attempt
 from bilberryshed.gateway._context import GatewayContext
 from bilberryshed.gateway._job import Job
-from bilberryshed.transport import BackendConnection, ResponseError, logger
+from bilberryshed.transport import ResponseError, logger
 
 MEGABYTE = 1_000_000
 ANSWER_SHARE = 0.15  # share of the memory; an answer is copied once when it is complete
@@ -28,12 +29,17 @@
     __slots__ = ("limiter", "number", "job", "server", "on_cut", "is_cut")
 
     def __init__(
-        self, limiter: "AnswerLimiter", number: int, job: Job, on_cut: Callable[[], None]
+        self,
+        limiter: "AnswerLimiter",
+        number: int,
+        job: Job,
+        server: str,
+        on_cut: Callable[[], None],
     ) -> None:
         self.limiter = limiter
         self.number = number
         self.job = job
-        self.server = job.server
+        self.server = server
         self.on_cut = on_cut
         self.is_cut = False
 
@@ -74,12 +80,13 @@
         self.numbers = count()
 
     @contextmanager
-    def open(self, job: Job, connection: BackendConnection) -> Iterator[HeldAnswer]:
+    def open(self, job: Job, attempt: Attempt) -> Iterator[HeldAnswer]:
         """Hold the answer that is read in this block; if it gives way, its channel is closed.
 
         :raises AnswerCutError: if it has to give way, whatever the read then reports
         """
-        answer = self._add(job, connection.abort)
+        assert attempt.connection is not None
+        answer = self._add(job, attempt.server, attempt.connection.abort)
         try:
             yield answer
         except ResponseError as error:
@@ -92,7 +99,7 @@
     def keep_failed(self, job: Job, size: int) -> None:
         """Hold the error response that a request gets if its retries bring no better one."""
         self.release_failed(job)
-        answer = self._add(job, job.drop_failed_response)
+        answer = self._add(job, job.server, job.drop_failed_response)
         job.failed_answer = answer.number
         self.put(answer, size)
 
@@ -102,8 +109,8 @@
             self._release(job.failed_answer)
             job.failed_answer = None
 
-    def _add(self, job: Job, on_cut: Callable[[], None]) -> HeldAnswer:
-        answer = HeldAnswer(self, next(self.numbers), job, on_cut)
+    def _add(self, job: Job, server: str, on_cut: Callable[[], None]) -> HeldAnswer:
+        answer = HeldAnswer(self, next(self.numbers), job, server, on_cut)
         self.answers[answer.number] = answer
         return answer
 
--- a/src/bilberryshed/gateway/_attempt.py
+++ b/src/bilberryshed/gateway/_attempt.py
@@ -32,10 +32,12 @@
     :param run: entry in the backend pool
     :param load: load of this gateway at the backend server when it was chosen
     :param connection: connection that carries it, ``None`` before there is one
-    :param number: number of the run of its request, 0 before it was sent
+    :param number: number of the send of its request, 0 before it was sent
     :param sent_at: time at which it was sent
     :param awaited_since: responsive time at which it was sent
     :param response: head of the response, ``None`` before it was read
+    :param ahead: part of a stream that was read before it replaced a silent attempt
+    :param body: whole body that was read before it replaced one, ``None`` if it was not
     :param writing_since: time of its first event
     :param is_silent: whether it has been without data for too long
     :param is_cleared: whether it has shown that its prompt crashes no server
@@ -50,6 +52,8 @@
     sent_at: float = 0.0
     awaited_since: float = 0.0
     response: BackendResponse | None = None
+    ahead: bytes = b""
+    body: bytes | None = None
     writing_since: float | None = None
     is_silent: bool = False
     is_cleared: bool = False
@@ -60,6 +64,11 @@
         """Id of the backend server."""
         return self.view.server.id
 
+    def take_ahead(self) -> bytes:
+        """Return and clear the part of a stream that was read ahead, empty if there is none."""
+        ahead, self.ahead = self.ahead, b""
+        return ahead
+
     def writing_ms(self, now: float) -> int | None:
         """Milliseconds since its first event, ``None`` before it.
 
--- a/src/bilberryshed/gateway/_attempts.py
+++ b/src/bilberryshed/gateway/_attempts.py
@@ -133,7 +133,7 @@
         job.sent += 1
         self._log_sent(job, attempt)
         job.runs += 1
-        attempt.number = job.runs
+        attempt.number = job.sent
         attempt.sent_at = self.context.timers.now()
         attempt.awaited_since = self.context.timers.responsive_time()
         job.exchange.is_sent = True
@@ -196,12 +196,6 @@
             self.connections.release(connection, now, response.idle_timeout)
             attempt.is_connection_free = True
 
-    def release_unused(self, attempt: Attempt) -> None:
-        """Return a connection to the pool on which nothing was sent."""
-        if attempt.connection is not None and attempt.connection.is_usable():
-            self.connections.release(attempt.connection, self.context.timers.now(), None)
-            attempt.is_connection_free = True
-
     def on_silent(self, job: Job, attempt: Attempt) -> None:
         """Record that an attempt has been without data for too long."""
         if not attempt.is_silent:
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -9,7 +9,7 @@
 
 from functools import partial
 
-from bilberryshed.coordination import LATE_GAP
+from bilberryshed.coordination import LATE_GAP, BackendView
 from bilberryshed.gateway._answer_limits import AnswerCutError, AnswerLimiter
 from bilberryshed.gateway._attempt import Attempt
 from bilberryshed.gateway._attempts import Attempts
@@ -160,7 +160,9 @@
                 timers = self.context.timers
                 seconds = timers.responsive_time() - attempt.awaited_since
                 self.pool.on_first_event(timers.now(), attempt.run, seconds)
-            body = await self.responses.read_body(job, attempt, watch)
+            body = attempt.body
+            if body is None:
+                body = await self.responses.read_body(job, attempt, watch)
             if response.status >= 500 and self._is_error_retryable(job, watch):
                 job.failed_response = (response, body)
                 self.answer_limits.keep_failed(job, len(body))
@@ -189,50 +191,73 @@
     async def _begin_successor(self, job: Job, attempt: Attempt) -> Attempt | None:
         """Begin another attempt while a silent one goes on.
 
-        :returns: the other attempt once its response has begun, ``None`` if there is none
+        :returns: the other attempt once it can replace the silent one, ``None`` if none can
         """
         self.attempts.on_silent(job, attempt)
-        if not await self._is_retry_due(job, AttemptOutcome.BROKEN):
-            return None
-        view = await self.choice.choose(job)
-        if view is None:
-            self._log_retry_refused(job, AttemptOutcome.BROKEN, "no_server")
+        try:
+            while await self._is_retry_due(job, AttemptOutcome.BROKEN):
+                if not self._take_retry(job, AttemptOutcome.BROKEN):
+                    return None
+                sent = job.sent
+                try:
+                    view = await self.choice.choose(job)
+                    if view is None:
+                        self._log_retry_refused(job, AttemptOutcome.BROKEN, "no_server")
+                        return None
+                    successor = await self._start(job, view)
+                finally:
+                    if job.sent == sent:
+                        self.context.retries.refund(job.service.name)
+                if successor is not None:
+                    return successor
             return None
+        finally:
+            # What kept a successor from being sent does not explain the end of the silent attempt.
+            job.is_link_full, job.admitted_at = False, None
+
+    async def _start(self, job: Job, view: BackendView) -> Attempt | None:
+        """Run another attempt until it can replace a silent one; return it then."""
         successor = self.attempts.begin(job, view)
-        has_begun = False
+        is_ready = False
         try:
-            has_begun = await self._start(job, successor)
+            is_ready = await self._read_ahead(job, successor)
         finally:
-            if not has_begun:
+            if not is_ready:
                 self.attempts.end(successor)
-        return successor if has_begun else None
+        return successor if is_ready else None
+
+    async def _read_ahead(self, job: Job, successor: Attempt) -> bool:
+        """Send the request, and read so much that the answer is certain to go on.
 
-    async def _start(self, job: Job, successor: Attempt) -> bool:
-        """Send the request in another attempt.
+        That is the first event of a stream, or any other body as a whole.
 
-        :returns: whether its response has begun
+        :returns: whether it can replace a silent attempt
         """
         if not await self.attempts.connect(job, successor):
             return False
-        if not self._take_retry(job, AttemptOutcome.BROKEN):
-            self.attempts.release_unused(successor)
-            return False
         watch = SilenceWatch(self.context, self.link_load, job, None, self.attempts.end)
         try:
             response = await self.attempts.request(job, successor, watch)
+            if response.is_rejection or not self._is_replacement(job, successor, response):
+                return False
+            if job.is_stream and 200 <= response.status < 300:
+                await self.stream_relay.read_ahead(job, successor, watch)
+            else:
+                successor.body = await self.responses.read_body(job, successor, watch)
+            return True
         except TimeoutError:
             self._on_timeout(job, successor, watch)
-            return False
         except ResponseError as error:
             self._on_broken(job, successor, error)
-            return False
-        if response.is_rejection:
-            return False
-        if response.status >= 500 or (job.exchange.started and not 200 <= response.status < 300):
-            job.excluded.add(successor.server)
-            job.last_failure = f"backend server answered {response.status}"
-            return False
-        return True
+        return False
+
+    def _is_replacement(self, job: Job, successor: Attempt, response: BackendResponse) -> bool:
+        """Whether a response with this head may replace a silent attempt."""
+        if response.status < 500 and (not job.exchange.started or 200 <= response.status < 300):
+            return True
+        job.excluded.add(successor.server)
+        job.last_failure = f"backend server answered {response.status}"
+        return False
 
     # Retries --------------------------------------------------------------------------------
 
--- a/src/bilberryshed/gateway/_response_reader.py
+++ b/src/bilberryshed/gateway/_response_reader.py
@@ -71,7 +71,7 @@
         assert connection is not None and response is not None
         if response.status < 500:
             watch.restart(FIRST_BYTE_FACTOR)
-        with self.answer_limits.open(job, connection) as answer:
+        with self.answer_limits.open(job, attempt) as answer:
             while chunk := await watch.read(connection.read_body):
                 body.append(chunk)
                 if len(body) > MAX_BODY_BYTES:
--- a/src/bilberryshed/gateway/_silence_watch.py
+++ b/src/bilberryshed/gateway/_silence_watch.py
@@ -1,7 +1,7 @@
 """Reads from an attempt, and has another one begin while it is silent.
 
 A silent attempt lives: the deadline of its caller may be far off, and its data may still come. So
-it goes on until the other attempt has begun to respond, and whichever responds first is kept.
+it goes on until the other one is certain to go on with the answer; whichever comes first is kept.
 """
 
 import asyncio
@@ -17,13 +17,14 @@
 
 FIRST_BYTE_FACTOR = 2.0  # latency targets without a response, then another attempt may begin
 STALL_FACTOR = 1.5  # latency targets without an event of a stream, then another attempt may begin
+ERROR_MARGIN = 0.5  # latency targets before the deadline at which an error response is sent
 MIN_WAIT = 0.02  # seconds between checks of an attempt that is nearly silent for too long
 
 T = TypeVar("T")
 
 
 class SupersededError(Exception):
-    """Another attempt has begun to respond in place of a silent one.
+    """Another attempt has responded in place of a silent one.
 
     :param successor: the other attempt
     """
@@ -36,7 +37,7 @@
 class SilenceWatch:
     """Watches one attempt.
 
-    :param begin_successor: begins another attempt and returns it once its response has begun, or
+    :param begin_successor: begins another attempt and returns it once it can replace this one, or
         ``None``; without it, a silent attempt ends
     :param discard: ends a successor that is not needed
     :param limit: seconds that may pass without progress, in the time of ``LinkLoad.clear_time``
@@ -91,11 +92,13 @@
     def close(self) -> None:
         """End a successor that has not replaced the attempt."""
         successor, self.successor = self.successor, None
-        if successor is None:
-            return
-        if not successor.done():
+        if successor is not None:
             successor.cancel()
-        elif not successor.cancelled() and not successor.exception():
+            successor.add_done_callback(self._discard_result)
+
+    def _discard_result(self, successor: "asyncio.Future[Attempt | None]") -> None:
+        """End an attempt that was ready before the successor was cancelled."""
+        if not successor.cancelled() and not successor.exception():
             attempt = successor.result()
             if attempt is not None:
                 self.discard(attempt)
@@ -127,14 +130,17 @@
         raise TimeoutError
 
     async def take_successor(self) -> Attempt | None:
-        """Return the successor of an attempt that has failed, once its response has begun.
+        """Return the successor of an attempt that has failed, once it can replace it.
 
-        :returns: ``None`` if there is none by the deadline of the request
+        :returns: ``None`` if there is none by the deadline of the request, or by the time at which
+            an error response has to be sent
         """
         if self.successor is None:
             return None
+        has_error = self.job.failed_response is not None
+        margin = ERROR_MARGIN * self.job.route.latency_target if has_error else 0.0
         try:
-            async with asyncio.timeout_at(self.job.deadline):
+            async with asyncio.timeout_at(self.job.deadline - margin):
                 await asyncio.wait({self.successor})
         except TimeoutError:
             return None
--- a/src/bilberryshed/gateway/_stream_relay.py
+++ b/src/bilberryshed/gateway/_stream_relay.py
@@ -1,5 +1,6 @@
 """Relays the events of a backend server's stream to the caller."""
 
+from bilberryshed.coordination import EventSplitter
 from bilberryshed.gateway._answer_limits import AnswerLimiter
 from bilberryshed.gateway._attempt import Attempt
 from bilberryshed.gateway._context import GatewayContext
@@ -51,8 +52,8 @@
         job.status = response.status
         events_before = event_splitter.events
         watch.restart(STALL_FACTOR)
-        with self.answer_limits.open(job, connection) as answer:
-            while chunk := await watch.read(connection.read_body):
+        with self.answer_limits.open(job, attempt) as answer:
+            while chunk := attempt.take_ahead() or await watch.read(connection.read_body):
                 self._note_data(attempt)
                 events = event_splitter.feed(chunk)
                 if events:
@@ -61,7 +62,7 @@
                     self._begin(job, attempt, response)
                     await exchange.write(events)
                     watch.restart(STALL_FACTOR)  # the caller's delay is not the backend server's
-                self._check(job)
+                self._check(event_splitter)
                 answer.hold(len(event_splitter.buffer))
             answer.hold(len(event_splitter.buffer))
         if event_splitter.buffer:
@@ -79,8 +80,26 @@
         began_at = attempt.writing_since or self.context.timers.now()
         self.context.quarantine.on_answer(began_at, job.fingerprint, job.shared_parts)
 
-    def _check(self, job: Job) -> None:
-        event_splitter = job.event_splitter
+    async def read_ahead(self, job: Job, attempt: Attempt, watch: SilenceWatch) -> None:
+        """Read a stream up to its next complete event, which :meth:`relay` then sends.
+
+        :raises ResponseError: if it ends before, or holds anything else
+        :raises TimeoutError: if no event arrives in time
+        """
+        connection, splitter = attempt.connection, EventSplitter(job.event_splitter.last_id)
+        assert connection is not None
+        watch.restart(STALL_FACTOR)
+        with self.answer_limits.open(job, attempt) as answer:
+            while not splitter.events:
+                chunk = await watch.read(connection.read_body)
+                if not chunk:
+                    raise InvalidStreamError("the rest of the stream has no events")
+                attempt.ahead += chunk
+                splitter.feed(chunk)
+                self._check(splitter)
+                answer.hold(len(attempt.ahead))
+
+    def _check(self, event_splitter: EventSplitter) -> None:
         if event_splitter.fault:
             raise InvalidStreamError(event_splitter.fault)
         if len(event_splitter.buffer) > MAX_EVENT_BYTES:
