Callers are not cut off for the gateway's own pause

After a pause of 1.5 s, the gateway closed connections of callers whose bytes waited in its sockets: the rest of a head sent 4.6 s after its start, and requests sent 14.6 s after the connection had become idle. The limiter of callers compared monotonic times, and tornado's header timeout, which served as idle timeout, runs on the own clock.

Times of callers' connections are now responsive times. The limiter also closes idle connections, and tornado's timeout is left at its default of an hour.

--- a/features/late_gateway.feature
+++ b/features/late_gateway.feature
@@ -54,3 +54,21 @@
     And the next responses of the model engines are: pause 1.2, full, full, full, full, full
     When 1 callers stream
     Then every caller received events 1 to 60 once each, and a complete response
+
+  Scenario Outline: A caller whose <part> waits in the socket while the gateway stands still is served
+    Guards against: after a pause, the time of callers has run out although their bytes have arrived.
+
+    Given a gateway process whose retry budget is 4 a window
+    When a caller sends its <part> <late> s late, and the process is stopped for 1.5 s from <start> s
+    Then the caller has a response with status 200
+
+    Examples:
+      | part           | late | start |
+      | rest of a head | 4.6  | 4.2   |
+      | first request  | 14.6 | 14.2  |
+      | next request   | 14.6 | 14.2  |
+
+  Scenario: An idle connection is closed although its gateway stood still
+    Given a gateway process whose retry budget is 4 a window
+    When a caller sends nothing, and the process is stopped for 1.5 s from 2 s
+    Then its connection is closed after 15 to 18.5 s
--- a/features/steps/late_gateway_steps.py
+++ b/features/steps/late_gateway_steps.py
@@ -181,3 +181,82 @@
     assert executed == len(context.streams) + count, executed
     longest = max(gap for stream in context.streams for gap in stream.gaps)
     assert longest <= limit, longest
+
+
+# Callers ---------------------------------------------------------------------------------------
+
+
+def look(harness):
+    """Return a request of a caller."""
+    return (
+        f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {API_KEY}\r\n"
+        f"X-Attempt-Id: {harness.request_id()}\r\n\r\n"
+    ).encode()
+
+
+async def stop_later(context, start, pause):
+    """Stop the process for a while."""
+    await asyncio.sleep(start)
+    context.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(pause)
+    context.process.send_signal(signal.SIGCONT)
+
+
+async def call_late(context, part, late):
+    """Send a part of a request late, and return the response as far as it comes."""
+    address = context.harness.gateways["gate-1"].settings.listen
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    request = look(context.harness)
+    sent = 20 if part == "rest of a head" else 0
+    if part == "next request":
+        writer.write(look(context.harness))
+        await reader.read(65_536)
+    writer.write(request[:sent])
+    await asyncio.sleep(late)
+    writer.write(request[sent:])
+    try:
+        return await asyncio.wait_for(reader.read(65_536), DEADLINE_MS / 1000)
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+@when(
+    "a caller sends its {part} {late:g} s late, and the process is stopped for {pause:g} s "
+    "from {start:g} s"
+)
+def when_late_caller(context, part, late, pause, start):
+    async def both():
+        context.response, _ = await asyncio.gather(
+            call_late(context, part, late), stop_later(context, start, pause)
+        )
+
+    run(context, both())
+
+
+@then("the caller has a response with status {status}")
+def then_response(context, status):
+    assert context.response.startswith(b"HTTP/1.1 " + status.encode()), context.response[:200]
+
+
+@when("a caller sends nothing, and the process is stopped for {pause:g} s from {start:g} s")
+def when_idle_caller(context, pause, start):
+    async def wait():
+        address = context.harness.gateways["gate-1"].settings.listen
+        loop = asyncio.get_running_loop()
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        began = loop.time()
+        await asyncio.gather(
+            asyncio.wait_for(reader.read(1), 2 * DEADLINE_MS / 1000),
+            stop_later(context, start, pause),
+        )
+        context.taken = loop.time() - began
+        writer.close()
+
+    run(context, wait())
+
+
+@then("its connection is closed after {least:g} to {most:g} s")
+def then_closed(context, least, most):
+    assert least <= context.taken <= most, context.taken
--- a/src/bilberryshed/gateway/_caller_limits.py
+++ b/src/bilberryshed/gateway/_caller_limits.py
@@ -44,7 +44,8 @@
     def start(self, *listeners: CallerListener | None) -> None:
         """Begin the periodic checks of the listeners' connections."""
         self.listeners = [listener for listener in listeners if listener is not None]
-        self.context.timers.subscribe(SWEEP_INTERVAL, self.sweep)
+        timers = self.context.timers
+        timers.subscribe(SWEEP_INTERVAL, lambda now: self.sweep(timers.responsive_time()))
 
     @property
     def limits(self) -> CallerLimits:
@@ -135,7 +136,7 @@
     def sweep(self, now: float) -> None:
         """Check all connections.
 
-        :param now: monotonic time in seconds
+        :param now: responsive time in seconds, so that bytes which wait to be read count
         """
         streams = self._streams()
         for stream in streams:
@@ -167,6 +168,8 @@
                 stream.close()
         elif stream.unsent and now - stream.sent_at > settings.read_time:
             stream.cut("response")
+        elif stream.phase is Phase.IDLE and now - stream.since > stream.listener.idle_timeout:
+            stream.close()
         elif stream.phase is Phase.HEAD and now - stream.since > self.limits.header_timeout:
             stream.cut("head")
         elif stream.phase is Phase.BODY and now - stream.received_at > settings.body_time:
--- a/src/bilberryshed/gateway/_gateway.py
+++ b/src/bilberryshed/gateway/_gateway.py
@@ -196,10 +196,9 @@
         index = self.context.index
         if self.http is None or index is None:
             return
-        limits, params = index.table.limits, self.http.conn_params
-        params.max_header_size = limits.header_bytes
-        # The limiter checks the time of a head, which this time includes.
-        params.header_timeout = limits.idle_timeout
+        limits = index.table.limits
+        self.http.conn_params.max_header_size = limits.header_bytes
+        self.http.idle_timeout = limits.idle_timeout
         self._apply_caller_settings()
 
     def _apply_caller_settings(self) -> None:
@@ -248,7 +247,8 @@
             max_fields=self.settings.header_fields,
             refusal_fields="".join(f"{name}: {value}\r\n" for name, value in fields).encode(),
             max_header_size=limits.header_bytes,
-            idle_connection_timeout=limits.idle_timeout,
+            clock=self.context.timers.responsive_time,
+            idle_timeout=limits.idle_timeout,
         )
         server.listen(self.settings.listen.port, self.settings.listen.host, backlog=LISTEN_BACKLOG)
         return server
@@ -262,7 +262,8 @@
             on_cut=self.limiter.on_cut,
             closes_oldest=True,
             max_header_size=limits.header_bytes,
-            idle_connection_timeout=limits.idle_timeout,
+            clock=self.context.timers.responsive_time,
+            idle_timeout=limits.idle_timeout,
         )
         address = self.settings.ready_listen
         server.listen(address.port, address.host)
--- a/src/bilberryshed/gateway/_metrics.py
+++ b/src/bilberryshed/gateway/_metrics.py
@@ -137,6 +137,7 @@
             BodylessServer(application),
             max_connections=max_connections,
             on_cut=on_cut,
+            clock=self.context.timers.responsive_time,
             closes_oldest=True,
         )
         try:
--- a/src/bilberryshed/transport/_caller_streams.py
+++ b/src/bilberryshed/transport/_caller_streams.py
@@ -1,7 +1,7 @@
 """Connections of callers: phases, bytes that wait on them, and a bound on their number."""
 
 import asyncio
-import time
+import math
 from collections.abc import Awaitable, Callable
 from enum import Enum
 from itertools import count
@@ -45,9 +45,9 @@
     """A connection of a caller.
 
     :param number: identifies the connection in the process
-    :param phase: what the connection does, since the monotonic time ``since``
-    :param received_at: monotonic time at which bytes last arrived
-    :param sent_at: monotonic time at which bytes last left, or began to wait
+    :param phase: what the connection does, since the responsive time ``since``
+    :param received_at: responsive time at which bytes last arrived
+    :param sent_at: responsive time at which bytes last left, or began to wait
     :param unsent: bytes that wait for the caller to read
     :param is_answered: whether the last response has been queued, so that nothing may follow it
     """
@@ -57,15 +57,16 @@
         self.number = next(_numbers)
         self.listener = listener
         self.on_cut = listener.on_cut
+        self.clock = listener.clock
         self.phase = Phase.IDLE
-        self.since = self.received_at = self.sent_at = time.monotonic()
+        self.since = self.received_at = self.sent_at = self.clock()
         self.unsent = 0
         self.is_answered = False
 
     def enter(self, phase: Phase) -> None:
         """Change the phase."""
         self.phase = phase
-        self.since = self.received_at = time.monotonic()
+        self.since = self.received_at = self.clock()
 
     def cut(self, cause: str) -> None:
         """Close the connection for a limit.
@@ -80,7 +81,7 @@
         """Read from the socket; the first bytes on an idle connection begin a head."""
         size = super().read_from_fd(buf)
         if size:
-            self.received_at = time.monotonic()
+            self.received_at = self.clock()
             if self.phase is Phase.IDLE:
                 self.enter(Phase.HEAD)
         return size
@@ -94,7 +95,7 @@
         if self.is_answered:
             raise StreamClosedError()
         if not self.unsent:
-            self.sent_at = time.monotonic()
+            self.sent_at = self.clock()
         self.unsent += len(data)
         return super().write(data)
 
@@ -102,7 +103,7 @@
         """Write to the socket."""
         size = super().write_to_fd(data)
         if size:
-            self.sent_at = time.monotonic()
+            self.sent_at = self.clock()
             self.unsent = max(0, self.unsent - size)
         return size
 
@@ -143,6 +144,9 @@
     :param max_fields: bound on the header fields of a request
     :param refusal_fields: header lines of the refusal of a request with more
     :param on_cut: called with the cause whenever a limit closes a connection
+    :param clock: returns the responsive time, so that the process's own delays are not its callers'
+    :param idle_timeout: seconds after which the limiter of callers closes an idle connection;
+        tornado's timeout would close one whose request waits in the socket after a pause
     :param closes_oldest: whether any connection gives way at the bound, also a running or new one
     """
 
@@ -151,6 +155,8 @@
         delegate: Any,
         max_connections: int,
         on_cut: Callable[[str], None],
+        clock: Callable[[], float],
+        idle_timeout: float = math.inf,
         max_fields: int = DEFAULT_FIELDS,
         refusal_fields: bytes = b"",
         closes_oldest: bool = False,
@@ -169,6 +175,8 @@
         self.max_fields = max_fields
         self.refusal_fields = refusal_fields
         self.on_cut = on_cut
+        self.clock = clock
+        self.idle_timeout = idle_timeout
         self.closes_oldest = closes_oldest
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
@@ -193,7 +201,7 @@
         Refused ones give way first, bodies that have not arrived last, otherwise the oldest. Time
         limits do not free the places of slow bodies, as a byte now and then keeps them open.
         """
-        latest = time.monotonic() - MIN_IDLE
+        latest = self.clock() - MIN_IDLE
         idle = [
             stream
             for stream in self.streams
