--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -113,3 +113,11 @@
     When a caller streams while the store sends rows of 500 kB, one every 0.2 s
     Then the whole stream came from one server, which has no failures
     And the gateway has not moved its callers, as they are not the cause
+
+  @known_red
+  Scenario: A store responds while the gateway stands still
+    Guards against: calls of the store were timed out by the client library's clock, though the response waited.
+
+    Given a store in another thread that responds after 0.1 s
+    When a gateway calls it with a timeout of 0.3 s, and stands still for 1 s after 0.02 s
+    Then the call has succeeded
--- a/features/steps/late_verdict_steps.py
+++ b/features/steps/late_verdict_steps.py
@@ -4,15 +4,19 @@
 import re
 import socket
 import struct
+import threading
 import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from types import SimpleNamespace
 from unittest import mock
 
 from behave import given, then, when
 from gateway_steps import put_config, run
 from gateway_support import build_config
+from returns.result import Success
 
 from bilberryshed.coordination.pacing import Pacing
+from bilberryshed.platform._store import PlatformStore
 from bilberryshed.state import Address
 from bilberryshed.transport import ConnectionPool, ConnectTimeoutError, TimerService
 from bilberryshed.transport._connections import IDLE_TIMEOUT_MARGIN, _SendingStream
@@ -299,3 +303,49 @@
     check_stream(context)
     executed = [len(backend.executed) for backend in context.harness.backends.values()]
     assert sum(executed) == 2, executed
+
+
+class _StoreHandler(BaseHTTPRequestHandler):
+    """Responds to each read of changes, after a delay, that there are none."""
+
+    delay = 0.0
+
+    def do_GET(self):  # noqa: N802
+        """Respond."""
+        time.sleep(self.delay)
+        body = b'{"rows": [], "rowVersion": 1}'
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        """Log nothing."""
+
+
+@given("a store in another thread that responds after {delay:g} s")
+def given_store_thread(context, delay):
+    _StoreHandler.delay = delay
+    server = ThreadingHTTPServer(("127.0.0.1", 0), _StoreHandler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    context.store_address = Address("127.0.0.1", server.server_address[1])
+
+
+@when(
+    "a gateway calls it with a timeout of {timeout:g} s, and stands still for {pause:g} s "
+    "after {delay:g} s"
+)
+def when_store_called(context, timeout, pause, delay):
+    async def call():
+        store = PlatformStore(context.store_address, timeout)
+        asyncio.get_running_loop().call_later(delay, time.sleep, pause)
+        return await store.changes("op", 0, 0.0)
+
+    context.result = run(context, call())
+
+
+@then("the call has succeeded")
+def then_succeeded(context):
+    assert isinstance(context.result, Success), context.result
