--- a/features/late_verdicts.feature
+++ b/features/late_verdicts.feature
@@ -105,6 +105,14 @@
     When a caller streams while the link of the gateway is full
     Then the stream moved on to another server
 
+  Scenario: A server is silent while nothing can be sent on the own link
+    Guards against: for a stream that had begun, another server was chosen again and again without a pause.
+
+    Given the next responses of the model engines are: pause 1.5
+    When a caller streams while no further request may be sent
+    Then the whole stream came from one server
+    And another one was chosen at most 3 times
+
   Scenario: Servers are silent while the gateway reads tables from the store
     Guards against: a table of 540 kB fills a link of 10 Mbit/s for longer than a caption may be silent, and was not counted.
 
--- a/features/steps/late_verdict_steps.py
+++ b/features/steps/late_verdict_steps.py
@@ -289,11 +289,34 @@
     assert received, context.response
 
 
-@then("the whole stream came from one server, which has no failures")
-def then_one_server(context):
+@when("a caller streams while no further request may be sent")
+def when_streams_without_link(context):
+    link_load, context.choices = first_gateway(context).link_load, 0
+
+    def may_dispatch():
+        has_begun = any(backend.executed for backend in context.harness.backends.values())
+        context.choices += has_begun
+        return not has_begun
+
+    with mock.patch.object(type(link_load), "may_dispatch", lambda self: may_dispatch()):
+        context.response = run(context, context.harness.call("/chat/1"))
+
+
+@then("another one was chosen at most {count:d} times")
+def then_choices(context, count):
+    assert 0 < context.choices <= count, context.choices
+
+
+@then("the whole stream came from one server")
+def then_whole_from_one(context):
     check_stream(context)
     executed = [len(backend.executed) for backend in context.harness.backends.values()]
     assert sum(executed) == 1, executed
+
+
+@then("the whole stream came from one server, which has no failures")
+def then_one_server(context):
+    then_whole_from_one(context)
     views = first_gateway(context).context.backends.views.values()
     assert not any(view.failure_rate for view in views)
 
--- a/src/bilberryshed/gateway/_forwarder.py
+++ b/src/bilberryshed/gateway/_forwarder.py
@@ -198,7 +198,7 @@
             while await self._is_retry_due(job, AttemptOutcome.BROKEN):
                 if not self._take_retry(job, AttemptOutcome.BROKEN):
                     return None
-                sent = job.sent
+                sent, refused = job.sent, job.refused
                 try:
                     view = await self.choice.choose(job)
                     if view is None:
@@ -208,8 +208,8 @@
                 finally:
                     if job.sent == sent:
                         self.context.retries.refund(job.service.name)
-                if successor is not None:
-                    return successor
+                if successor is not None or (job.sent, job.refused) == (sent, refused):
+                    return successor  # if no server was reached at all, none is for the moment
             return None
         finally:
             # What kept a successor from being sent does not explain the end of the silent attempt.
