--- a/src/bilberryshed/gateway/_stream_relay.py
+++ b/src/bilberryshed/gateway/_stream_relay.py
@@ -94,10 +94,10 @@
                 chunk = await watch.read(connection.read_body)
                 if not chunk:
                     raise InvalidStreamError("the rest of the stream has no events")
-                attempt.ahead += chunk
-                splitter.feed(chunk)
+                events = splitter.feed(chunk)
                 self._check(splitter)
-                answer.hold(len(attempt.ahead))
+                answer.hold(len(splitter.buffer))
+            attempt.ahead = events + bytes(splitter.buffer.pending)
 
     def _check(self, event_splitter: EventSplitter) -> None:
         if event_splitter.fault:
